--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Targets for users and CI. Run "make help" for a list.
+.PHONY: help build run test lint fmt check bench soak capacity
+
+BIN := bin
+SEED ?= 1
+DURATION ?= 5m
+
+help:      ## list the targets
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST)
+
+build:     ## build the programs into bin/
+	go build -o $(BIN)/ ./cmd/...
+
+run: build ## start a whole system on loopback
+	$(BIN)/galenabridge dev
+
+test:      ## run all tests with the race detector
+	go test -race ./...
+
+fmt:       ## list files that gofmt would change
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
+
+lint:      ## run go vet and staticcheck
+	go vet ./...
+	mkdir -p $(BIN)/tools
+	cd tools && go build -o ../$(BIN)/tools/ honnef.co/go/tools/cmd/staticcheck
+	$(BIN)/tools/staticcheck ./...
+
+check: fmt lint build test ## all that CI runs
--- /dev/null
+++ b/internal/config/describe.go
@@ -0,0 +1,31 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// jsonName makes the validator report fields by their JSON names.
+func jsonName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	if name == "-" {
+		return ""
+	}
+	return name
+}
+
+// describe formats a field error as path, value and reason.
+func describe(f validator.FieldError) string {
+	_, path, _ := strings.Cut(f.Namespace(), ".")
+	reason := f.Tag()
+	if f.Param() != "" {
+		reason += "=" + f.Param()
+	}
+	if strings.Contains(path, "secret") || strings.Contains(path, "token") {
+		return fmt.Sprintf("%s: must satisfy %s", path, reason)
+	}
+	return fmt.Sprintf("%s: %v: must satisfy %s", path, f.Value(), reason)
+}
