--- /dev/null
+++ b/internal/note/parse.go
@@ -0,0 +1,43 @@
+package note
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+)
+
+// MaxNoteBytes is the largest release note that Parse accepts.
+const MaxNoteBytes = 4 << 20
+
+// Parse decodes a release note and checks each field on its own. Unknown fields
+// and text after the note are errors. The problems are sorted by path; the note
+// is meaningful only when there are none.
+func Parse(data []byte) (Note, []Problem) {
+	if len(data) > MaxNoteBytes {
+		return Note{}, []Problem{{Path: "", Reason: "the note is larger than 4 MiB"}}
+	}
+	var n Note
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&n); err != nil {
+		return Note{}, []Problem{decodeProblem(err)}
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return Note{}, []Problem{{Path: "", Reason: "text after the note"}}
+	}
+	return n, n.Check()
+}
+
+// Digest returns the lower-case hexadecimal SHA-256 of the note's canonical
+// JSON, which does not depend on white space or the order of fields in the file.
+func Digest(n Note) string {
+	data, err := json.Marshal(n)
+	if err != nil {
+		// A Note holds only strings, numbers and slices; floats from JSON are finite.
+		panic(err)
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/supervise/supervise.go
@@ -0,0 +1,121 @@
+// Package supervise runs trees of tasks. A task that fails is restarted with
+// back-off and does not take its siblings down. A tree is itself a task, so
+// trees nest.
+package supervise
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+)
+
+// Restart back-off of a failing task.
+const (
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 5 * time.Second
+	// steadyRun is how long a task must run for its back-off to start anew.
+	steadyRun = 30 * time.Second
+)
+
+// Task is a long-running activity. Run blocks until ctx ends, then releases all
+// that the task owns before it returns. A return before ctx ends is a failure.
+type Task interface {
+	Run(ctx context.Context) error
+}
+
+// Func adapts a function to a Task.
+type Func func(ctx context.Context) error
+
+// Run implements Task.
+func (f Func) Run(ctx context.Context) error { return f(ctx) }
+
+// Tree is a named group of tasks.
+type Tree struct {
+	name     string
+	log      *log.Logger
+	children []child
+	// backoff is replaced in tests.
+	backoff func(ctx context.Context, d time.Duration)
+}
+
+type child struct {
+	name string
+	task Task
+}
+
+// New returns an empty tree.
+func New(name string, logger *log.Logger) *Tree {
+	return &Tree{name: name, log: logger, backoff: sleep}
+}
+
+// Add appends a task. Tasks start in the order of Add and are all stopped when
+// the tree's context ends. Add must not be called after Run.
+func (t *Tree) Add(name string, task Task) {
+	t.children = append(t.children, child{name: t.name + "/" + name, task: task})
+}
+
+// Run implements Task. It returns once every child has returned.
+func (t *Tree) Run(ctx context.Context) error {
+	var group run.Group
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, c := range t.children {
+		group.Add(func() error {
+			t.keepRunning(ctx, c)
+			return nil
+		}, func(error) {
+			cancel()
+		})
+	}
+	group.Add(func() error {
+		<-ctx.Done()
+		return ctx.Err()
+	}, func(error) {
+		cancel()
+	})
+	return group.Run()
+}
+
+// keepRunning restarts c until ctx ends.
+func (t *Tree) keepRunning(ctx context.Context, c child) {
+	wait := minBackoff
+	for ctx.Err() == nil {
+		start := time.Now()
+		err := runProtected(ctx, c.task)
+		if ctx.Err() != nil {
+			return
+		}
+		if time.Since(start) >= steadyRun {
+			wait = minBackoff
+		}
+		t.log.Error("task_failed", "task", c.name, "err", err, "restart_in", wait)
+		t.backoff(ctx, wait)
+		wait = min(2*wait, maxBackoff)
+	}
+}
+
+// runProtected turns a panic of the task into an error.
+func runProtected(ctx context.Context, task Task) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = errors.Errorf("panic: %v", v)
+		}
+	}()
+	err = task.Run(ctx)
+	if err == nil {
+		err = errors.New("task returned before it was stopped")
+	}
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
