Record the candidate of a sealed group

Cause: a control leader elected in the middle of a promotion could not tell an endpoint that was chosen properly from one that was promoted by accident, and would wait forever when only the promoted one and one replica are left.

Change: agreed.Group gains Candidate.

Conclusion: no behaviour yet; the field is for the commands to come.

--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -55,6 +55,10 @@
 	Timeline uint32 `json:"timeline" cbor:"6,keyasint"`
 	// Changed is the revision of the last change of this record.
 	Changed uint64 `json:"changed" cbor:"7,keyasint"`
+	// Candidate is the endpoint chosen for promotion in a sealed term, empty
+	// before the choice. The choose command sets it; seal and activate clear it.
+	// A group activates only with its candidate as the primary.
+	Candidate string `json:"candidate,omitempty" cbor:"9,keyasint,omitempty"`
 	// Reason tells why the group is not active.
 	Reason string `json:"reason,omitempty" cbor:"8,keyasint,omitempty"`
 }
