Add messages between hosts

Cause: hosts need one authenticated way to exchange typed messages.

Change: package peer carries CBOR in WebSocket messages over TCP. A mutual HMAC challenge with the fleet secret (and mutual TLS when certificates are set) precedes every message. Other fleets, versions, secrets and older incarnations are refused with codes 5001 to 5005 and counted.

Before/After: none before.

Conclusion: consensus, configuration and sessions can share one connection per pair of hosts.

--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// MaxMessage is the largest message accepted from a peer, in bytes.
+const MaxMessage = 64 << 20
+
+// Bounds of one decoded message.
+const (
+	maxElements = 1 << 20 // items of one array or map
+	maxNesting  = 16      // levels
+)
+
+// envelope carries one message.
+type envelope struct {
+	Kind Kind `cbor:"1,keyasint"`
+	// ID correlates a request with its reply; zero for one-way messages.
+	ID uint64 `cbor:"2,keyasint,omitempty"`
+	// Reply marks the answer to the request ID.
+	Reply bool `cbor:"3,keyasint,omitempty"`
+	// Code and Detail are set when a request failed.
+	Code   result.Code     `cbor:"4,keyasint,omitempty"`
+	Detail string          `cbor:"5,keyasint,omitempty"`
+	Body   cbor.RawMessage `cbor:"6,keyasint,omitempty"`
+}
+
+var (
+	encMode = newEncMode()
+	decMode = newDecMode()
+)
+
+func newEncMode() cbor.EncMode {
+	opts := cbor.CoreDetEncOptions()
+	opts.Time = cbor.TimeUnixMicro
+	mode, err := opts.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecMode() cbor.DecMode {
+	opts := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+	}
+	mode, err := opts.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Marshal encodes the body of a message.
+func Marshal(msg any) ([]byte, error) {
+	return encMode.Marshal(msg)
+}
+
+// Unmarshal decodes the body of a message. It returns a result.Error with code
+// PeerMalformed when body does not hold a T.
+func Unmarshal(body []byte, msg any) error {
+	if err := decMode.Unmarshal(body, msg); err != nil {
+		return result.New(result.PeerMalformed, "%v", err)
+	}
+	return nil
+}
+
+// decodeEnvelope decodes and checks an envelope.
+func decodeEnvelope(data []byte) (envelope, error) {
+	var e envelope
+	if err := Unmarshal(data, &e); err != nil {
+		return envelope{}, err
+	}
+	if !e.Kind.known() {
+		return envelope{}, result.New(result.PeerMalformed, "unknown kind %d", e.Kind)
+	}
+	if e.Reply && e.ID == 0 {
+		return envelope{}, result.New(result.PeerMalformed, "a reply without a request")
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// closeBase is the first WebSocket close status free for applications. Result
+// codes start at 1001 and are sent as closeBase plus the code minus 5000.
+const closeBase = 4000
+
+// conn is one authenticated connection.
+type conn struct {
+	ws     *websocket.Conn
+	peer   Identity
+	cancel context.CancelFunc
+	ctx    context.Context
+	// lastRead and lastUse are Unix times in nanoseconds.
+	lastRead atomic.Int64
+	lastUse  atomic.Int64
+}
+
+func newConn(ctx context.Context, ws *websocket.Conn, peer Identity) *conn {
+	c := &conn{ws: ws, peer: peer}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	now := time.Now().UnixNano()
+	c.lastRead.Store(now)
+	c.lastUse.Store(now)
+	return c
+}
+
+func (c *conn) write(ctx context.Context, data []byte) error {
+	ctx, stop := context.WithTimeout(ctx, writeTimeout)
+	defer stop()
+	c.lastUse.Store(time.Now().UnixNano())
+	return c.ws.Write(ctx, websocket.MessageBinary, data)
+}
+
+func (c *conn) read() ([]byte, error) {
+	_, data, err := c.ws.Read(c.ctx)
+	if err == nil {
+		now := time.Now().UnixNano()
+		c.lastRead.Store(now)
+		c.lastUse.Store(now)
+	}
+	return data, err
+}
+
+// probe pings a silent connection and closes it when the ping fails or when no
+// messages passed for the idle time.
+func (c *conn) probe() {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if since(&c.lastUse) > idleTimeout {
+			c.cancel()
+			return
+		}
+		if since(&c.lastRead) < pingInterval {
+			continue
+		}
+		if err := c.ping(); err != nil {
+			c.cancel()
+			return
+		}
+	}
+}
+
+func (c *conn) ping() error {
+	ctx, stop := context.WithTimeout(c.ctx, pingTimeout)
+	defer stop()
+	return c.ws.Ping(ctx)
+}
+
+func since(stamp *atomic.Int64) time.Duration {
+	return time.Duration(time.Now().UnixNano() - stamp.Load())
+}
+
+// refuse closes the connection with the result code as close status.
+func (c *conn) refuse(code result.Code) {
+	status := websocket.StatusCode(closeBase + int(code) - int(result.PeerFleet) + 1)
+	_ = c.ws.Close(status, result.Lookup(code).Name)
+}
+
+func (c *conn) close() {
+	c.cancel()
+	_ = c.ws.CloseNow()
+}
--- /dev/null
+++ b/internal/peer/handshake.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// maxHandshake bounds the frames of a peer that is not authenticated, in bytes.
+const maxHandshake = 4 << 10
+
+// greet runs the dialer's side of the handshake.
+func (n *Node) greet(ctx context.Context, ws *websocket.Conn, state *tls.ConnectionState, host string) (Identity, error) {
+	mine, err := n.newHello()
+	if err != nil {
+		return Identity{}, err
+	}
+	if err := writeFrame(ctx, ws, handshakeFrame{Hello: mine}); err != nil {
+		return Identity{}, err
+	}
+	answer, err := readFrame(ctx, ws)
+	if err != nil {
+		return Identity{}, err
+	}
+	peer, err := n.verify(answer, roleAcceptor, mine, answer.Hello, state)
+	if err != nil {
+		return Identity{}, n.refuse(ctx, ws, err)
+	}
+	if peer.Host != host {
+		return Identity{}, n.refuse(ctx, ws, result.New(result.PeerAuth, "host %q answers at the address of %q", peer.Host, host))
+	}
+	if err := writeFrame(ctx, ws, handshakeFrame{Proof: n.proof(roleDialer, mine, answer.Hello)}); err != nil {
+		return Identity{}, err
+	}
+	_, err = readFrame(ctx, ws)
+	return peer, err
+}
+
+// welcome runs the acceptor's side of the handshake.
+func (n *Node) welcome(ctx context.Context, ws *websocket.Conn, state *tls.ConnectionState) (Identity, error) {
+	first, err := readFrame(ctx, ws)
+	if err != nil {
+		return Identity{}, n.refuse(ctx, ws, err)
+	}
+	if _, err := n.checkHello(first.Hello); err != nil {
+		return Identity{}, n.refuse(ctx, ws, err)
+	}
+	mine, err := n.newHello()
+	if err != nil {
+		return Identity{}, err
+	}
+	proof := n.proof(roleAcceptor, first.Hello, mine)
+	if err := writeFrame(ctx, ws, handshakeFrame{Hello: mine, Proof: proof}); err != nil {
+		return Identity{}, err
+	}
+	second, err := readFrame(ctx, ws)
+	if err != nil {
+		return Identity{}, n.refuse(ctx, ws, err)
+	}
+	second.Hello = first.Hello
+	peer, err := n.verify(second, roleDialer, first.Hello, mine, state)
+	if err != nil {
+		return Identity{}, n.refuse(ctx, ws, err)
+	}
+	return peer, writeFrame(ctx, ws, handshakeFrame{})
+}
+
+// verify checks the hello and the proof in frame, sent by the peer in role.
+func (n *Node) verify(frame handshakeFrame, role string, dialer, acceptor []byte, state *tls.ConnectionState) (Identity, error) {
+	h, err := n.checkHello(frame.Hello)
+	if err != nil {
+		return Identity{}, err
+	}
+	if err := n.checkProof(frame.Proof, role, dialer, acceptor); err != nil {
+		return Identity{}, err
+	}
+	if err := checkCertificate(state, h.Host); err != nil {
+		return Identity{}, err
+	}
+	if err := n.admit(h); err != nil {
+		return Identity{}, err
+	}
+	return Identity{Host: h.Host, Incarnation: h.Incarnation, Addr: h.Addr}, nil
+}
+
+// refuse counts a refusal of the peer, tells the peer the result code and
+// returns the cause. Failures of the connection are not refusals.
+func (n *Node) refuse(ctx context.Context, ws *websocket.Conn, cause error) error {
+	var e *result.Error
+	if !errors.As(cause, &e) || errors.Is(cause, errRefusedByPeer) {
+		return cause
+	}
+	n.metrics.refuse(e.Code)
+	n.opts.Logger.Warn("peer_refused", "code", e.Code, "detail", e.Detail)
+	_ = writeFrame(ctx, ws, handshakeFrame{Code: e.Code, Detail: e.Detail})
+	return cause
+}
+
+// errRefusedByPeer marks a refusal that the peer sent.
+var errRefusedByPeer = errors.New("refused by the peer")
+
+// refusal is the result that a peer ended the handshake with.
+type refusal struct {
+	cause *result.Error
+}
+
+func (r refusal) Error() string        { return "refused by the peer: " + r.cause.Error() }
+func (r refusal) Unwrap() error        { return r.cause }
+func (r refusal) Is(target error) bool { return target == errRefusedByPeer }
+
+func writeFrame(ctx context.Context, ws *websocket.Conn, frame handshakeFrame) error {
+	data, err := Marshal(frame)
+	if err != nil {
+		return err
+	}
+	return ws.Write(ctx, websocket.MessageBinary, data)
+}
+
+func readFrame(ctx context.Context, ws *websocket.Conn) (handshakeFrame, error) {
+	var frame handshakeFrame
+	_, data, err := ws.Read(ctx)
+	if err != nil {
+		return frame, err
+	}
+	if err := Unmarshal(data, &frame); err != nil {
+		return frame, err
+	}
+	if frame.Code != 0 {
+		return frame, refusal{&result.Error{Code: frame.Code, Detail: frame.Detail}}
+	}
+	return frame, nil
+}
--- /dev/null
+++ b/internal/peer/hello.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// ProtocolVersion is the version of the messages between hosts.
+const ProtocolVersion = 1
+
+const (
+	nonceSize = 32 // bytes
+	maxName   = 63 // bytes of a host or fleet name
+)
+
+// Roles bound into the proofs, so that neither side can reflect the other's.
+const (
+	roleDialer   = "dialer"
+	roleAcceptor = "acceptor"
+)
+
+// hello opens the handshake in both directions.
+type hello struct {
+	Version     int    `cbor:"1,keyasint"`
+	Fleet       string `cbor:"2,keyasint"`
+	Host        string `cbor:"3,keyasint"`
+	Incarnation uint64 `cbor:"4,keyasint"`
+	// Addr is the address at which the sender accepts peers.
+	Addr  string `cbor:"5,keyasint"`
+	Nonce []byte `cbor:"6,keyasint"`
+}
+
+// handshakeFrame is every frame of the handshake: a hello, a proof, or a
+// refusal that ends it.
+type handshakeFrame struct {
+	// Hello is the encoded hello; the proofs cover these bytes.
+	Hello []byte `cbor:"1,keyasint,omitempty"`
+	// Proof is the HMAC-SHA-256 of the sender's role and both hellos.
+	Proof  []byte      `cbor:"2,keyasint,omitempty"`
+	Code   result.Code `cbor:"3,keyasint,omitempty"`
+	Detail string      `cbor:"4,keyasint,omitempty"`
+}
+
+func (n *Node) newHello() ([]byte, error) {
+	nonce := make([]byte, nonceSize)
+	if _, err := rand.Read(nonce); err != nil {
+		return nil, err
+	}
+	return Marshal(hello{
+		Version:     ProtocolVersion,
+		Fleet:       n.opts.Fleet,
+		Host:        n.opts.Host,
+		Incarnation: n.opts.Incarnation,
+		Addr:        n.advertised(),
+		Nonce:       nonce,
+	})
+}
+
+func (n *Node) proof(role string, dialer, acceptor []byte) []byte {
+	mac := hmac.New(sha256.New, []byte(n.opts.Secret))
+	mac.Write([]byte(role))
+	for _, part := range [][]byte{dialer, acceptor} {
+		sum := sha256.Sum256(part)
+		mac.Write(sum[:])
+	}
+	return mac.Sum(nil)
+}
+
+// checkHello decodes the hello of a peer and refuses other fleets and versions.
+func (n *Node) checkHello(data []byte) (hello, error) {
+	var h hello
+	if err := Unmarshal(data, &h); err != nil {
+		return h, err
+	}
+	switch {
+	case h.Version != ProtocolVersion:
+		return h, result.New(result.PeerVersion, "version %d, this host speaks %d", h.Version, ProtocolVersion)
+	case h.Fleet != n.opts.Fleet:
+		return h, result.New(result.PeerFleet, "fleet %.63q, this host belongs to %q", h.Fleet, n.opts.Fleet)
+	case len(h.Nonce) != nonceSize:
+		return h, result.New(result.PeerMalformed, "nonce of %d bytes", len(h.Nonce))
+	case h.Host == "" || len(h.Host) > maxName:
+		return h, result.New(result.PeerMalformed, "host name of %d bytes", len(h.Host))
+	}
+	return h, nil
+}
+
+// checkProof verifies the proof of a peer in the given role.
+func (n *Node) checkProof(proof []byte, role string, dialer, acceptor []byte) error {
+	if !hmac.Equal(proof, n.proof(role, dialer, acceptor)) {
+		return result.New(result.PeerAuth, "wrong proof of the fleet secret")
+	}
+	return nil
+}
+
+// checkCertificate binds the peer's certificate to its host name. Without TLS
+// state there is nothing to check.
+func checkCertificate(state *tls.ConnectionState, host string) error {
+	if state == nil {
+		return nil
+	}
+	if len(state.PeerCertificates) == 0 {
+		return result.New(result.PeerAuth, "no certificate")
+	}
+	if err := state.PeerCertificates[0].VerifyHostname(host); err != nil {
+		return result.New(result.PeerAuth, "%v", err)
+	}
+	return nil
+}
+
+// admit records the incarnation of an authenticated peer and refuses an older
+// one than it has seen.
+func (n *Node) admit(h hello) error {
+	if h.Host == n.opts.Host && h.Incarnation != n.opts.Incarnation {
+		return n.admitNamesake(h)
+	}
+	if !n.Observe(h.Host, h.Incarnation) {
+		return result.New(result.PeerIncarnation, "host %q has a newer process", h.Host)
+	}
+	return nil
+}
+
+// admitNamesake decides between this process and another one of the same host.
+func (n *Node) admitNamesake(h hello) error {
+	if h.Incarnation < n.opts.Incarnation {
+		return result.New(result.PeerIncarnation, "host %q has a newer process", h.Host)
+	}
+	n.replaced()
+	return result.New(result.PeerAuth, "this process of host %q is being replaced", h.Host)
+}
--- /dev/null
+++ b/internal/peer/kinds.go
@@ -0,0 +1,86 @@
+package peer
+
+import "strconv"
+
+// Kind identifies the type of a message between hosts. Kinds are stable and
+// never reused.
+type Kind uint16
+
+// Kinds of messages. 1-9: consensus; 10-29: configuration and membership;
+// 30-39: failover; 40-49: session positions; 50-59: quotas; 60-69: callers'
+// requests between hosts.
+const (
+	KindConsensus Kind = 1
+	KindProposal  Kind = 2
+
+	KindSubscribe   Kind = 10
+	KindDelta       Kind = 11
+	KindSnapshot    Kind = 12
+	KindRenew       Kind = 13
+	KindRenewOK     Kind = 14
+	KindGoodbye     Kind = 15
+	KindAnnounce    Kind = 16
+	KindStatus      Kind = 17
+	KindUnsubscribe Kind = 18
+
+	KindObservation Kind = 30
+	KindPosition    Kind = 31
+	KindPromote     Kind = 32
+	KindLag         Kind = 33
+
+	KindGather Kind = 40
+	KindForget Kind = 41
+
+	KindQuota   Kind = 50
+	KindQuotaOK Kind = 51
+
+	KindCancel Kind = 60
+)
+
+// kindInfo describes a kind for metrics and for the outgoing queue.
+type kindInfo struct {
+	name string
+	// soft messages are dropped first when a queue is full: a later message
+	// makes up for the lost one.
+	soft bool
+}
+
+var kinds = map[Kind]kindInfo{
+	KindConsensus:   {"consensus", true},
+	KindProposal:    {"proposal", false},
+	KindSubscribe:   {"subscribe", false},
+	KindDelta:       {"delta", true},
+	KindSnapshot:    {"snapshot", true},
+	KindRenew:       {"renew", true},
+	KindRenewOK:     {"renew_ok", true},
+	KindGoodbye:     {"goodbye", false},
+	KindAnnounce:    {"announce", true},
+	KindStatus:      {"status", false},
+	KindUnsubscribe: {"unsubscribe", false},
+	KindObservation: {"observation", true},
+	KindPosition:    {"position", false},
+	KindPromote:     {"promote", false},
+	KindLag:         {"lag", true},
+	KindGather:      {"gather", false},
+	KindForget:      {"forget", true},
+	KindQuota:       {"quota", false},
+	KindQuotaOK:     {"quota_ok", false},
+	KindCancel:      {"cancel", false},
+}
+
+// String returns the name of the kind used in metrics and logs.
+func (k Kind) String() string {
+	if info, ok := kinds[k]; ok {
+		return info.name
+	}
+	return "kind_" + strconv.Itoa(int(k))
+}
+
+// known reports whether the kind is in the table. Messages of unknown kinds
+// are malformed.
+func (k Kind) known() bool {
+	_, ok := kinds[k]
+	return ok
+}
+
+func (k Kind) soft() bool { return kinds[k].soft }
--- /dev/null
+++ b/internal/peer/serve.go
@@ -0,0 +1,190 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// path is the URL path of the WebSocket.
+const path = "/peer"
+
+// Listen binds the listener, so that Addr is known before Run.
+func (n *Node) Listen() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listener != nil {
+		return nil
+	}
+	listener, err := n.opts.Transport.Listen(n.opts.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	n.listener = listener
+	return nil
+}
+
+// Run accepts peers until ctx ends, then closes every connection. It binds the
+// listener unless Listen has done so. A Node runs once.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.Listen(); err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           http.HandlerFunc(n.accept),
+		TLSConfig:         n.opts.TLS,
+		ReadHeaderTimeout: handshakeTimeout,
+		IdleTimeout:       handshakeTimeout,
+		MaxHeaderBytes:    maxHandshake,
+	}
+	stop := context.AfterFunc(ctx, func() {
+		n.cancel()
+		_ = server.Close()
+	})
+	defer stop()
+	err := n.listenAndServe(server)
+	n.stop()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Wrap(err, "serve peers")
+}
+
+func (n *Node) listenAndServe(server *http.Server) error {
+	if n.opts.TLS != nil {
+		return server.ServeTLS(n.listener, "", "")
+	}
+	return server.Serve(n.listener)
+}
+
+// accept serves one connection of a peer until it ends.
+func (n *Node) accept(w http.ResponseWriter, r *http.Request) {
+	select {
+	case n.acceptSlots <- struct{}{}:
+	default:
+		http.Error(w, result.Lookup(result.TooManyHandshakes).Name, http.StatusServiceUnavailable)
+		return
+	}
+	c, err := n.acceptConn(w, r)
+	<-n.acceptSlots
+	if err != nil {
+		n.opts.Logger.Debug("peer_accept_failed", "remote", r.RemoteAddr, "err", err)
+		return
+	}
+	l := n.link(c.peer.Host)
+	if !n.beginLocked() {
+		c.close()
+		return
+	}
+	defer n.tasks.Done()
+	l.attach(c)
+	l.serve(c)
+}
+
+func (n *Node) beginLocked() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.begin()
+}
+
+// stop ends every connection and waits for their goroutines.
+func (n *Node) stop() {
+	n.mu.Lock()
+	n.cancel()
+	n.mu.Unlock()
+	n.tasks.Wait()
+}
+
+func (n *Node) acceptConn(w http.ResponseWriter, r *http.Request) (*conn, error) {
+	if r.URL.Path != path {
+		http.NotFound(w, r)
+		return nil, errors.New("unknown path")
+	}
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithTimeout(n.ctx, handshakeTimeout)
+	defer stop()
+	ws.SetReadLimit(maxHandshake)
+	peer, err := n.welcome(ctx, ws, r.TLS)
+	if err != nil {
+		_ = ws.CloseNow()
+		return nil, err
+	}
+	ws.SetReadLimit(MaxMessage)
+	return newConn(n.ctx, ws, peer), nil
+}
+
+// dial connects to the peer of a link and starts to read from it.
+func (n *Node) dial(ctx context.Context, l *link, addr string) (*conn, error) {
+	ctx, stop := context.WithTimeout(ctx, handshakeTimeout)
+	defer stop()
+	ws, state, err := n.dialWebSocket(ctx, l.host, addr)
+	if err != nil {
+		return nil, err
+	}
+	ws.SetReadLimit(maxHandshake)
+	peer, err := n.greet(ctx, ws, state, l.host)
+	if err != nil {
+		_ = ws.CloseNow()
+		n.noteRefusal(l.host, err)
+		return nil, err
+	}
+	ws.SetReadLimit(MaxMessage)
+	c := newConn(n.ctx, ws, peer)
+	if !n.beginLocked() {
+		c.close()
+		return nil, n.ctx.Err()
+	}
+	l.attach(c)
+	go func() {
+		defer n.tasks.Done()
+		l.serve(c)
+	}()
+	return c, nil
+}
+
+func (n *Node) dialWebSocket(ctx context.Context, host, addr string) (*websocket.Conn, *tls.ConnectionState, error) {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return n.opts.Transport.Dial(ctx, addr)
+		},
+		TLSHandshakeTimeout: handshakeTimeout,
+		IdleConnTimeout:     time.Second,
+	}
+	scheme := "ws://"
+	if n.opts.TLS != nil {
+		scheme = "wss://"
+		transport.TLSClientConfig = n.opts.TLS.Clone()
+		transport.TLSClientConfig.ServerName = host
+	}
+	ws, response, err := websocket.Dial(ctx, scheme+addr+path, &websocket.DialOptions{
+		HTTPClient:      &http.Client{Transport: transport},
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	return ws, response.TLS, nil
+}
+
+// noteRefusal logs a refusal by the peer. A host that was told that a newer
+// process of it exists has been replaced.
+func (n *Node) noteRefusal(host string, err error) {
+	if !errors.Is(err, errRefusedByPeer) {
+		return
+	}
+	code := result.CodeOf(err)
+	n.opts.Logger.Warn("peer_refused_us", "peer", host, "code", code, "err", err)
+	if code == result.PeerIncarnation {
+		n.replaced()
+	}
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/config"
+)
+
+// Transport opens the byte streams between hosts.
+type Transport interface {
+	Listen(addr string) (net.Listener, error)
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// tcp is the Transport of production.
+type tcp struct {
+	dialer net.Dialer
+}
+
+func (t *tcp) Listen(addr string) (net.Listener, error) {
+	return net.Listen("tcp", addr)
+}
+
+func (t *tcp) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	return t.dialer.DialContext(ctx, "tcp", addr)
+}
+
+// LoadTLS builds the mutual TLS configuration of a host. Each certificate must
+// name its host's identity as a DNS name and be signed by the fleet's CA.
+func LoadTLS(files *config.TLS) (*tls.Config, error) {
+	if files == nil {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(files.Cert, files.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer certificate")
+	}
+	pem, err := os.ReadFile(files.CA)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer CA")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.New("peer CA: no certificate in the file")
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}, nil
+}
