Add the consensus state machine

Cause: the agreed state needs an ordered, replicated log of our own. Tests drive it over an in-memory network and check the safety properties of Raft after each step.

--- /dev/null
+++ b/internal/consensus/checker_test.go
@@ -0,0 +1,132 @@
+package consensus
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+type encodedState struct {
+	Index    uint64   `cbor:"1,keyasint"`
+	Commands []string `cbor:"2,keyasint"`
+}
+
+func (s appState) encode() []byte {
+	data, err := cbor.Marshal(encodedState{Index: s.index, Commands: s.commands})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func decodeState(snap Snapshot) appState {
+	if len(snap.Data) == 0 {
+		return appState{index: snap.Index}
+	}
+	var e encodedState
+	if err := cbor.Unmarshal(snap.Data, &e); err != nil {
+		panic(err)
+	}
+	return appState{index: e.Index, commands: e.Commands}
+}
+
+func (p *process) apply(e Entry) {
+	if e.Index != p.state.index+1 {
+		panic(fmt.Sprintf("%s applies entry %d after %d", p.cfg.Host, e.Index, p.state.index))
+	}
+	p.state.index = e.Index
+	if e.Kind == EntryCommand {
+		p.state.commands = append(p.state.commands, string(e.Data))
+	}
+}
+
+// checker holds the history of a run and checks the safety properties of Raft
+// (Ongaro and Ousterhout, figure 3) after every step.
+type checker struct {
+	leaders   map[uint64]uint64 // term to disk identity
+	committed map[uint64]Entry  // by index
+	maxCommit uint64
+	calls     map[uint64]uint64 // ConfirmQuorum call to the commit at its start
+	violation string
+}
+
+func newChecker() *checker {
+	return &checker{leaders: map[uint64]uint64{}, committed: map[uint64]Entry{}, calls: map[uint64]uint64{}}
+}
+
+func (k *checker) fail(format string, args ...any) {
+	if k.violation == "" {
+		k.violation = fmt.Sprintf(format, args...)
+	}
+}
+
+func sameEntry(a, b Entry) bool {
+	return a.Term == b.Term && a.Kind == b.Kind && bytes.Equal(a.Data, b.Data)
+}
+
+// observe checks what a process did in one step.
+func (k *checker) observe(c *cluster, p *process, rd Ready) {
+	if p.node.role == Leader {
+		k.checkLeader(p)
+	}
+	for _, e := range rd.Committed {
+		was, known := k.committed[e.Index]
+		if known && !sameEntry(was, e) {
+			k.fail("entry %d: %s applied %v, another node %v", e.Index, p.cfg.Host, e, was)
+		}
+		k.committed[e.Index] = e
+		k.maxCommit = max(k.maxCommit, e.Index)
+	}
+	for _, r := range rd.Confirmed {
+		if r.Index < k.calls[r.ID] {
+			k.fail("confirmed read %d at %d is older than the commit %d before it", r.ID, r.Index, k.calls[r.ID])
+		}
+	}
+	k.checkLogs(c, p)
+}
+
+// checkLeader checks election safety and leader completeness.
+func (k *checker) checkLeader(p *process) {
+	term := p.node.hard.Term
+	if was, known := k.leaders[term]; known && was != p.node.disk {
+		k.fail("term %d has two leaders", term)
+		return
+	} else if known {
+		return
+	}
+	k.leaders[term] = p.node.disk
+	for index, e := range k.committed {
+		if e.Term >= term {
+			continue
+		}
+		got, known := p.node.log.term(index)
+		if index > p.node.log.prevIndex && (!known || got != e.Term) {
+			k.fail("leader %s of term %d lacks committed entry %d", p.cfg.Host, term, index)
+		}
+	}
+}
+
+// checkLogs checks log matching between p and every other node: where two logs
+// have an entry of the same index and term, all earlier entries are the same.
+func (k *checker) checkLogs(c *cluster, p *process) {
+	for _, q := range c.procs {
+		if q != p && q.node != nil {
+			k.checkMatching(p.node.log, q.node.log)
+		}
+	}
+}
+
+func (k *checker) checkMatching(a, b *raftLog) {
+	matched := false
+	low := max(a.prevIndex, b.prevIndex) + 1
+	for i := min(a.last(), b.last()); i >= low; i-- {
+		x, y := a.entries[i-a.prevIndex-1], b.entries[i-b.prevIndex-1]
+		if x.Term == y.Term || matched {
+			if !sameEntry(x, y) {
+				k.fail("logs differ at entry %d below a matching entry", i)
+			}
+			matched = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/consensus/founding.go
@@ -0,0 +1,96 @@
+package consensus
+
+import "slices"
+
+// helloTicks is the interval of requests to be let into a group.
+const helloTicks = 5
+
+// founding is the state of a node that belongs to no group.
+type founding struct {
+	heard map[string]newcomer // other founders without a group, by host
+	// welcomed is set once a peer has answered that a group exists.
+	welcomed bool
+}
+
+// newcomer is a node without a group, and when it was last heard.
+type newcomer struct {
+	disk uint64
+	tick uint64
+}
+
+func newFounding() founding {
+	return founding{heard: map[string]newcomer{}}
+}
+
+// tickFounding asks the other control hosts for a group. The founder with the
+// least name founds one once every founder has said that it knows none. Should
+// a founder lose its disk meanwhile and found another group, the disk
+// identities of the others can take part in one of the two only, so at most
+// one has a quorum.
+func (n *Node) tickFounding() {
+	if n.ticks%helloTicks == 0 {
+		n.sendHellos()
+	}
+	if n.hard.Fleet != 0 || n.founding.welcomed || len(n.cfg.Founders) == 0 {
+		return
+	}
+	if slices.Min(n.cfg.Founders) == n.cfg.Host && n.foundersReady() {
+		n.found()
+	}
+}
+
+func (n *Node) sendHellos() {
+	hosts := append(slices.Clone(n.cfg.Peers), n.cfg.Founders...)
+	slices.Sort(hosts)
+	for _, host := range slices.Compact(hosts) {
+		if host != n.cfg.Host {
+			n.send(Member{Host: host}, Message{Kind: KindHello})
+		}
+	}
+}
+
+func (n *Node) foundersReady() bool {
+	for _, host := range n.cfg.Founders {
+		f, heard := n.founding.heard[host]
+		if host != n.cfg.Host && (!heard || n.ticks-f.tick > 2*helloTicks) {
+			return false
+		}
+	}
+	return true
+}
+
+// found begins a group whose log starts after an empty snapshot.
+func (n *Node) found() {
+	members := []Member{{Host: n.cfg.Host, Disk: n.disk, Voter: true}}
+	for _, host := range n.cfg.Founders {
+		if host != n.cfg.Host {
+			members = append(members, Member{Host: host, Disk: n.founding.heard[host].disk, Voter: true})
+		}
+	}
+	slices.SortFunc(members, compareMembers)
+	n.hard = HardState{Term: 1, Commit: 1, Fleet: n.cfg.Rand.Uint64() | 1}
+	n.log.restore(Snapshot{Index: 1, Term: 1, Members: slices.Compact(members)})
+	n.members = n.log.snap.Members
+	n.electionElapsed = n.electionTimeout
+}
+
+func (n *Node) handleHello(m *Message) {
+	if len(n.members) == 0 {
+		if m.Fleet == 0 {
+			n.founding.heard[m.From] = newcomer{disk: m.FromDisk, tick: n.ticks}
+		}
+		return
+	}
+	n.answer(m, Message{Kind: KindWelcome})
+	if _, member := n.member(m.FromDisk); n.role != Leader || member {
+		return
+	}
+	n.lead.joiners[m.From] = newcomer{disk: m.FromDisk, tick: n.ticks}
+	n.joining = append(n.joining, Member{Host: m.From, Disk: m.FromDisk})
+}
+
+func (n *Node) handleWelcome(m *Message) {
+	if m.ToDisk == n.disk {
+		n.founding.welcomed = true
+	}
+}
--- /dev/null
+++ b/internal/consensus/message.go
@@ -0,0 +1,70 @@
+package consensus
+
+// Kind is the kind of a message between nodes.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	// KindPreVote asks whether the receiver would vote for the sender in Term.
+	KindPreVote Kind = iota + 1
+	KindPreVoteAnswer
+	KindVote
+	KindVoteAnswer
+	KindAppend
+	KindAppendAnswer
+	KindHeartbeat
+	KindHeartbeatAnswer
+	// KindSnapshot carries one chunk of a snapshot.
+	KindSnapshot
+	KindSnapshotAnswer
+	// KindTimeoutNow asks the receiver to start an election at once.
+	KindTimeoutNow
+	// KindHello is sent by a node that belongs to no group.
+	KindHello
+	// KindWelcome answers KindHello: the sender belongs to a group.
+	KindWelcome
+	// KindRejoin tells the receiver that its data folder must not be used.
+	KindRejoin
+)
+
+// Message is a message between two nodes. Fields that a kind does not use are
+// zero.
+type Message struct {
+	Kind Kind `cbor:"1,keyasint"`
+	// From and To are hosts; FromDisk and ToDisk identify the nodes.
+	From     string `cbor:"2,keyasint"`
+	FromDisk uint64 `cbor:"3,keyasint"`
+	To       string `cbor:"4,keyasint"`
+	ToDisk   uint64 `cbor:"5,keyasint,omitempty"`
+	Fleet    uint64 `cbor:"6,keyasint,omitempty"`
+	Term     uint64 `cbor:"7,keyasint,omitempty"`
+	// Boots counts the starts of the sender; in KindRejoin, of the receiver.
+	Boots uint64 `cbor:"8,keyasint,omitempty"`
+	// Index and LogTerm name the entry before Entries (KindAppend), the last
+	// entry of a candidate (KindPreVote, KindVote), the last entry that matches
+	// (KindAppendAnswer) or the entry that a snapshot stands for.
+	Index   uint64  `cbor:"9,keyasint,omitempty"`
+	LogTerm uint64  `cbor:"10,keyasint,omitempty"`
+	Entries []Entry `cbor:"11,keyasint,omitempty"`
+	Commit  uint64  `cbor:"12,keyasint,omitempty"`
+	Reject  bool    `cbor:"13,keyasint,omitempty"`
+	// Hint is the last index at which a rejecting follower may match.
+	Hint uint64 `cbor:"14,keyasint,omitempty"`
+	// Last is the last index in the log of an answering follower.
+	Last uint64 `cbor:"15,keyasint,omitempty"`
+	// Round numbers the heartbeat rounds of a leader.
+	Round uint64 `cbor:"16,keyasint,omitempty"`
+	// Force marks a vote asked for by a leader that hands over.
+	Force bool `cbor:"17,keyasint,omitempty"`
+	// Offset is the position of Chunk in the data of a snapshot, and in
+	// KindSnapshotAnswer the position wanted next. Total is the data's length.
+	Offset  uint64   `cbor:"18,keyasint,omitempty"`
+	Total   uint64   `cbor:"19,keyasint,omitempty"`
+	Chunk   []byte   `cbor:"20,keyasint,omitempty"`
+	Members []Member `cbor:"21,keyasint,omitempty"`
+}
+
+// fromLeader reports whether only a leader of Term sends the message.
+func (m *Message) fromLeader() bool {
+	return m.Kind == KindAppend || m.Kind == KindHeartbeat || m.Kind == KindSnapshot
+}
--- /dev/null
+++ b/internal/consensus/node_test.go
@@ -0,0 +1,104 @@
+package consensus
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func (c *cluster) finish() {
+	c.t.Helper()
+	if v := c.check.violation; v != "" {
+		c.t.Fatal(v)
+	}
+}
+
+func TestSingleVoterCommits(t *testing.T) {
+	c := newCluster(t, 1, "a")
+	c.propose("x")
+	c.propose("y")
+	if got := c.procs["a"].state.commands; !slices.Equal(got, []string{"x", "y"}) {
+		t.Fatalf("applied %v", got)
+	}
+	c.finish()
+}
+
+func TestReplicationSurvivesLeaderChange(t *testing.T) {
+	c := newCluster(t, 2, "a", "b", "c")
+	c.propose("x")
+	old := c.leader()
+	c.stop(old.cfg.Host)
+	c.until("another leader", func() bool { return c.leader() != nil })
+	c.propose("y")
+	c.start(old.cfg.Host)
+	c.propose("z")
+	for h, p := range c.procs {
+		if !slices.Equal(p.state.commands, []string{"x", "y", "z"}) {
+			t.Errorf("%s applied %v", h, p.state.commands)
+		}
+	}
+	c.finish()
+}
+
+func TestRestartContinuesFromDisk(t *testing.T) {
+	c := newCluster(t, 3, "a", "b", "c")
+	c.compact = 10
+	for i := range 50 {
+		c.propose(fmt.Sprint(i))
+	}
+	for _, h := range c.hosts {
+		c.start(h)
+	}
+	c.propose("after")
+	if got := len(c.procs["a"].state.commands); got != 51 {
+		t.Fatalf("%d commands after the restart", got)
+	}
+	c.finish()
+}
+
+func TestConfirmQuorum(t *testing.T) {
+	c := newCluster(t, 4, "a", "b", "c")
+	c.propose("x")
+	p := c.leader()
+	if err := p.node.ConfirmQuorum(7); err != nil {
+		t.Fatal(err)
+	}
+	c.handle(p)
+	if len(p.confirmed) != 0 {
+		t.Fatal("confirmed before any follower answered")
+	}
+	c.until("confirmed", func() bool { return len(p.confirmed) == 1 })
+	c.isolate(p.cfg.Host, true)
+	if err := p.node.ConfirmQuorum(8); err != nil {
+		t.Fatal(err)
+	}
+	c.handle(p)
+	c.until("dropped", func() bool { return slices.Contains(p.dropped, 8) })
+	if len(p.confirmed) != 1 {
+		t.Fatal("an isolated leader confirmed")
+	}
+	c.finish()
+}
+
+func TestIsolatedNodeDoesNotDisturb(t *testing.T) {
+	c := newCluster(t, 5, "a", "b", "c")
+	c.propose("x")
+	p := c.leader()
+	term := p.node.hard.Term
+	other := c.hosts[0]
+	if other == p.cfg.Host {
+		other = c.hosts[1]
+	}
+	c.isolate(other, true)
+	for range 200 {
+		c.round()
+	}
+	c.isolate(other, false)
+	for range 200 {
+		c.round()
+	}
+	if c.leader() != p || p.node.hard.Term != term {
+		t.Fatalf("term went from %d to %d", term, p.node.hard.Term)
+	}
+	c.finish()
+}
--- /dev/null
+++ b/internal/consensus/witness.go
@@ -0,0 +1,83 @@
+package consensus
+
+// witness is what a node remembers of a peer's data folder, to notice when the
+// folder is replaced by an older copy of itself.
+type witness struct {
+	boots uint64
+	term  uint64
+}
+
+// witness checks a message against what the node remembers of its sender. It
+// returns false, and tells the sender to rejoin, when the sender's data folder
+// is older than one that it sent from before.
+func (n *Node) witness(m *Message) bool {
+	w := n.seen[m.FromDisk]
+	term, known := m.senderTerm()
+	if m.Boots < w.boots || m.Boots > w.boots && known && term < w.term {
+		n.tellRejoin(m)
+		return false
+	}
+	w.boots = m.Boots
+	if known {
+		w.term = max(w.term, term)
+	}
+	n.seen[m.FromDisk] = w
+	return true
+}
+
+// senderTerm returns the sender's own term, if the message tells it.
+func (m *Message) senderTerm() (uint64, bool) {
+	switch {
+	case m.Kind == KindPreVote:
+		return m.Term - 1, true
+	case m.Kind == KindPreVoteAnswer && !m.Reject:
+		return 0, false
+	}
+	return m.Term, true
+}
+
+// regressed reports whether a restarted follower lacks entries that it had
+// acknowledged to this leader, and tells it to rejoin.
+func (n *Node) regressed(p *progress, m *Message) bool {
+	if m.Boots <= p.boots {
+		return false
+	}
+	if m.Last < p.match {
+		n.tellRejoin(m)
+		return true
+	}
+	p.boots = m.Boots
+	p.next = p.match + 1
+	p.probing, p.waiting, p.inflight, p.snapshot = true, false, nil, nil
+	return false
+}
+
+// dismissStranger tells a node that was removed from the group to rejoin. A
+// sender with a newer term may know a newer membership and is left alone.
+func (n *Node) dismissStranger(m *Message) {
+	_, member := n.member(m.FromDisk)
+	term, known := m.senderTerm()
+	if member || !known || term > n.hard.Term || n.log.commit < n.lead.firstOwn || !n.changeCommitted() {
+		return
+	}
+	n.tellRejoin(m)
+}
+
+func (n *Node) tellRejoin(m *Message) {
+	n.answer(m, Message{Kind: KindRejoin, Boots: m.Boots})
+}
+
+// handleRejoin obeys only when the message speaks of the present start: an
+// answer to an earlier process with the same data folder is of no concern.
+func (n *Node) handleRejoin(m *Message) {
+	if m.Boots == n.boots {
+		n.abandon()
+	}
+}
+
+// abandon makes the node inert until its driver starts it anew with an empty
+// data folder.
+func (n *Node) abandon() {
+	n.becomeFollower(n.hard.Term, Member{})
+	n.rejoin = true
+}
