--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+)
+
+func TestExampleIsValid(t *testing.T) {
+	data, err := json.Marshal(Example())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse(data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestParseReportsEveryError(t *testing.T) {
+	s := Example()
+	s.Host = ""
+	s.Peer.Listen = "localhost:1"
+	s.FleetSecret = "short"
+	s.Controls[1].Addr = "nowhere"
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = Parse(data)
+	if err == nil {
+		t.Fatal("accepted wrong settings")
+	}
+	for _, want := range []string{"host:", "peer.listen: localhost:1", "fleet_secret:", "controls[1].addr: nowhere"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q does not name %q", err, want)
+		}
+	}
+	if strings.Contains(err.Error(), "short") {
+		t.Error("the error shows the fleet secret")
+	}
+}
+
+func TestParseRefusesUnknownFields(t *testing.T) {
+	if _, err := Parse([]byte(`{"host":"a","colour":"red"}`)); err == nil || !strings.Contains(err.Error(), "colour") {
+		t.Errorf("got %v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	data, err := json.Marshal(Example())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse(data)
+		if err == nil && s.Check() != nil {
+			t.Error("accepted settings that fail their own check")
+		}
+	})
+}
--- /dev/null
+++ b/internal/note/diff.go
@@ -0,0 +1,103 @@
+package note
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+)
+
+// Change is one difference between two catalogs.
+type Change struct {
+	// Op is "+" for added, "~" for changed and "-" for withdrawn.
+	Op   string `json:"op"`
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Before and After are the JSON forms without secrets; one is empty for
+	// entries that are added or withdrawn.
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// String formats the change on one line.
+func (c Change) String() string {
+	switch c.Op {
+	case "+":
+		return fmt.Sprintf("+ %s %s %s", c.Kind, c.Name, c.After)
+	case "-":
+		return fmt.Sprintf("- %s %s %s", c.Kind, c.Name, c.Before)
+	}
+	return fmt.Sprintf("~ %s %s %s -> %s", c.Kind, c.Name, c.Before, c.After)
+}
+
+// Diff lists what differs from a to b, ordered by kind and name.
+func Diff(a, b Catalog) []Change {
+	changes := diffMaps("workspace", a.Workspaces, b.Workspaces)
+	changes = append(changes, diffMaps("key", a.Keys, b.Keys)...)
+	changes = append(changes, diffMaps("service", a.Services, b.Services)...)
+	return append(changes, diffMaps("domain", a.Domains, b.Domains)...)
+}
+
+func diffMaps[T any](kind string, a, b map[string]T) []Change {
+	names := append(sortedNames(a), sortedNames(b)...)
+	slices.Sort(names)
+	var changes []Change
+	for _, name := range slices.Compact(names) {
+		before, inA := a[name]
+		after, inB := b[name]
+		c := Change{Kind: kind, Name: name}
+		switch {
+		case !inA:
+			c.Op, c.After = "+", render(after)
+		case !inB:
+			c.Op, c.Before = "-", render(before)
+		case reflect.DeepEqual(before, after):
+			continue
+		default:
+			c.Op, c.Before, c.After = "~", render(before), render(after)
+		}
+		changes = append(changes, c)
+	}
+	return changes
+}
+
+// render returns the JSON form of an entry without its secrets.
+func render(v any) string {
+	data, err := json.Marshal(redact(v))
+	if err != nil {
+		return fmt.Sprintf("%+v", redact(v))
+	}
+	return string(data)
+}
+
+func redact(v any) any {
+	switch item := v.(type) {
+	case Key:
+		item.Verifier = fingerprint(item.Verifier)
+		return item
+	case Service:
+		item.Password = fingerprint(item.Password)
+		return item
+	}
+	return v
+}
+
+// fingerprint replaces a secret by a short digest, which shows that it changed.
+func fingerprint(secret string) string {
+	if secret == "" {
+		return ""
+	}
+	return "sha256:" + shortDigest(secret)
+}
+
+// Redacted returns a copy of the catalog without secrets, for display.
+func (c Catalog) Redacted() Catalog {
+	next := c.clone()
+	for id, k := range next.Keys {
+		next.Keys[id] = redact(k).(Key)
+	}
+	for name, s := range next.Services {
+		next.Services[name] = redact(s).(Service)
+	}
+	return next
+}
--- a/internal/note/parse.go
+++ b/internal/note/parse.go
@@ -41,3 +41,11 @@
 	sum := sha256.Sum256(data)
 	return hex.EncodeToString(sum[:])
 }
+
+// shortDigestBytes is the length of the digests shown in place of secrets.
+const shortDigestBytes = 6
+
+func shortDigest(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:shortDigestBytes])
+}
--- a/internal/result/result_test.go
+++ b/internal/result/result_test.go
@@ -1,6 +1,10 @@
 package result
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
 
 func TestTableIsOrderedAndComplete(t *testing.T) {
 	var last Code
@@ -14,3 +18,8 @@
 		}
 	}
 }
+
+func TestDocumentationMatchesTable(t *testing.T) {
+	g := goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md"))
+	g.Assert(t, "RESULTS", Markdown())
+}
