--- /dev/null
+++ b/internal/agreed/apply.go
@@ -0,0 +1,79 @@
+package agreed
+
+import (
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// New returns the empty state at revision zero.
+func New() *State {
+	return &State{
+		Catalog: note.Catalog{
+			Workspaces: map[string]note.Workspace{},
+			Keys:       map[string]note.Key{},
+			Services:   map[string]note.Service{},
+			Domains:    map[string]note.Domain{},
+		},
+		Hosts:     map[string]Host{},
+		Endpoints: map[string]Endpoint{},
+		Groups:    map[string]Group{},
+	}
+}
+
+// Apply applies the command at a log index. It returns s itself when the
+// command changed nothing, else a new state whose revision is index. The result
+// depends on the arguments alone.
+func Apply(s *State, index uint64, c Command) (*State, Outcome) {
+	next, out := apply(s, index, c)
+	if out.Code != 0 || next == nil {
+		out.Revision = s.Revision
+		return s, out
+	}
+	next.Revision = index
+	out.Revision = index
+	return next, out
+}
+
+// apply returns nil for next when nothing changed.
+func apply(s *State, index uint64, c Command) (next *State, out Outcome) {
+	switch {
+	case c.ApplyNote != nil:
+		return applyNote(s, index, c.ApplyNote)
+	case c.RegisterHost != nil:
+		return registerHost(s, index, c.RegisterHost.Host)
+	case c.RemoveHost != nil:
+		return removeHost(s, c.RemoveHost)
+	case c.PutEndpoint != nil:
+		return putEndpoint(s, index, c.PutEndpoint.Endpoint)
+	case c.RemoveEndpoint != nil:
+		return removeEndpoint(s, index, c.RemoveEndpoint)
+	case c.SealGroup != nil:
+		return sealGroup(s, index, c.SealGroup)
+	case c.ChooseGroup != nil:
+		return chooseGroup(s, index, c.ChooseGroup)
+	case c.ActivateGroup != nil:
+		return activateGroup(s, index, c.ActivateGroup)
+	case c.NameFleet != nil:
+		return nameFleet(s, c.NameFleet)
+	default:
+		return nil, refuse(result.UnsupportedFeature, "the command is empty or unknown to this version")
+	}
+}
+
+// copyOf returns a shallow copy of s. The caller replaces the maps it changes.
+func copyOf(s *State) *State {
+	next := *s
+	return &next
+}
+
+func nameFleet(s *State, c *NameFleet) (*State, Outcome) {
+	if s.Fleet == c.Fleet {
+		return nil, Outcome{}
+	}
+	if s.Fleet != "" {
+		return nil, refuse(result.PeerFleet, "the state belongs to fleet %q", s.Fleet)
+	}
+	next := copyOf(s)
+	next.Fleet = c.Fleet
+	return next, Outcome{}
+}
--- /dev/null
+++ b/internal/agreed/apply_host.go
@@ -0,0 +1,42 @@
+package agreed
+
+import (
+	"maps"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// registerHost adds a host. The same incarnation may register again; an older
+// one than the registered is refused.
+func registerHost(s *State, index uint64, h Host) (*State, Outcome) {
+	known, ok := s.Hosts[h.ID]
+	if h.ID == "" || h.Incarnation == 0 {
+		return nil, refuse(result.PeerMalformed, "a host has an identity and an incarnation")
+	}
+	if ok && h.Incarnation < known.Incarnation {
+		return nil, refuse(result.PeerIncarnation, "host %q has a newer process", h.ID)
+	}
+	h.Registered = index
+	if ok && h.Incarnation == known.Incarnation {
+		h.Registered = known.Registered
+	}
+	if h == known {
+		return nil, Outcome{}
+	}
+	next := copyOf(s)
+	next.Hosts = maps.Clone(s.Hosts)
+	next.Hosts[h.ID] = h
+	return next, Outcome{}
+}
+
+// removeHost removes a host unless a newer incarnation has registered.
+func removeHost(s *State, c *RemoveHost) (*State, Outcome) {
+	known, ok := s.Hosts[c.ID]
+	if !ok || known.Incarnation != c.Incarnation {
+		return nil, Outcome{}
+	}
+	next := copyOf(s)
+	next.Hosts = maps.Clone(s.Hosts)
+	delete(next.Hosts, c.ID)
+	return next, Outcome{}
+}
--- /dev/null
+++ b/internal/agreed/apply_note.go
@@ -0,0 +1,88 @@
+package agreed
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// HistoryLimit is the number of accepted notes that the state remembers. A
+// note sent again is recognised as long as it is among them.
+const HistoryLimit = 1024
+
+// applyNote accepts the next note. A note with the number and digest of an
+// accepted one gets the first answer again.
+func applyNote(s *State, index uint64, c *ApplyNote) (*State, Outcome) {
+	number, digest := c.Note.Number, note.Digest(c.Note)
+	if stamp, ok := s.findNote(number); ok {
+		return nil, repeatedNote(stamp, digest)
+	}
+	current := s.Catalog.Stamp
+	if number != current.Number+1 {
+		out := refuse(result.NoteOutOfOrder, "note %d: the note in force is %d %q, the next number is %d",
+			number, current.Number, current.Title, current.Number+1)
+		out.Stamp = &current
+		return nil, out
+	}
+	catalog, problems := s.Catalog.Apply(c.Note)
+	if note.HasErrors(problems) {
+		out := refuse(result.NoteInvalid, "note %d has errors; nothing of it was applied", number)
+		out.Problems = problems
+		return nil, out
+	}
+	catalog.Stamp = note.Stamp{Number: number, Digest: digest, Title: c.Note.Title, Accepted: c.Received}
+	next := copyOf(s)
+	next.Catalog = catalog
+	next.History = appendHistory(s.History, catalog.Stamp)
+	next.matchGroups(index)
+	return next, Outcome{Stamp: &catalog.Stamp, Problems: problems}
+}
+
+// findNote returns the stamp of the accepted note with the number.
+func (s *State) findNote(number uint64) (note.Stamp, bool) {
+	i, ok := slices.BinarySearchFunc(s.History, number, func(stamp note.Stamp, number uint64) int {
+		return int(int64(stamp.Number) - int64(number))
+	})
+	if !ok {
+		return note.Stamp{}, false
+	}
+	return s.History[i], true
+}
+
+func repeatedNote(stamp note.Stamp, digest string) Outcome {
+	if stamp.Digest == digest {
+		return Outcome{Stamp: &stamp}
+	}
+	out := refuse(result.NoteConflict, "note %d %q with digest %s is in force; the note sent has digest %s",
+		stamp.Number, stamp.Title, stamp.Digest, digest)
+	out.Stamp = &stamp
+	return out
+}
+
+// appendHistory returns a copy of history with the stamp added, shortened to
+// HistoryLimit.
+func appendHistory(history []note.Stamp, stamps ...note.Stamp) []note.Stamp {
+	longer := append(slices.Clone(history), stamps...)
+	return longer[max(0, len(longer)-HistoryLimit):]
+}
+
+// matchGroups gives each service of the catalog a group, and removes groups
+// and endpoints of services that were withdrawn.
+func (s *State) matchGroups(index uint64) {
+	groups := maps.Clone(s.Groups)
+	for name := range s.Catalog.Services {
+		if _, ok := groups[name]; !ok {
+			groups[name] = Group{Service: name, Phase: PhaseForming, Changed: index}
+		}
+	}
+	withdrawn := func(service string) bool {
+		_, ok := s.Catalog.Services[service]
+		return !ok
+	}
+	maps.DeleteFunc(groups, func(name string, _ Group) bool { return withdrawn(name) })
+	s.Groups = groups
+	s.Endpoints = maps.Clone(s.Endpoints)
+	maps.DeleteFunc(s.Endpoints, func(_ string, e Endpoint) bool { return withdrawn(e.Service) })
+}
--- /dev/null
+++ b/internal/agreed/command.go
@@ -0,0 +1,159 @@
+package agreed
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// Command is one entry of the consensus log. Exactly one field is set.
+type Command struct {
+	ApplyNote      *ApplyNote      `cbor:"1,keyasint,omitempty"`
+	RegisterHost   *RegisterHost   `cbor:"2,keyasint,omitempty"`
+	RemoveHost     *RemoveHost     `cbor:"3,keyasint,omitempty"`
+	PutEndpoint    *PutEndpoint    `cbor:"4,keyasint,omitempty"`
+	RemoveEndpoint *RemoveEndpoint `cbor:"5,keyasint,omitempty"`
+	SealGroup      *SealGroup      `cbor:"6,keyasint,omitempty"`
+	ChooseGroup    *ChooseGroup    `cbor:"7,keyasint,omitempty"`
+	ActivateGroup  *ActivateGroup  `cbor:"8,keyasint,omitempty"`
+	NameFleet      *NameFleet      `cbor:"9,keyasint,omitempty"`
+}
+
+// ApplyNote puts a release note in force.
+type ApplyNote struct {
+	Note note.Note `cbor:"1,keyasint"`
+	// Received is the wall-clock time at the control leader, for display only.
+	Received time.Time `cbor:"2,keyasint"`
+}
+
+// RegisterHost adds a host or replaces an older incarnation of it.
+type RegisterHost struct {
+	// Host is the host to register; its Registered field is ignored.
+	Host Host `cbor:"1,keyasint"`
+}
+
+// RemoveHost removes one incarnation of a host.
+type RemoveHost struct {
+	ID          string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
+// PutEndpoint adds an endpoint to the group of its service, or changes its
+// address or failure domain.
+type PutEndpoint struct {
+	Endpoint Endpoint `cbor:"1,keyasint"`
+}
+
+// RemoveEndpoint removes an endpoint that is not the primary from its group.
+type RemoveEndpoint struct {
+	ID string `cbor:"1,keyasint"`
+	// Term is the expected term of the group.
+	Term uint64 `cbor:"2,keyasint"`
+}
+
+// SealGroup ends a term: the term grows by one and no host may act under it.
+type SealGroup struct {
+	Service string `cbor:"1,keyasint"`
+	// Term is the expected current term.
+	Term   uint64 `cbor:"2,keyasint"`
+	Reason string `cbor:"3,keyasint,omitempty"`
+}
+
+// ChooseGroup records the endpoint to promote in a sealed term.
+type ChooseGroup struct {
+	Service   string `cbor:"1,keyasint"`
+	Term      uint64 `cbor:"2,keyasint"`
+	Candidate string `cbor:"3,keyasint"`
+}
+
+// ActivateGroup puts the primary of a sealed or forming group in force.
+type ActivateGroup struct {
+	Service  string `cbor:"1,keyasint"`
+	Term     uint64 `cbor:"2,keyasint"`
+	Primary  string `cbor:"3,keyasint"`
+	Timeline uint32 `cbor:"4,keyasint"`
+}
+
+// NameFleet records the name of the fleet, once.
+type NameFleet struct {
+	Fleet string `cbor:"1,keyasint"`
+}
+
+// Outcome is the answer to a command.
+type Outcome struct {
+	// Code is zero when the command succeeded or repeated one that did.
+	Code   result.Code `cbor:"1,keyasint,omitempty"`
+	Detail string      `cbor:"2,keyasint,omitempty"`
+	// Revision is the revision of the state that the answer describes.
+	Revision uint64 `cbor:"3,keyasint"`
+	// Stamp is the accepted note, or on a conflict the one in force under the
+	// number.
+	Stamp *note.Stamp `cbor:"4,keyasint,omitempty"`
+	// Problems are the errors and warnings of a note.
+	Problems []note.Problem `cbor:"5,keyasint,omitempty"`
+}
+
+// Err returns the outcome as a result.Error, or nil when the command succeeded.
+func (o Outcome) Err() error {
+	if o.Code == 0 {
+		return nil
+	}
+	return &result.Error{Code: o.Code, Detail: o.Detail}
+}
+
+func refuse(code result.Code, format string, args ...any) Outcome {
+	e := result.New(code, format, args...)
+	return Outcome{Code: e.Code, Detail: e.Detail}
+}
+
+// Bounds of a decoded state or command.
+const (
+	maxElements = 4 << 20 // items of one array or map
+	maxNesting  = 16      // levels
+)
+
+var (
+	encMode = newEncMode()
+	decMode = newDecMode()
+)
+
+func newEncMode() cbor.EncMode {
+	opts := cbor.CoreDetEncOptions()
+	opts.Time = cbor.TimeRFC3339Nano
+	mode, err := opts.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode encodes a command for the log.
+func (c Command) Encode() ([]byte, error) {
+	data, err := encMode.Marshal(c)
+	return data, errors.Wrap(err, "encode command")
+}
+
+// DecodeCommand decodes a command of the log.
+func DecodeCommand(data []byte) (Command, error) {
+	var c Command
+	err := decMode.Unmarshal(data, &c)
+	return c, errors.Wrap(err, "decode command")
+}
--- /dev/null
+++ b/internal/agreed/delta.go
@@ -0,0 +1,117 @@
+package agreed
+
+import (
+	"maps"
+	"reflect"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+)
+
+// Changes are the entries of one map that were set and those that were removed.
+type Changes[T any] struct {
+	Set     map[string]T `cbor:"1,keyasint,omitempty"`
+	Removed []string     `cbor:"2,keyasint,omitempty"`
+}
+
+// Delta leads from the state at revision From to the one at revision To.
+type Delta struct {
+	From uint64 `cbor:"1,keyasint"`
+	To   uint64 `cbor:"2,keyasint"`
+	// Fleet is the name of the fleet after the change.
+	Fleet      string                   `cbor:"3,keyasint,omitempty"`
+	Stamps     []note.Stamp             `cbor:"4,keyasint,omitempty"`
+	Workspaces *Changes[note.Workspace] `cbor:"5,keyasint,omitempty"`
+	Keys       *Changes[note.Key]       `cbor:"6,keyasint,omitempty"`
+	Services   *Changes[note.Service]   `cbor:"7,keyasint,omitempty"`
+	Domains    *Changes[note.Domain]    `cbor:"8,keyasint,omitempty"`
+	Hosts      *Changes[Host]           `cbor:"9,keyasint,omitempty"`
+	Endpoints  *Changes[Endpoint]       `cbor:"10,keyasint,omitempty"`
+	Groups     *Changes[Group]          `cbor:"11,keyasint,omitempty"`
+}
+
+// ErrGap is returned by Patch when the delta does not start at the state.
+var ErrGap = errors.New("the delta does not start at the revision of the state")
+
+// Diff returns the delta from one state to a later one.
+func Diff(from, to *State) Delta {
+	d := Delta{
+		From:       from.Revision,
+		To:         to.Revision,
+		Fleet:      to.Fleet,
+		Workspaces: diffMap(from.Catalog.Workspaces, to.Catalog.Workspaces),
+		Keys:       diffMap(from.Catalog.Keys, to.Catalog.Keys),
+		Services:   diffMap(from.Catalog.Services, to.Catalog.Services),
+		Domains:    diffMap(from.Catalog.Domains, to.Catalog.Domains),
+		Hosts:      diffMap(from.Hosts, to.Hosts),
+		Endpoints:  diffMap(from.Endpoints, to.Endpoints),
+		Groups:     diffMap(from.Groups, to.Groups),
+	}
+	for _, stamp := range to.History {
+		if stamp.Number > from.Catalog.Stamp.Number {
+			d.Stamps = append(d.Stamps, stamp)
+		}
+	}
+	return d
+}
+
+func diffMap[T any](from, to map[string]T) *Changes[T] {
+	if reflect.ValueOf(from).Pointer() == reflect.ValueOf(to).Pointer() {
+		return nil // the map was not replaced
+	}
+	c := Changes[T]{Set: map[string]T{}}
+	for name, value := range to {
+		old, ok := from[name]
+		if !ok || !reflect.DeepEqual(old, value) {
+			c.Set[name] = value
+		}
+	}
+	for name := range from {
+		if _, ok := to[name]; !ok {
+			c.Removed = append(c.Removed, name)
+		}
+	}
+	if len(c.Set) == 0 && len(c.Removed) == 0 {
+		return nil
+	}
+	return &c
+}
+
+// Patch returns the state that the delta leads to. It returns ErrGap when the
+// delta starts at another revision.
+func Patch(s *State, d Delta) (*State, error) {
+	if d.From != s.Revision || d.To <= d.From {
+		return nil, ErrGap
+	}
+	next := copyOf(s)
+	next.Revision = d.To
+	next.Fleet = d.Fleet
+	if len(d.Stamps) > 0 {
+		next.History = appendHistory(s.History, d.Stamps...)
+		next.Catalog.Stamp = d.Stamps[len(d.Stamps)-1]
+	}
+	next.Catalog.Workspaces = patchMap(s.Catalog.Workspaces, d.Workspaces)
+	next.Catalog.Keys = patchMap(s.Catalog.Keys, d.Keys)
+	next.Catalog.Services = patchMap(s.Catalog.Services, d.Services)
+	next.Catalog.Domains = patchMap(s.Catalog.Domains, d.Domains)
+	next.Hosts = patchMap(s.Hosts, d.Hosts)
+	next.Endpoints = patchMap(s.Endpoints, d.Endpoints)
+	next.Groups = patchMap(s.Groups, d.Groups)
+	return next, nil
+}
+
+func patchMap[T any](m map[string]T, c *Changes[T]) map[string]T {
+	if c == nil {
+		return m
+	}
+	next := maps.Clone(m)
+	if next == nil {
+		next = make(map[string]T)
+	}
+	maps.Copy(next, c.Set)
+	for _, name := range c.Removed {
+		delete(next, name)
+	}
+	return next
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -54,6 +54,8 @@
 	NoQuorum       Code = 4004
 	DiskFull       Code = 4005
 	NotLeader      Code = 4006
+	TermConflict   Code = 4007
+	GroupConflict  Code = 4008
 
 	PeerFleet       Code = 5001
 	PeerVersion     Code = 5002
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -35,6 +35,8 @@
 	{NoQuorum, "no_quorum", "57P03", false, "The control hosts could not confirm the change in time; it may still be accepted.", "Send the same note again: the answer tells whether it was accepted."},
 	{DiskFull, "disk_full", "53100", true, "The control host cannot store the change.", "Free space on the data disk."},
 	{NotLeader, "not_leader", "55000", true, "The control host is not the leader and knows no other.", "Send the note to another control host."},
+	{TermConflict, "term_conflict", "40001", true, "The term, phase or candidate of the group is not the expected one.", "Look at the group's status and decide again."},
+	{GroupConflict, "group_conflict", "55000", true, "The endpoint cannot join or leave the group.", "Check the endpoint's service, identity and the size of the group."},
 	{PeerFleet, "peer_fleet", "08004", true, "The peer belongs to another fleet.", "Check the fleet name in the settings."},
 	{PeerVersion, "peer_version", "08004", true, "The peer speaks another version of the protocol.", "Upgrade the older host."},
 	{PeerIncarnation, "peer_incarnation", "08004", true, "The peer has been replaced by a newer process of the same host.", "Stop the old process."},
