Add the failover state machine

Cause: a lost primary has to be replaced with nobody on site, without losing an acknowledged write and without two primaries in one term.

Change: internal/failover holds one deterministic machine per group. It seals on the word of a majority of failure domains, waits until the seal is settled, chooses only an endpoint that is at least as far as a majority of the group (itself included), records the choice in the agreed state before it promotes, and activates after it has verified the new timeline. Planned switchovers, new leaders in the middle of a promotion and candidates that die are covered.

--- /dev/null
+++ b/internal/failover/choose.go
@@ -0,0 +1,123 @@
+package failover
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// contender is a member whose position counts in the choice of a primary.
+type contender struct {
+	member    Member
+	condition Condition
+	suspected bool
+}
+
+// compare orders contenders by what they hold: timeline first, then position.
+func (c contender) compare(d contender) int {
+	if n := cmp.Compare(c.condition.Timeline, d.condition.Timeline); n != 0 {
+		return n
+	}
+	return cmp.Compare(c.condition.Position, d.condition.Position)
+}
+
+// majority returns the number of members that make a majority of the group.
+func (m *Machine) majority() int {
+	return max(m.view.Size, len(m.view.Members))/2 + 1
+}
+
+// contenders returns the members whose latest answer counts: replicas, the
+// primary of the sealed term on its own timeline, and the recorded candidate.
+// Any other endpoint out of recovery has a history that was never agreed.
+func (m *Machine) contenders(now time.Time) []contender {
+	var found []contender
+	for _, member := range m.view.Members {
+		a, ok := m.answer(now, member.Endpoint)
+		if !ok || !m.counts(member.Endpoint, a) {
+			continue
+		}
+		found = append(found, contender{
+			member:    member,
+			condition: a,
+			suspected: m.suspected(now, member.Endpoint),
+		})
+	}
+	return found
+}
+
+func (m *Machine) counts(endpoint string, c Condition) bool {
+	g := m.view.Group
+	switch {
+	case c.InRecovery:
+		return true
+	case endpoint == g.Candidate:
+		return true
+	case endpoint == g.Primary:
+		return m.onTimeline(c.Timeline)
+	default:
+		return false
+	}
+}
+
+// answer returns the endpoint's condition when it answered lately.
+func (m *Machine) answer(now time.Time, endpoint string) (Condition, bool) {
+	a, ok := m.answers[endpoint]
+	if !ok || !a.condition.Reachable || now.Sub(a.at) > m.cfg.AnswerTTL {
+		return Condition{}, false
+	}
+	return a.condition, true
+}
+
+// safe returns the contenders that hold every write that a majority may have
+// acknowledged: those at least as far as a majority of the group, themselves
+// included. Any other majority shares a member with that one.
+func (m *Machine) safe(all []contender) []contender {
+	var found []contender
+	for _, c := range all {
+		covered := 0
+		for _, d := range all {
+			if c.compare(d) >= 0 {
+				covered++
+			}
+		}
+		if covered >= m.majority() {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
+// prefer orders contenders: not suspected first, then those in use, then the
+// highest position; ties go to failure domains in use, then to the lower id.
+func prefer(a, b contender) int {
+	if n := compareBool(a.suspected, b.suspected); n != 0 {
+		return n
+	}
+	if n := b.compare(a); n != 0 {
+		return n
+	}
+	if n := compareBool(a.member.unwanted(), b.member.unwanted()); n != 0 {
+		return n
+	}
+	return cmp.Compare(a.member.Endpoint, b.member.Endpoint)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// unwanted reports whether new work should keep off the member.
+func (m Member) unwanted() bool { return m.DomainOut || m.Leaving }
+
+// without returns the contenders other than those that match.
+func without(all []contender, match func(contender) bool) []contender {
+	return slices.DeleteFunc(slices.Clone(all), match)
+}
--- /dev/null
+++ b/internal/failover/model_test.go
@@ -0,0 +1,251 @@
+package failover
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+)
+
+// The model below runs a Machine against a group with asynchronous
+// replication, entry hosts with configuration leases and a control leader that
+// is replaced now and then. It checks the promises after every step.
+
+const (
+	modelStep  = 50 * time.Millisecond
+	modelLease = 3 * time.Second
+	grantLease = modelLease + modelLease/100
+)
+
+// record is one entry of an endpoint's log. The first record after a promotion
+// has id zero and the new timeline.
+type record struct {
+	id       int
+	timeline uint32
+}
+
+type modelEndpoint struct {
+	id         string
+	alive      bool
+	inRecovery bool
+	upstream   string
+	log        []record
+	cut        map[string]bool // hosts, endpoints and "control" that cannot reach it
+}
+
+func (e *modelEndpoint) timeline() uint32 { return e.log[len(e.log)-1].timeline }
+
+func (e *modelEndpoint) condition() Condition {
+	return Condition{Reachable: true, InRecovery: e.inRecovery, Timeline: e.timeline(), Position: uint64(len(e.log))}
+}
+
+type modelHost struct {
+	id, domain string
+	isolated   bool // from the control leader
+	group      agreed.Group
+	revision   uint64
+	leaseEnd   time.Time
+	grantEnd   time.Time // as the control leader counts it
+	known      bool      // has renewed with this leader
+}
+
+type pendingWrite struct {
+	host     *modelHost
+	endpoint *modelEndpoint
+	id       int
+	term     uint64
+	durable  bool
+}
+
+type delayed struct {
+	due   time.Time
+	event Event
+	term  uint64 // of the leader that waits for it
+}
+
+type fault int
+
+const (
+	noFault fault = iota
+	promoteWithoutMajority
+	promoteBeforeSettled
+)
+
+type model struct {
+	pick  func(n int) int
+	fault fault
+	// lenient leaves the rules of a choice unchecked, so that only the loss
+	// that follows from breaking them is seen.
+	lenient   bool
+	now       time.Time
+	revision  uint64
+	group     agreed.Group
+	machine   *Machine
+	leader    uint64
+	elected   time.Time
+	hosts     []*modelHost
+	endpoints []*modelEndpoint
+	events    []delayed
+	commands  []Effect
+	promotes  []string
+	pending   []*pendingWrite
+	acked     map[int]bool
+	primaries map[uint64]string
+	answered  map[string]bool
+	sealedAt  uint64
+	nextID    int
+	calm      bool
+	checked   [2]uint64 // revision and acknowledged writes at the last check
+	failure   string
+}
+
+func newModel(pick func(int) int, size int, f fault) *model {
+	m := &model{
+		pick: pick, fault: f, now: time.Unix(1000, 0), revision: 1,
+		acked: map[int]bool{}, primaries: map[uint64]string{}, answered: map[string]bool{},
+	}
+	for i := range size {
+		e := &modelEndpoint{id: fmt.Sprintf("e%d", i), alive: true, inRecovery: i > 0, upstream: "e0", cut: map[string]bool{}}
+		e.log = []record{{timeline: 1}}
+		m.endpoints = append(m.endpoints, e)
+		m.group.Members = append(m.group.Members, e.id)
+	}
+	for i := range 4 {
+		m.hosts = append(m.hosts, &modelHost{id: fmt.Sprintf("h%d", i), domain: fmt.Sprintf("d%d", i%3)})
+	}
+	m.group.Service, m.group.Term, m.group.Primary = "s", 1, "e0"
+	m.group.Phase, m.group.Timeline, m.group.Changed = agreed.PhaseActive, 1, 1
+	m.primaries[1] = "e0"
+	m.elect()
+	return m
+}
+
+func (m *model) failf(format string, args ...any) {
+	if m.failure == "" {
+		m.failure = fmt.Sprintf("t=%s %s", m.now.Sub(time.Unix(1000, 0)), fmt.Sprintf(format, args...))
+	}
+}
+
+func (m *model) endpoint(id string) *modelEndpoint {
+	i := slices.IndexFunc(m.endpoints, func(e *modelEndpoint) bool { return e.id == id })
+	return m.endpoints[i]
+}
+
+// elect replaces the control leader: everything it kept in memory is lost.
+func (m *model) elect() {
+	m.machine = New(DefaultConfig())
+	m.leader++
+	m.elected = m.now
+	m.answered = map[string]bool{}
+	m.commands = nil
+	for _, h := range m.hosts {
+		h.known = false
+	}
+	m.step(m.view())
+}
+
+func (m *model) view() View {
+	var watchers []Watcher
+	for _, h := range m.hosts {
+		watchers = append(watchers, Watcher{Host: h.id, Domain: h.domain})
+	}
+	v := View{Group: m.group, Size: len(m.endpoints), Electorate: NewElectorate(watchers)}
+	for i, e := range m.endpoints {
+		v.Members = append(v.Members, Member{Endpoint: e.id, Domain: fmt.Sprintf("d%d", i%3)})
+	}
+	return v
+}
+
+// step feeds the machine and takes its effects in.
+func (m *model) step(ev Event) {
+	if a, ok := ev.(Answer); ok && a.Reachable && a.Term == m.group.Term {
+		m.answered[a.Endpoint] = true
+	}
+	for _, effect := range m.machine.Step(m.now, ev) {
+		m.apply(effect)
+	}
+}
+
+func (m *model) apply(effect Effect) {
+	switch ef := effect.(type) {
+	case Seal, Activate:
+		m.commands = append(m.commands, ef)
+	case Choose:
+		m.checkChoice()
+		m.commands = append(m.commands, ef)
+	case AskPositions:
+		for _, id := range ef.Endpoints {
+			m.answerLater(ef.Term, m.endpoint(id))
+		}
+	case Promote:
+		if m.group.Phase != agreed.PhaseSealed || m.group.Candidate != ef.Endpoint {
+			m.failf("promoting %s, which is not the recorded candidate", ef.Endpoint)
+		}
+		m.promotes = append(m.promotes, ef.Endpoint)
+	case Status:
+	}
+}
+
+// checkChoice holds the rules of a choice against what really happened.
+func (m *model) checkChoice() {
+	if m.lenient {
+		return
+	}
+	if len(m.answered) < len(m.endpoints)/2+1 {
+		m.failf("candidate chosen from %d answers", len(m.answered))
+	}
+	for _, h := range m.hosts {
+		if m.now.Before(h.leaseEnd) && h.revision < m.sealedAt {
+			m.failf("candidate chosen while host %s may act in the former term", h.id)
+		}
+	}
+}
+
+func (m *model) answerLater(term uint64, e *modelEndpoint) {
+	a := Answer{Term: term, Endpoint: e.id}
+	if e.alive && !e.cut["control"] {
+		a.Condition = e.condition()
+	}
+	m.later(a)
+}
+
+func (m *model) later(ev Event) {
+	wait := time.Duration(m.pick(4)) * modelStep
+	if m.pick(20) == 0 {
+		wait = time.Duration(m.pick(40)) * modelStep
+	}
+	m.events = append(m.events, delayed{due: m.now.Add(wait), event: ev, term: m.leader})
+}
+
+// commit applies a command to the agreed group when its conditions hold.
+func (m *model) commit(command Effect) {
+	g := m.group
+	switch c := command.(type) {
+	case Seal:
+		if g.Phase != agreed.PhaseActive || c.Term != g.Term {
+			return
+		}
+		g.Term, g.Phase, g.Candidate = g.Term+1, agreed.PhaseSealed, ""
+		m.answered = map[string]bool{}
+		m.sealedAt = m.revision + 1
+	case Choose:
+		if g.Phase != agreed.PhaseSealed || c.Term != g.Term {
+			return
+		}
+		g.Candidate = c.Candidate
+	case Activate:
+		if g.Phase != agreed.PhaseSealed || c.Term != g.Term || c.Primary != g.Candidate {
+			return
+		}
+		g.Primary, g.Timeline, g.Phase, g.Candidate = c.Primary, c.Timeline, agreed.PhaseActive, ""
+		if p, ok := m.primaries[g.Term]; ok && p != c.Primary {
+			m.failf("term %d has primaries %s and %s", g.Term, p, c.Primary)
+		}
+		m.primaries[g.Term] = c.Primary
+	}
+	m.revision++
+	g.Changed = m.revision
+	m.group = g
+	m.step(m.view())
+}
--- /dev/null
+++ b/internal/failover/modelrun_test.go
@@ -0,0 +1,308 @@
+package failover
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+)
+
+// run drives the model for some steps and returns the first broken promise.
+func (m *model) run(steps int) string {
+	for range steps {
+		m.now = m.now.Add(modelStep)
+		if !m.calm {
+			m.disturb()
+		}
+		m.deliver()
+		m.executePromotions()
+		m.renew()
+		m.probe()
+		m.replicate()
+		m.write()
+		m.acknowledge()
+		m.step(Settled{Revision: m.settled()})
+		m.plant()
+		m.step(Tick{})
+		m.check()
+		if m.failure != "" {
+			return m.failure
+		}
+	}
+	return ""
+}
+
+// heal ends all faults and rebuilds endpoints with a history of their own.
+func (m *model) heal() {
+	m.calm = true
+	for _, e := range m.endpoints {
+		e.alive = true
+		clear(e.cut)
+	}
+	for _, h := range m.hosts {
+		h.isolated = false
+	}
+}
+
+func (m *model) disturb() {
+	if m.pick(20) != 0 {
+		return
+	}
+	e := m.endpoints[m.pick(len(m.endpoints))]
+	switch m.pick(14) {
+	case 0:
+		e.alive = false
+	case 1, 2, 3:
+		e.alive = true
+		clear(e.cut)
+	case 4:
+		for _, n := range []string{"control", "h0", "h1", "h2", "h3", "e0", "e1", "e2"} {
+			e.cut[n] = m.pick(2) == 0
+		}
+	case 5, 6:
+		clear(e.cut)
+	case 7:
+		h := m.hosts[m.pick(len(m.hosts))]
+		h.isolated = !h.isolated
+	case 8:
+		m.elect()
+	case 9, 10:
+		m.rebuild(e)
+	case 11:
+		m.endpoint(m.group.Primary).alive = false
+	case 12, 13:
+		m.isolatePrimary()
+	}
+}
+
+// isolatePrimary leaves the primary in touch with one host, which may be cut
+// off from the control leader as well, and with some of the replicas.
+func (m *model) isolatePrimary() {
+	p := m.endpoint(m.group.Primary)
+	friend := m.hosts[m.pick(len(m.hosts))]
+	friend.isolated = m.pick(2) == 0
+	p.cut["control"] = true
+	for _, h := range m.hosts {
+		p.cut[h.id] = h != friend
+	}
+	for _, e := range m.endpoints {
+		p.cut[e.id] = m.pick(3) == 0
+	}
+}
+
+// rebuild turns an endpoint with a history of its own into a replica of the
+// agreed primary, as a rewind does.
+func (m *model) rebuild(e *modelEndpoint) {
+	p := m.endpoint(m.group.Primary)
+	if e == p || e.id == m.group.Candidate || !p.alive || !e.alive || p.inRecovery || p.timeline() != m.group.Timeline {
+		return
+	}
+	e.log = slices.Clone(e.log[:commonPrefix(e.log, p.log)])
+	e.inRecovery, e.upstream = true, p.id
+}
+
+func commonPrefix(a, b []record) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
+func (m *model) deliver() {
+	var rest []delayed
+	due := m.events
+	m.events = nil
+	for _, d := range due {
+		if d.due.After(m.now) {
+			rest = append(rest, d)
+			continue
+		}
+		if d.term == m.leader {
+			m.step(d.event)
+		}
+	}
+	m.events = append(m.events, rest...)
+	commands := m.commands
+	m.commands = nil
+	for _, c := range commands {
+		if m.pick(10) == 0 {
+			m.commands = append(m.commands, c)
+			continue
+		}
+		m.commit(c)
+	}
+}
+
+func (m *model) executePromotions() {
+	var rest []string
+	for _, id := range m.promotes {
+		e := m.endpoint(id)
+		switch {
+		case m.pick(4) == 0:
+			rest = append(rest, id)
+		case e.alive && e.inRecovery && !e.cut["control"]:
+			e.inRecovery = false
+			e.log = append(e.log, record{timeline: e.timeline() + 1})
+		}
+	}
+	m.promotes = rest
+}
+
+func (m *model) renew() {
+	for _, h := range m.hosts {
+		if h.isolated || m.pick(8) == 0 {
+			continue
+		}
+		h.group, h.revision = m.group, m.revision
+		h.leaseEnd, h.grantEnd = m.now.Add(modelLease), m.now.Add(grantLease)
+		h.known = true
+	}
+}
+
+// settled is what the control leader may claim by the lease rules.
+func (m *model) settled() uint64 {
+	least := m.revision
+	for _, h := range m.hosts {
+		switch {
+		case h.known && m.now.Before(h.grantEnd):
+			least = min(least, h.revision)
+		case !h.known && m.now.Before(m.elected.Add(grantLease)):
+			return 0
+		}
+	}
+	return least
+}
+
+func (m *model) probe() {
+	for _, e := range m.endpoints {
+		for _, w := range m.machine.view.Electorate.Watchers(e.id) {
+			o := Observation{Watcher: w.Host, Domain: w.Domain, Endpoint: e.id}
+			if e.alive && !e.cut[w.Host] {
+				o.Condition = e.condition()
+			}
+			if m.pick(5) == 0 {
+				m.later(o)
+			}
+		}
+	}
+}
+
+func (m *model) replicate() {
+	for _, r := range m.endpoints {
+		if m.group.Phase == agreed.PhaseActive && r.id != m.group.Primary && m.pick(6) == 0 {
+			r.upstream = m.group.Primary
+		}
+		up := m.endpoint(r.upstream)
+		if !r.alive || !r.inRecovery || !up.alive || up.inRecovery || up == r || r.cut[up.id] || up.cut[r.id] {
+			continue
+		}
+		n := commonPrefix(r.log, up.log)
+		if n < len(r.log) {
+			if up.id == m.group.Primary && m.calm {
+				m.rebuild(r)
+			}
+			continue
+		}
+		r.log = append(r.log, up.log[n:min(len(up.log), n+m.pick(3))]...)
+	}
+	if m.calm {
+		m.rebuildStrays()
+	}
+}
+
+func (m *model) rebuildStrays() {
+	for _, e := range m.endpoints {
+		if !e.inRecovery {
+			m.rebuild(e)
+		}
+	}
+}
+
+func (h *modelHost) mayAct(now time.Time) bool {
+	return now.Before(h.leaseEnd) && h.group.Phase == agreed.PhaseActive
+}
+
+func (m *model) write() {
+	h := m.hosts[m.pick(len(m.hosts))]
+	if !h.mayAct(m.now) {
+		return
+	}
+	p := m.endpoint(h.group.Primary)
+	if !p.alive || p.inRecovery || p.cut[h.id] {
+		return
+	}
+	m.nextID++
+	p.log = append(p.log, record{id: m.nextID, timeline: p.timeline()})
+	m.pending = append(m.pending, &pendingWrite{host: h, endpoint: p, id: m.nextID, term: h.group.Term})
+}
+
+// acknowledge follows the entry host: a majority must have the record, and the
+// host must still be allowed to act in the same term when it passes the answer
+// on.
+func (m *model) acknowledge() {
+	var rest []*pendingWrite
+	for _, w := range m.pending {
+		switch {
+		case !w.host.mayAct(m.now) || w.host.group.Term != w.term:
+			continue
+		case w.durable && m.pick(2) == 0:
+			m.acked[w.id] = true
+			continue
+		case w.endpoint.alive && !w.endpoint.cut[w.host.id]:
+			w.durable = w.durable || m.holders(w) >= len(m.endpoints)/2+1
+		}
+		rest = append(rest, w)
+	}
+	m.pending = rest
+}
+
+// holders counts the primary and the replicas that stream from it and hold
+// the record.
+func (m *model) holders(w *pendingWrite) int {
+	n := 0
+	for _, e := range m.endpoints {
+		streams := e == w.endpoint || (e.inRecovery && e.upstream == w.endpoint.id)
+		if streams && holds(e.log, w.id) {
+			n++
+		}
+	}
+	return n
+}
+
+func holds(log []record, id int) bool {
+	return slices.ContainsFunc(log, func(r record) bool { return r.id == id })
+}
+
+func (m *model) check() {
+	seen := [2]uint64{m.revision, uint64(len(m.acked))}
+	if m.group.Phase != agreed.PhaseActive || seen == m.checked {
+		return
+	}
+	m.checked = seen
+	p := m.endpoint(m.group.Primary)
+	present := make(map[int]bool, len(p.log))
+	for _, r := range p.log {
+		present[r.id] = true
+	}
+	for id := range m.acked {
+		if !present[id] {
+			m.failf("acknowledged record %d is not on primary %s of term %d", id, p.id, m.group.Term)
+			return
+		}
+	}
+}
+
+// plant lets the model behave as if the machine had a fault.
+func (m *model) plant() {
+	if m.group.Phase != agreed.PhaseSealed || m.group.Candidate != "" {
+		return
+	}
+	switch m.fault {
+	case promoteWithoutMajority:
+		m.machine.view.Members = m.machine.view.Members[:1+m.pick(len(m.endpoints))]
+		m.machine.view.Size = 1
+	case promoteBeforeSettled:
+		m.step(Settled{Revision: m.revision})
+	}
+}
--- /dev/null
+++ b/internal/failover/types.go
@@ -0,0 +1,209 @@
+// Package failover decides when the primary of a database group is replaced
+// and by which endpoint. It runs at the control leader as one deterministic
+// state machine per group: events and the current time go in, effects come
+// out. The package performs no I/O and reads no clock.
+//
+// A failover has four steps, each visible in the agreed state, so that a new
+// control leader continues where the former one stopped:
+//
+//  1. Seal the term once watchers in a majority of failure domains report the
+//     primary as lost, or its failure domain is out of use.
+//  2. Wait until the seal is settled: no host may then act under the term.
+//  3. Ask the members for their positions and choose a candidate that holds
+//     every write a majority may have acknowledged.
+//  4. Promote the candidate, verify it and activate the new term.
+package failover
+
+import (
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+)
+
+// ProbeInterval is the time between two probes of an endpoint by a watcher.
+const ProbeInterval = 250 * time.Millisecond
+
+// Config holds the time limits of a Machine.
+type Config struct {
+	// SuspectAfter is how long a watcher must see an endpoint as lost before
+	// its vote counts.
+	SuspectAfter time.Duration
+	// ObservationTTL is how long an observation counts without a newer one.
+	ObservationTTL time.Duration
+	// AskInterval is the time between two requests for positions.
+	AskInterval time.Duration
+	// AnswerTTL is how long an answer proves that an endpoint is alive.
+	AnswerTTL time.Duration
+	// ProposeTimeout is the wait before a command is proposed again.
+	ProposeTimeout time.Duration
+	// CandidateTimeout is how long a candidate may stay silent before another
+	// one is chosen.
+	CandidateTimeout time.Duration
+	// PromoteTimeout bounds the time a candidate that answers may need.
+	PromoteTimeout time.Duration
+	// SuspectGrace is how long the choice waits for other members when only a
+	// suspected endpoint qualifies.
+	SuspectGrace time.Duration
+	// CatchUpTimeout bounds the wait of a planned switchover for a replica
+	// that holds the last position of the primary.
+	CatchUpTimeout time.Duration
+	// SwitchoverRetry is the time between two planned switchovers of a group.
+	SwitchoverRetry time.Duration
+	// FormGrace is how long a new group waits for its missing members once a
+	// majority has answered.
+	FormGrace time.Duration
+}
+
+// DefaultConfig returns the limits for probes every ProbeInterval.
+func DefaultConfig() Config {
+	return Config{
+		SuspectAfter:     3 * ProbeInterval,
+		ObservationTTL:   2 * time.Second,
+		AskInterval:      100 * time.Millisecond,
+		AnswerTTL:        time.Second,
+		ProposeTimeout:   time.Second,
+		CandidateTimeout: 1500 * time.Millisecond,
+		PromoteTimeout:   8 * time.Second,
+		SuspectGrace:     time.Second,
+		CatchUpTimeout:   3 * time.Second,
+		SwitchoverRetry:  30 * time.Second,
+		FormGrace:        3 * time.Second,
+	}
+}
+
+// Event is an input of a Machine.
+type Event interface{ isEvent() }
+
+// View is the agreed state of the group and what the choice depends on. It is
+// sent on start and after each change of the agreed state.
+type View struct {
+	Group agreed.Group
+	// Size is the number of endpoints that the release note gives the group.
+	Size    int
+	Members []Member
+	// Electorate is shared by all groups of a fleet.
+	Electorate *Electorate
+	// Leaving reports that the service is being taken out of use.
+	Leaving bool
+}
+
+// Member is an endpoint of the group.
+type Member struct {
+	Endpoint string
+	Domain   string
+	// DomainOut reports that the member's failure domain is out of use.
+	DomainOut bool
+	// Leaving reports that the endpoint asked to be taken out of use.
+	Leaving bool
+}
+
+// Condition is what one probe of an endpoint saw.
+type Condition struct {
+	Reachable  bool
+	InRecovery bool
+	Timeline   uint32
+	// Position is the flushed position of a primary, or the received and
+	// flushed position of a replica, in bytes.
+	Position uint64
+}
+
+// Observation is a watcher's report on an endpoint. It counts from the time
+// of its arrival, since the clocks of hosts are not compared.
+type Observation struct {
+	Watcher  string
+	Domain   string
+	Endpoint string
+	Condition
+}
+
+// Answer is an endpoint's reply to AskPositions. An endpoint that cannot be
+// reached is answered for with Reachable false.
+type Answer struct {
+	// Term is copied from the request.
+	Term     uint64
+	Endpoint string
+	Condition
+}
+
+// Settled reports the greatest revision that every holder of a configuration
+// lease has applied.
+type Settled struct{ Revision uint64 }
+
+// PromotionResult reports the outcome of Promote.
+type PromotionResult struct {
+	Term     uint64
+	Endpoint string
+	OK       bool
+}
+
+// CommandResult reports the outcome of a proposed command. A committed one
+// also shows in the next View.
+type CommandResult struct{ Committed bool }
+
+// Tick lets time pass. It is due at least every AskInterval.
+type Tick struct{}
+
+func (View) isEvent()            {}
+func (Observation) isEvent()     {}
+func (Answer) isEvent()          {}
+func (Settled) isEvent()         {}
+func (PromotionResult) isEvent() {}
+func (CommandResult) isEvent()   {}
+func (Tick) isEvent()            {}
+
+// Effect is an output of a Machine.
+type Effect interface{ isEffect() }
+
+// Seal proposes the command that ends a term: the term grows by one, the
+// phase becomes sealed and no host may act on the group.
+type Seal struct {
+	Service string
+	// Term is the expected current term; the command fails in any other.
+	Term   uint64
+	Reason string
+}
+
+// Choose proposes the command that records the candidate of a sealed term.
+type Choose struct {
+	Service   string
+	Term      uint64
+	Candidate string
+}
+
+// Activate proposes the command that makes the primary of a sealed or forming
+// group known. On a sealed group the primary must be the recorded candidate.
+type Activate struct {
+	Service  string
+	Term     uint64
+	Primary  string
+	Timeline uint32
+}
+
+// AskPositions requests the condition of endpoints, read after the request.
+type AskPositions struct {
+	Service   string
+	Term      uint64
+	Endpoints []string
+}
+
+// Promote orders an endpoint to become the primary. It is repeated until the
+// endpoint answers as promoted, and must be harmless then.
+type Promote struct {
+	Service  string
+	Term     uint64
+	Endpoint string
+}
+
+// Status reports why the group is not active, or what it waits for; an empty
+// reason means that nothing is wrong.
+type Status struct {
+	Service string
+	Reason  string
+}
+
+func (Seal) isEffect()         {}
+func (Choose) isEffect()       {}
+func (Activate) isEffect()     {}
+func (AskPositions) isEffect() {}
+func (Promote) isEffect()      {}
+func (Status) isEffect()       {}
