--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -33,7 +33,9 @@
 	lead     *leadership // set while leader
 	incoming *assembly   // snapshot being received
 	founding founding
-	seen     map[uint64]witness // by disk identity
+	seen     map[uint64]Seen // by disk identity
+	// seenBoot is set while a peer's new start is not yet synced.
+	seenBoot bool
 
 	msgs      []Message
 	confirmed []Confirmation
@@ -56,9 +58,12 @@
 	}
 	n := &Node{
 		cfg: cfg, disk: st.Disk, boots: st.Boots, hard: st.Hard, saved: st.Hard, log: log,
-		seen:     map[uint64]witness{},
+		seen:     map[uint64]Seen{},
 		founding: newFounding(),
 	}
+	for _, s := range st.Hard.Seen {
+		n.seen[s.Disk] = s
+	}
 	n.members = log.members()
 	n.resetElection()
 	return n, nil
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -34,7 +34,7 @@
 // hardChanged reports a change that must be synced. Commit alone need not be.
 func (n *Node) hardChanged() bool {
 	now, was := n.hard, n.saved
-	return now.Term != was.Term || now.Vote != was.Vote || now.Fleet != was.Fleet
+	return now.Term != was.Term || now.Vote != was.Vote || now.Fleet != was.Fleet || n.seenBoot
 }
 
 func (n *Node) durable() Durable {
@@ -49,6 +49,7 @@
 	if n.hardChanged() || !d.Empty() {
 		hard := n.hard
 		hard.Commit = n.log.commit
+		hard.Seen = n.seenPeers()
 		d.Hard = &hard
 	}
 	return d
@@ -59,6 +60,7 @@
 func (n *Node) Advance(rd Ready) {
 	if rd.Hard != nil {
 		n.saved = *rd.Hard
+		n.seenBoot = false
 	}
 	if rd.Snapshot != nil {
 		n.log.saveSnap, n.log.resetLog = false, false
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -62,6 +62,16 @@
 	Commit uint64 `cbor:"3,keyasint,omitempty"`
 	// Fleet is the random identity of the log, zero before the node has one.
 	Fleet uint64 `cbor:"4,keyasint,omitempty"`
+	// Seen is what the node remembers of its peers' data folders.
+	Seen []Seen `cbor:"5,keyasint,omitempty"`
+}
+
+// Seen names the latest start and term seen of a peer's data folder. A folder
+// that shows less has been replaced by an older copy of itself.
+type Seen struct {
+	Disk  uint64 `cbor:"1,keyasint"`
+	Boots uint64 `cbor:"2,keyasint"`
+	Term  uint64 `cbor:"3,keyasint"`
 }
 
 // Stored is what a data folder holds when a node starts.
--- a/internal/consensus/witness.go
+++ b/internal/consensus/witness.go
@@ -1,30 +1,35 @@
 package consensus
 
-// witness is what a node remembers of a peer's data folder, to notice when the
-// folder is replaced by an older copy of itself.
-type witness struct {
-	boots uint64
-	term  uint64
-}
-
 // witness checks a message against what the node remembers of its sender. It
 // returns false, and tells the sender to rejoin, when the sender's data folder
 // is older than one that it sent from before.
 func (n *Node) witness(m *Message) bool {
-	w := n.seen[m.FromDisk]
+	was := n.seen[m.FromDisk]
 	term, known := m.senderTerm()
-	if m.Boots < w.boots || m.Boots > w.boots && known && term < w.term {
+	if m.Boots < was.Boots || m.Boots > was.Boots && known && term < was.Term {
 		n.tellRejoin(m)
 		return false
 	}
-	w.boots = m.Boots
+	now := Seen{Disk: m.FromDisk, Boots: m.Boots, Term: was.Term}
 	if known {
-		w.term = max(w.term, term)
+		now.Term = max(was.Term, term)
 	}
-	n.seen[m.FromDisk] = w
+	n.seen[m.FromDisk] = now
+	n.seenBoot = n.seenBoot || now.Boots != was.Boots
 	return true
 }
 
+// seenPeers returns the memory of the members' data folders.
+func (n *Node) seenPeers() []Seen {
+	var all []Seen
+	for _, m := range n.members {
+		if s, ok := n.seen[m.Disk]; ok {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
 // senderTerm returns the sender's own term, if the message tells it.
 func (m *Message) senderTerm() (uint64, bool) {
 	switch {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -56,6 +56,9 @@
 	NotLeader      Code = 4006
 	TermConflict   Code = 4007
 	GroupConflict  Code = 4008
+	StoreCorrupt   Code = 4009
+	StoreVersion   Code = 4010
+	StoreInUse     Code = 4011
 
 	PeerFleet       Code = 5001
 	PeerVersion     Code = 5002
