Add the entry path: SCRAM login, sessions, pooled endpoint connections

Cause: callers need a way in. An unmodified PostgreSQL client must reach the primary of its service with the key of its workspace, and no endpoint may see that key.

Change: internal/scramauth holds verifiers and the server side of SCRAM for several keys of a workspace; internal/pgfront the callers' side of the wire protocol; internal/pgback endpoint connections, pools and a monitor for each endpoint; internal/entry the sessions between them, with simple implementations of the ports. Statements outside a transaction need a valid configuration lease and a key in force; the answer to a write is held back until a majority of the group has it and the term still holds. The result code 2011 (service_leaving) is new at the end of its group.

Before: no path.

Conclusion: reads and writes go to the primary for now.

--- /dev/null
+++ b/internal/entry/classify.go
@@ -0,0 +1,245 @@
+package entry
+
+import "strings"
+
+// kind is what the first keywords of a statement tell about it.
+type kind int
+
+const (
+	// kindWrite is any statement that is not known to be of another kind.
+	kindWrite kind = iota
+	// kindEmpty has no keyword.
+	kindEmpty
+	// kindRead is a lone query, which an endpoint refuses with SQLSTATE 25006
+	// when it would write.
+	kindRead
+	kindBegin
+	kindBeginReadOnly
+	kindCommit
+	kindRollback
+	// kindSet changes a run-time setting of the session.
+	kindSet
+	// kindOwn is SET, SHOW or RESET of a galenabridge parameter.
+	kindOwn
+	// kindDeallocate is DEALLOCATE or DISCARD, answered at the entry.
+	kindDeallocate
+	// kindUnsupported needs session state that pooling cannot keep.
+	kindUnsupported
+)
+
+// class is the classification of a statement text.
+type class struct {
+	kind kind
+	// dirty tells that the connection must be reset before another caller
+	// uses it.
+	dirty bool
+	// multi tells that the text holds, or may hold, several statements.
+	multi bool
+	// why names the unsupported feature.
+	why string
+}
+
+// ownPrefix begins the names of the parameters that the entry handles itself.
+const ownPrefix = "galenabridge."
+
+// classify looks at the first keywords after comments. It does not parse SQL:
+// what it cannot tell is a write.
+func classify(text string) class {
+	body := skipSpace(text)
+	word, rest := cutWord(body)
+	if word == "" && body == "" {
+		return class{kind: kindEmpty}
+	}
+	c := classifyWord(word, rest)
+	if isMulti(body) {
+		if c.kind == kindUnsupported {
+			return c
+		}
+		return class{kind: kindWrite, dirty: true, multi: true}
+	}
+	if feature := unsupportedFunction(body); feature != "" {
+		return class{kind: kindUnsupported, why: feature}
+	}
+	if containsFold(body, "set_config") {
+		c.dirty = true
+	}
+	return c
+}
+
+func classifyWord(word, rest string) class {
+	switch word {
+	case "SELECT", "WITH", "TABLE", "VALUES":
+		return class{kind: kindRead}
+	case "INSERT", "UPDATE", "DELETE", "MERGE", "COPY", "EXPLAIN", "TRUNCATE",
+		"SAVEPOINT", "RELEASE", "FETCH", "MOVE", "CLOSE", "LOCK", "NOTIFY", "CALL",
+		"ALTER", "DROP", "GRANT", "REVOKE", "COMMENT", "ANALYZE", "VACUUM", "REINDEX":
+		return class{kind: kindWrite}
+	case "BEGIN", "START":
+		return classifyBegin(rest)
+	case "COMMIT", "END":
+		return class{kind: kindCommit}
+	case "ROLLBACK", "ABORT":
+		return classifyRollback(rest)
+	case "SET", "SHOW", "RESET":
+		return classifySetting(word, rest)
+	case "DEALLOCATE", "DISCARD":
+		return class{kind: kindDeallocate}
+	case "CREATE":
+		return classifyCreate(rest)
+	case "DECLARE":
+		if containsFold(rest, "with hold") {
+			return class{kind: kindUnsupported, why: "cursors WITH HOLD"}
+		}
+		return class{kind: kindWrite}
+	case "LISTEN", "UNLISTEN":
+		return class{kind: kindUnsupported, why: word}
+	case "PREPARE":
+		if next, _ := cutWord(rest); next == "TRANSACTION" {
+			return class{kind: kindUnsupported, why: "two-phase commit"}
+		}
+		return class{kind: kindUnsupported, why: "PREPARE as a statement; use the extended protocol"}
+	case "EXECUTE":
+		return class{kind: kindUnsupported, why: "EXECUTE as a statement; use the extended protocol"}
+	case "LOAD":
+		return class{kind: kindUnsupported, why: word}
+	}
+	return class{kind: kindWrite, dirty: true}
+}
+
+func classifyBegin(rest string) class {
+	if containsFold(strings.Join(strings.Fields(rest), " "), "read only") {
+		return class{kind: kindBeginReadOnly}
+	}
+	return class{kind: kindBegin}
+}
+
+// classifyRollback tells a rollback of the transaction from one to a savepoint.
+func classifyRollback(rest string) class {
+	for range 2 {
+		word, after := cutWord(rest)
+		if word == "TO" {
+			return class{kind: kindWrite}
+		}
+		rest = after
+	}
+	return class{kind: kindRollback}
+}
+
+func classifySetting(word, rest string) class {
+	name, after := cutWord(rest)
+	if word == "SET" && (name == "LOCAL" || name == "SESSION") {
+		scope := name
+		name, after = cutWord(after)
+		if scope == "LOCAL" {
+			return classifyLocal(name)
+		}
+	}
+	own := strings.ToLower(ownPrefix)
+	switch {
+	case strings.HasPrefix(strings.ToLower(name), own):
+		return class{kind: kindOwn}
+	case word == "SHOW":
+		return class{kind: kindRead}
+	case name == "TRANSACTION" || name == "CONSTRAINTS":
+		return class{kind: kindWrite}
+	case name == "ROLE" || name == "AUTHORIZATION":
+		return class{kind: kindUnsupported, why: "SET " + name}
+	}
+	_ = after
+	return class{kind: kindSet}
+}
+
+func classifyLocal(name string) class {
+	if strings.HasPrefix(strings.ToLower(name), ownPrefix) {
+		return class{kind: kindUnsupported, why: "SET LOCAL of galenabridge parameters"}
+	}
+	return class{kind: kindWrite}
+}
+
+func classifyCreate(rest string) class {
+	word, after := cutWord(rest)
+	if word == "LOCAL" || word == "GLOBAL" {
+		word, _ = cutWord(after)
+	}
+	if word == "TEMP" || word == "TEMPORARY" {
+		return class{kind: kindUnsupported, why: "temporary objects"}
+	}
+	return class{kind: kindWrite}
+}
+
+func unsupportedFunction(body string) string {
+	if containsFold(body, "pg_advisory_lock") || containsFold(body, "pg_try_advisory_lock") {
+		return "session advisory locks; use the transaction forms"
+	}
+	return ""
+}
+
+// isMulti reports whether text follows a semicolon. A semicolon inside a
+// literal counts as well, which is on the safe side.
+func isMulti(body string) bool {
+	i := strings.IndexByte(body, ';')
+	return i >= 0 && strings.Trim(skipSpace(body[i+1:]), "; \t\r\n") != ""
+}
+
+// skipSpace drops leading white space and comments.
+func skipSpace(text string) string {
+	for {
+		text = strings.TrimLeft(text, " \t\r\n\f")
+		switch {
+		case strings.HasPrefix(text, "--"):
+			end := strings.IndexByte(text, '\n')
+			if end < 0 {
+				return ""
+			}
+			text = text[end+1:]
+		case strings.HasPrefix(text, "/*"):
+			text = skipBlock(text)
+		default:
+			return text
+		}
+	}
+}
+
+// skipBlock drops a block comment; such comments nest.
+func skipBlock(text string) string {
+	depth := 0
+	for i := 0; i+1 < len(text); i++ {
+		switch text[i : i+2] {
+		case "/*":
+			depth++
+			i++
+		case "*/":
+			depth--
+			i++
+		}
+		if depth == 0 {
+			return text[i+1:]
+		}
+	}
+	return ""
+}
+
+// cutWord splits off the first word in upper case. Dots belong to a word.
+func cutWord(text string) (word, rest string) {
+	text = skipSpace(text)
+	end := 0
+	for end < len(text) && isWordByte(text[end]) {
+		end++
+	}
+	return strings.ToUpper(text[:end]), text[end:]
+}
+
+func isWordByte(b byte) bool {
+	return b == '_' || b == '.' || b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
+}
+
+// containsFold reports whether text holds the lower-case ASCII pattern in any
+// case.
+func containsFold(text, pattern string) bool {
+	for i := 0; i+len(pattern) <= len(text); i++ {
+		if text[i]|0x20 == pattern[0] && strings.EqualFold(text[i:i+len(pattern)], pattern) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/durability.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/pgback"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+// durabilityPause is the wait before a majority's positions are read again.
+const durabilityPause = time.Millisecond
+
+// majorityWait is a Durability that asks the primary for its own position and
+// those of its replicas. Questions of concurrent callers are batched by the
+// endpoint's monitor.
+type majorityWait struct {
+	view view.Source
+	read func(ctx context.Context, endpoint string) (pgback.Status, error)
+}
+
+// Wait implements Durability.
+func (d *majorityWait) Wait(ctx context.Context, service string, term uint64) (Position, error) {
+	var target uint64
+	for first := true; ; first = false {
+		state := d.view.Current().State
+		if state == nil {
+			return Position{}, errors.New("no agreed state")
+		}
+		group := state.Groups[service]
+		if group.Term != term || group.Phase != agreed.PhaseActive {
+			return Position{}, errors.Errorf("term %d of service %s has ended", term, service)
+		}
+		status, err := d.read(ctx, group.Primary)
+		if err != nil {
+			return Position{}, err
+		}
+		if first {
+			target = status.LSN
+		}
+		if hasMajority(group, status, target) {
+			return Position{Term: term, LSN: target}, nil
+		}
+		if err := pause(ctx, durabilityPause); err != nil {
+			return Position{}, err
+		}
+	}
+}
+
+// hasMajority counts the primary and the members that have flushed lsn.
+func hasMajority(group agreed.Group, status pgback.Status, lsn uint64) bool {
+	have := 0
+	for _, id := range group.Members {
+		flushed, ok := status.Flushed[id]
+		if id == group.Primary || ok && flushed >= lsn {
+			have++
+		}
+	}
+	return have > len(group.Members)/2
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/entry/login.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"net"
+	"sort"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/pgfront"
+	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/scramauth"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+// reported are the run-time parameters that callers are told of.
+var reported = []pgfront.Parameter{
+	{Name: "server_version", Value: "17.0"},
+	{Name: "server_encoding", Value: "UTF8"},
+	{Name: "client_encoding", Value: "UTF8"},
+	{Name: "DateStyle", Value: "ISO, MDY"},
+	{Name: "IntervalStyle", Value: "postgres"},
+	{Name: "TimeZone", Value: "UTC"},
+	{Name: "integer_datetimes", Value: "on"},
+	{Name: "standard_conforming_strings", Value: "on"},
+}
+
+// serve logs a caller in and runs its session.
+func (s *Server) serve(nc net.Conn) {
+	select {
+	case s.handshakes <- struct{}{}:
+	default:
+		s.turnAway(nc)
+		return
+	}
+	session, err := s.login(nc)
+	<-s.handshakes
+	if err != nil {
+		s.metrics.result(err)
+		s.log.Info("login_refused", "remote", nc.RemoteAddr(), "code", result.CodeOf(err), "reason", err)
+		return
+	}
+	if session == nil {
+		return
+	}
+	s.metrics.sessions.Inc()
+	session.run()
+	s.metrics.sessions.Dec()
+	s.remove(session)
+}
+
+// turnAway refuses a caller while too many log in.
+func (s *Server) turnAway(nc net.Conn) {
+	conn, startup, err := pgfront.Accept(nc, s.front)
+	if err != nil {
+		return
+	}
+	if startup.Cancel != nil {
+		_ = conn.Close()
+		return
+	}
+	refusal := result.New(result.TooManyHandshakes, "%d callers are logging in", maxHandshakes)
+	s.metrics.result(refusal)
+	conn.Refuse(refusal)
+}
+
+// login returns a nil session for a cancel request.
+func (s *Server) login(nc net.Conn) (*session, error) {
+	conn, startup, err := pgfront.Accept(nc, s.front)
+	if err != nil {
+		return nil, err
+	}
+	if startup.Cancel != nil {
+		s.routeCancel(*startup.Cancel)
+		return nil, conn.Close()
+	}
+	session, err := s.open(conn, startup)
+	if err != nil {
+		conn.Refuse(err)
+		return nil, err
+	}
+	return session, nil
+}
+
+func (s *Server) open(conn *pgfront.Conn, startup *pgfront.Startup) (*session, error) {
+	ses := &session{srv: s, conn: conn, key: newSecret(), statements: make(map[string]*statement)}
+	if err := ses.authenticate(startup); err != nil {
+		return nil, err
+	}
+	if err := ses.guard(time.Now()); err != nil {
+		return nil, err
+	}
+	if err := ses.parameters(startup.Parameters); err != nil {
+		return nil, err
+	}
+	s.backends.use(ses.who.service)
+	s.add(ses)
+	if s.draining.Load() {
+		ses.drain()
+	}
+	if err := conn.Ready(reported, pgfront.Cancel{ProcessID: ses.pid, Secret: ses.key}); err != nil {
+		s.remove(ses)
+		return nil, err
+	}
+	return ses, nil
+}
+
+// authenticate checks the key against the agreed state.
+func (s *session) authenticate(startup *pgfront.Startup) error {
+	v := s.srv.opts.View.Current()
+	if !v.Valid(time.Now()) {
+		return result.New(result.NoConfigLease, "the configuration lease ended")
+	}
+	s.who = identity{workspace: startup.Workspace, service: startup.Service}
+	candidates := candidatesFor(v, startup.Workspace)
+	ws, known := v.State.Catalog.Workspaces[startup.Workspace]
+	if known && ws.Open && len(candidates) == 0 {
+		s.who.open = true
+		return nil
+	}
+	keyID, err := s.conn.Authenticate(scramauth.NewConversation(startup.Workspace, candidates))
+	if err != nil {
+		return err
+	}
+	s.who.key = v.State.Catalog.Keys[keyID]
+	return nil
+}
+
+func candidatesFor(v view.View, workspace string) []scramauth.Candidate {
+	var candidates []scramauth.Candidate
+	for id, key := range v.State.Catalog.Keys {
+		if key.Workspace == workspace {
+			candidates = append(candidates, scramauth.Candidate{KeyID: id, Verifier: key.Verifier})
+		}
+	}
+	sort.Slice(candidates, func(i, j int) bool { return candidates[i].KeyID < candidates[j].KeyID })
+	return candidates
+}
+
+// parameters applies the run-time parameters of the start-up.
+func (s *session) parameters(named map[string]string) error {
+	for name, value := range named {
+		if len(name) > len(ownPrefix) && name[:len(ownPrefix)] == ownPrefix {
+			if err := s.param.set(name, value); err != nil {
+				return err
+			}
+			continue
+		}
+		if s.who.open {
+			continue
+		}
+		if !validName(name) {
+			return result.New(result.MalformedMessage, "parameter %q", name)
+		}
+		s.set.add(name, value)
+	}
+	return nil
+}
+
+// validName reports whether a parameter's name may stand in a SET statement.
+func validName(name string) bool {
+	for i := range len(name) {
+		if !isWordByte(name[i]) {
+			return false
+		}
+	}
+	return name != ""
+}
--- /dev/null
+++ b/internal/entry/options.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/pgback"
+	"github.com/galenabridge/galenabridge/internal/pgfront"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+// Limits that settings do not change.
+const (
+	loginTimeout  = 10 * time.Second
+	writeTimeout  = 30 * time.Second
+	maxHandshakes = 256
+)
+
+// Durability waits until what a group's primary has written is safe.
+type Durability interface {
+	// Wait returns the primary's log position, read after the call began, once
+	// a majority of the group's endpoints has it on disk.
+	Wait(ctx context.Context, service string, term uint64) (Position, error)
+}
+
+// CancelForwarder passes a cancel request to the host that serves the session.
+type CancelForwarder interface {
+	Forward(ctx context.Context, host uint32, cancel pgfront.Cancel) error
+}
+
+// Observer receives the states that endpoints report.
+type Observer interface {
+	Observe(service string, s pgback.Status)
+}
+
+// Options configure a Server. Settings and View are required; other ports that
+// are nil get the simple implementations of this package.
+type Options struct {
+	Settings *config.Settings
+	View     view.Source
+	// HostNumber tells the hosts of a fleet apart in cancel keys. It is less
+	// than MaxHosts.
+	HostNumber uint32
+
+	Limiter    Limiter
+	Gate       Gate
+	Router     Router
+	Positions  Positions
+	Durability Durability
+	// Cancels forwards cancel requests for other hosts; nil drops them.
+	Cancels CancelForwarder
+	// Observers are told each status of the endpoints in use.
+	Observers []Observer
+	// Connections returns the cap on connections of this host to an endpoint.
+	// Nil shares the cap of the service evenly among the entry hosts.
+	Connections func(service, endpoint string) int
+
+	Log        *log.Logger
+	Registerer prometheus.Registerer
+	// WriteTimeout bounds one write to a caller that does not read; zero means
+	// the default of 30 s.
+	WriteTimeout time.Duration
+}
+
+func (o *Options) frontConfig() (pgfront.Config, error) {
+	entry := o.Settings.Entry
+	cfg := pgfront.Config{
+		RequireTLS:   entry.RequireTLS,
+		MaxMessage:   entry.MaxMessage,
+		LoginTimeout: loginTimeout,
+		WriteTimeout: o.WriteTimeout,
+	}
+	if cfg.WriteTimeout == 0 {
+		cfg.WriteTimeout = writeTimeout
+	}
+	if cfg.MaxMessage == 0 {
+		cfg.MaxMessage = config.DefaultMaxMessage
+	}
+	if entry.TLS == nil {
+		return cfg, nil
+	}
+	cert, err := tls.LoadX509KeyPair(entry.TLS.Cert, entry.TLS.Key)
+	if err != nil {
+		return cfg, errors.Wrap(err, "certificate for callers")
+	}
+	cfg.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	return cfg, nil
+}
--- /dev/null
+++ b/internal/entry/params.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// Names of the parameters that callers set at the start-up or by SET.
+const (
+	paramClass        = ownPrefix + "class"
+	paramDeadline     = ownPrefix + "deadline"
+	paramMaxStaleness = ownPrefix + "max_staleness"
+	paramRequestID    = ownPrefix + "request_id"
+	paramReadOnly     = ownPrefix + "read_only"
+)
+
+// maxRequestID is the longest request id in bytes.
+const maxRequestID = 200
+
+// params are the galenabridge parameters of a session.
+type params struct {
+	// class is empty when the workspace's class applies.
+	class note.Class
+	// deadline is zero when the default applies.
+	deadline     time.Duration
+	maxStaleness time.Duration
+	requestID    string
+	readOnly     bool
+}
+
+// set changes a parameter; an empty value restores its default.
+func (p *params) set(name, value string) error {
+	switch strings.ToLower(name) {
+	case paramClass:
+		return p.setClass(note.Class(value))
+	case paramDeadline:
+		d, ok := parseMillis(value)
+		if !ok || value != "" && d <= 0 {
+			return result.New(result.BadDeadline, "%q", value)
+		}
+		p.deadline = d
+	case paramMaxStaleness:
+		d, ok := parseMillis(value)
+		if !ok || d < 0 {
+			return result.New(result.BadStaleness, "%q", value)
+		}
+		p.maxStaleness = d
+	case paramRequestID:
+		if len(value) > maxRequestID {
+			return result.New(result.MessageTooLarge, "request id of %d bytes; the limit is %d", len(value), maxRequestID)
+		}
+		p.requestID = value
+	case paramReadOnly:
+		on, ok := parseBool(value)
+		if !ok {
+			return result.New(result.MalformedMessage, "%s: %q is not a boolean", name, value)
+		}
+		p.readOnly = on
+	default:
+		return result.New(result.UnknownSessionParam, "%q", name)
+	}
+	return nil
+}
+
+func (p *params) setClass(c note.Class) error {
+	if c != "" && classRank(c) < 0 {
+		return result.New(result.UnknownClass, "%q", string(c))
+	}
+	p.class = c
+	return nil
+}
+
+// get returns the value in the form that set accepts.
+func (p *params) get(name string) (string, error) {
+	switch strings.ToLower(name) {
+	case paramClass:
+		return string(p.class), nil
+	case paramDeadline:
+		return formatMillis(p.deadline), nil
+	case paramMaxStaleness:
+		return formatMillis(p.maxStaleness), nil
+	case paramRequestID:
+		return p.requestID, nil
+	case paramReadOnly:
+		if p.readOnly {
+			return "on", nil
+		}
+		return "off", nil
+	}
+	return "", result.New(result.UnknownSessionParam, "%q", name)
+}
+
+// classRank orders classes by precedence; it is negative for unknown ones.
+func classRank(c note.Class) int {
+	switch c {
+	case note.ClassInteractive:
+		return 0
+	case note.ClassCorrection:
+		return 1
+	case note.ClassBulk:
+		return 2
+	}
+	return -1
+}
+
+// parseMillis reads a number of milliseconds, or a number with the unit ms or s.
+func parseMillis(value string) (time.Duration, bool) {
+	if value == "" {
+		return 0, true
+	}
+	if strings.HasSuffix(value, "s") {
+		d, err := time.ParseDuration(value)
+		return d, err == nil
+	}
+	n, err := strconv.ParseInt(value, 10, 32)
+	return time.Duration(n) * time.Millisecond, err == nil
+}
+
+func formatMillis(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return strconv.FormatInt(d.Milliseconds(), 10)
+}
+
+func parseBool(value string) (on, ok bool) {
+	switch strings.ToLower(value) {
+	case "on", "true", "yes", "1", "t", "y":
+		return true, true
+	case "", "off", "false", "no", "0", "f", "n":
+		return false, true
+	}
+	return false, false
+}
+
+// command is a parsed SET, SHOW or RESET.
+type command struct {
+	verb  string
+	name  string
+	value string
+}
+
+// parseCommand reads "SET [SESSION] name {=|TO} value", "SHOW name" or
+// "RESET name". The value loses its quotes; DEFAULT reads as empty.
+func parseCommand(text string) command {
+	verb, rest := cutWord(text)
+	name, rest := cutWord(rest)
+	if verb == "SET" && name == "SESSION" {
+		name, rest = cutWord(rest)
+	}
+	rest = strings.TrimSpace(strings.TrimRight(strings.TrimSpace(rest), ";"))
+	if value, ok := strings.CutPrefix(rest, "="); ok {
+		rest = value
+	} else if word, after := cutWord(rest); word == "TO" {
+		rest = after
+	}
+	return command{verb: verb, name: strings.ToLower(name), value: unquote(strings.TrimSpace(rest))}
+}
+
+func unquote(value string) string {
+	if strings.EqualFold(value, "default") {
+		return ""
+	}
+	if len(value) >= 2 && value[0] == '\'' && value[len(value)-1] == '\'' {
+		return strings.ReplaceAll(value[1:len(value)-1], "''", "'")
+	}
+	return value
+}
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,311 @@
+package entry
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+const (
+	// flushSize is the output in bytes from which rows are passed on.
+	flushSize = 32 << 10
+	// holdSize bounds the output in bytes that is held back until a write is
+	// safe; past it the wait takes place in the middle of the answer.
+	holdSize = 4 << 20
+)
+
+// SQLSTATEs of a replica that has provably not run a statement.
+const (
+	stateReadOnly = "25006"
+	// stateRecovery: a function cannot run during recovery.
+	stateRecovery = "55000"
+	// stateConflict: the statement conflicts with the replay of the log.
+	stateConflict = "40001"
+)
+
+// relay passes the answer to one unit from the endpoint to the caller.
+type relay struct {
+	s    *session
+	l    *lease
+	u    *unit
+	p    purpose
+	plan plan
+	// within tells that a transaction was in progress before the unit.
+	within bool
+	// fresh tells that nothing was queued before the answer.
+	fresh bool
+	// reached tells that a part of the unit may have reached the endpoint.
+	reached bool
+	writer  chan error
+	// flushed counts the bytes that the caller has been sent.
+	flushed int
+	// mark is the queue's length before the first answer that is held back.
+	mark int
+	held bool
+	// wrote tells that a statement completed that may have written.
+	wrote bool
+	// answered counts the answers before the one to Sync.
+	answered int
+	failed   bool
+	tag      []byte
+}
+
+// run reads until the unit is answered.
+func (r *relay) run() (verdict, error) {
+	for {
+		msg, err := r.l.conn.Receive()
+		if err != nil {
+			return r.lost(err, false)
+		}
+		switch msg := msg.(type) {
+		case *pgproto3.ReadyForQuery:
+			return r.ready(msg.TxStatus)
+		case *pgproto3.ErrorResponse:
+			if r.runsElsewhere(msg) {
+				return r.moveToPrimary()
+			}
+			r.failed = true
+			err = r.pass(msg)
+		case *pgproto3.CopyInResponse:
+			if err = r.pass(msg); err == nil {
+				err = r.copyIn()
+			}
+		default:
+			err = r.relayMessage(msg)
+		}
+		if err != nil {
+			return doneHere, err
+		}
+		if !r.u.sync && (r.failed || r.answered >= r.plan.pending) {
+			return doneHere, r.endSegment()
+		}
+	}
+}
+
+// relayMessage passes on one message that does not end the unit.
+func (r *relay) relayMessage(msg pgproto3.BackendMessage) error {
+	switch msg := msg.(type) {
+	case *pgproto3.ParseComplete:
+		r.answered++
+		return r.parseComplete()
+	case *pgproto3.CloseComplete:
+		r.answered++
+		return r.closeComplete()
+	case *pgproto3.BindComplete, *pgproto3.NoData, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		r.answered++
+		return r.pass(msg)
+	case *pgproto3.RowDescription:
+		r.answered++
+		return r.pass(msg)
+	case *pgproto3.CommandComplete:
+		r.answered++
+		return r.complete(msg)
+	case *pgproto3.NotificationResponse:
+		return nil // LISTEN is not served
+	}
+	return r.pass(msg)
+}
+
+// pass queues a message for the caller and sends what has gathered.
+func (r *relay) pass(msg pgproto3.BackendMessage) error {
+	if err := r.s.conn.Queue(msg); err != nil {
+		return err
+	}
+	queued := r.s.conn.Queued()
+	switch {
+	case r.held && queued > holdSize:
+		return r.releaseEarly()
+	case !r.held && queued > flushSize:
+		r.flushed += queued
+		return r.s.conn.Flush()
+	}
+	return nil
+}
+
+func (r *relay) parseComplete() error {
+	if len(r.plan.parses) == 0 {
+		return result.New(result.OutcomeUnknown, "endpoint %s sent an answer too many", r.l.endpoint)
+	}
+	a := r.plan.parses[0]
+	r.plan.parses = r.plan.parses[1:]
+	r.l.conn.Session.Add(a.name)
+	if a.injected {
+		return nil
+	}
+	r.s.statements[a.client] = a.stmt
+	return r.pass(&pgproto3.ParseComplete{})
+}
+
+func (r *relay) closeComplete() error {
+	if len(r.plan.closes) == 0 {
+		return result.New(result.OutcomeUnknown, "endpoint %s sent an answer too many", r.l.endpoint)
+	}
+	a := r.plan.closes[0]
+	r.plan.closes = r.plan.closes[1:]
+	if a.injected {
+		return nil
+	}
+	if a.client != "" {
+		delete(r.s.statements, a.client)
+	}
+	return r.pass(&pgproto3.CloseComplete{})
+}
+
+// complete handles the end of a statement, and holds it back when it may have
+// written.
+func (r *relay) complete(msg *pgproto3.CommandComplete) error {
+	r.tag = append(r.tag[:0], msg.CommandTag...)
+	r.s.srv.countRead(r.p, r.l)
+	if r.l.primary && !r.l.readOnly && !harmlessTag(r.tag) {
+		r.wrote = true
+		if !r.held {
+			r.held = true
+			r.mark = r.s.conn.Queued()
+		}
+	}
+	return r.pass(msg)
+}
+
+// harmlessTag reports whether the statement cannot have committed a write.
+func harmlessTag(tag []byte) bool {
+	for _, verb := range []string{"BEGIN", "START TRANSACTION", "ROLLBACK", "SET", "RESET", "SHOW", "SAVEPOINT"} {
+		if string(tag) == verb {
+			return true
+		}
+	}
+	return false
+}
+
+// keep is the length of the queue that may be passed on whatever happens.
+func (r *relay) keep() int {
+	if r.held {
+		return r.mark
+	}
+	return r.s.conn.Queued()
+}
+
+// releaseEarly waits in the middle of a large answer.
+func (r *relay) releaseEarly() error {
+	if err := r.acknowledge(); err != nil {
+		return err
+	}
+	r.held = false
+	r.flushed += r.s.conn.Queued()
+	return r.s.conn.Flush()
+}
+
+// runsElsewhere reports whether the error proves that a read has not run on a
+// replica and the primary may run it.
+func (r *relay) runsElsewhere(msg *pgproto3.ErrorResponse) bool {
+	switch msg.Code {
+	case stateReadOnly, stateRecovery, stateConflict:
+	default:
+		return false
+	}
+	declared := r.l.readOnly && msg.Code == stateReadOnly
+	return !r.l.primary && !declared && r.p.kind == kindRead && !r.within && r.u.sync && r.fresh && r.flushed == 0
+}
+
+// moveToPrimary drops the rest of the answer.
+func (r *relay) moveToPrimary() (verdict, error) {
+	for {
+		msg, err := r.l.conn.Receive()
+		if err != nil {
+			r.s.conn.Truncate(0)
+			r.s.abandon()
+			return retryPrimary, nil
+		}
+		if _, ok := msg.(*pgproto3.ReadyForQuery); ok {
+			break
+		}
+	}
+	r.s.conn.Truncate(0)
+	r.returnLease()
+	return retryPrimary, nil
+}
+
+// returnLease gives the connection back after the endpoint reported that it is
+// idle.
+func (r *relay) returnLease() {
+	l := r.s.lease
+	r.s.lease = nil
+	reusable := r.writer == nil || <-r.writer == nil
+	r.s.release(l, reusable)
+}
+
+// endSegment ends a unit that ended with Flush; the connection stays with the
+// session until Sync.
+func (r *relay) endSegment() error {
+	if r.failed {
+		r.s.skip = true
+	}
+	if r.held && bytes.Equal(r.tag, []byte("COMMIT")) {
+		if err := r.acknowledge(); err != nil {
+			r.s.conn.Truncate(r.mark)
+			return r.s.refuse(err, false)
+		}
+	}
+	return r.s.conn.Flush()
+}
+
+// ready ends the unit with the endpoint's transaction state.
+func (r *relay) ready(status byte) (verdict, error) {
+	s := r.s
+	s.setTransaction(r.l, status != txIdle)
+	r.recordSettings(status)
+	if status != txIdle {
+		r.l.conn.SetDeadline(time.Time{})
+		return doneHere, s.ready(status)
+	}
+	holds := !r.wrote || termHolds(s.srv.opts.View.Current(), r.l, time.Now())
+	r.returnLease()
+	if !r.wrote {
+		return doneHere, s.ready(txIdle)
+	}
+	err := r.termEnded()
+	if holds {
+		err = r.acknowledge()
+	}
+	if err != nil {
+		s.conn.Truncate(r.keep())
+		return doneHere, s.refuse(err, true)
+	}
+	return doneHere, s.ready(txIdle)
+}
+
+// recordSettings keeps SET statements that have taken effect.
+func (r *relay) recordSettings(status byte) {
+	s := r.s
+	if r.p.kind == kindSet && !r.failed {
+		s.pendingSet = append(s.pendingSet, r.u.settingTexts()...)
+	}
+	if status != txIdle || len(s.pendingSet) == 0 {
+		return
+	}
+	pending := s.pendingSet
+	s.pendingSet = nil
+	if string(r.tag) == "ROLLBACK" || r.failed {
+		return
+	}
+	for _, text := range pending {
+		s.set.record(text)
+	}
+	r.l.conn.Session.Settings = s.script()
+}
+
+// settingTexts returns the SET and RESET statements of the unit.
+func (u *unit) settingTexts() []string {
+	if u.simple {
+		return []string{u.text}
+	}
+	var texts []string
+	for _, o := range u.ops {
+		if o.kind == opExecute && o.stmt != nil {
+			texts = append(texts, o.stmt.query)
+		}
+	}
+	return texts
+}
--- /dev/null
+++ b/internal/entry/send.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// verdict tells what follows an attempt to run a unit.
+type verdict int
+
+const (
+	// doneHere means that the caller has its answer.
+	doneHere verdict = iota
+	// retryPrimary means that the unit provably has not run and goes to the
+	// primary.
+	retryPrimary
+	// retryOther means that the unit had no effect and goes to another
+	// endpoint.
+	retryOther
+)
+
+// writeAside is the size in bytes from which a unit is written while answers
+// are read, so that neither side waits for the other.
+const writeAside = 32 << 10
+
+// send runs the unit on the session's lease.
+func (s *session) send(u *unit, p purpose, timing *timing) (verdict, error) {
+	l := s.lease
+	plan, err := u.planFor(&l.conn.Session)
+	if err != nil {
+		return doneHere, s.refuse(err, u.sync)
+	}
+	if p.dirty {
+		l.conn.Session.Dirty = true
+	}
+	r := &relay{s: s, l: l, u: u, p: p, plan: plan, within: l.transaction, fresh: s.conn.Queued() == 0}
+	timing.sent = time.Now()
+	if s.param.deadline > 0 && !l.transaction {
+		s.limit(l, timing.started.Add(s.param.deadline))
+	}
+	if err := r.write(); err != nil {
+		return r.lost(err, !r.reached)
+	}
+	again, err := r.run()
+	timing.answered = time.Now()
+	return again, err
+}
+
+// limit bounds the wait for an answer, unless the lease was interrupted.
+func (s *session) limit(l *lease, deadline time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reason == nil {
+		l.conn.SetDeadline(deadline)
+	}
+}
+
+// write sends the encoded unit; a large one is written while answers are read.
+func (r *relay) write() error {
+	if len(r.plan.encoded) < writeAside {
+		n, err := r.l.conn.Write(r.plan.encoded)
+		r.reached = n > 0
+		return err
+	}
+	r.reached = true
+	r.writer = make(chan error, 1)
+	conn, encoded := r.l.conn, r.plan.encoded
+	go func() {
+		_, err := conn.Write(encoded)
+		r.writer <- err
+	}()
+	return nil
+}
+
+// lost answers a unit whose endpoint connection failed before its answer was
+// complete.
+func (r *relay) lost(cause error, unsent bool) (verdict, error) {
+	s := r.s
+	if err := s.stopReason(); err != nil && result.CodeOf(err) != result.ShuttingDown {
+		return doneHere, err
+	}
+	untouched := r.fresh && r.flushed == 0
+	harmless := unsent || r.l.readOnly || r.p.kind == kindRead && !r.l.primary
+	if untouched && harmless && !r.within && r.u.sync {
+		s.conn.Truncate(0)
+		s.abandon()
+		return retryOther, nil
+	}
+	s.conn.Truncate(r.keep())
+	s.stopLate(r.l, cause)
+	err := r.lostError(cause)
+	if result.CodeOf(err) == result.OutcomeUnknown {
+		s.setTransaction(r.l, false)
+	}
+	return doneHere, s.refuse(err, r.u.sync)
+}
+
+// stopLate cancels a request whose answer did not arrive in time.
+func (s *session) stopLate(l *lease, cause error) {
+	var netErr net.Error
+	if errors.As(cause, &netErr) && netErr.Timeout() {
+		s.srv.cancelOn(l.conn)
+	}
+}
+
+// lostError is the numbered result for a lost answer.
+func (r *relay) lostError(cause error) error {
+	if r.within && r.p.kind != kindCommit && !r.mayEnd() {
+		return result.New(result.EndpointLost, "endpoint %s: %v; the transaction was rolled back", r.l.endpoint, errors.Cause(cause))
+	}
+	return result.New(result.OutcomeUnknown, "endpoint %s: %v", r.l.endpoint, errors.Cause(cause))
+}
+
+// mayEnd reports whether the unit may have ended the transaction.
+func (r *relay) mayEnd() bool {
+	if r.u.simple {
+		return r.u.class.multi
+	}
+	for _, o := range r.u.ops {
+		if o.stmt == nil && o.kind == opExecute || o.stmt != nil && (o.stmt.class.kind == kindCommit || o.stmt.class.multi) {
+			return true
+		}
+	}
+	return false
+}
+
+// acknowledge waits until what the unit wrote is safe. The connection has been
+// returned already.
+func (r *relay) acknowledge() error {
+	s := r.s
+	ctx, cancel := context.WithTimeout(context.Background(), s.deadline())
+	defer cancel()
+	position, err := s.srv.durability.Wait(ctx, r.l.service, r.l.term)
+	if err != nil {
+		return result.New(result.OutcomeUnknown, "waiting for a majority of the group: %v", errors.Cause(err))
+	}
+	if !termHolds(s.srv.opts.View.Current(), r.l, time.Now()) {
+		return r.termEnded()
+	}
+	s.srv.positions.Acked(r.l.service, s.who.workspace, position)
+	return nil
+}
+
+func (r *relay) termEnded() error {
+	return result.New(result.OutcomeUnknown, "term %d of service %s ended before the answer arrived", r.l.term, r.l.service)
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/pgback"
+	"github.com/galenabridge/galenabridge/internal/pgfront"
+)
+
+// Server serves callers on one address.
+type Server struct {
+	opts     Options
+	front    pgfront.Config
+	log      *log.Logger
+	metrics  *metrics
+	backends *backends
+
+	limiter    Limiter
+	gate       Gate
+	router     Router
+	positions  Positions
+	durability Durability
+
+	listener   net.Listener
+	handshakes chan struct{}
+	tasks      sync.WaitGroup
+	draining   atomic.Bool
+
+	mu       sync.Mutex
+	sessions map[uint32]*session
+	serial   uint32
+}
+
+// NewServer checks the options and opens the listener.
+func NewServer(opts Options) (*Server, error) {
+	if opts.Settings == nil || opts.Settings.Entry == nil || opts.View == nil {
+		return nil, errors.New("entry: settings and view are required")
+	}
+	if opts.HostNumber >= MaxHosts {
+		return nil, errors.Errorf("entry: host number %d is not less than %d", opts.HostNumber, MaxHosts)
+	}
+	front, err := opts.frontConfig()
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		opts: opts, front: front, log: opts.Log,
+		metrics:    newMetrics(opts.Registerer),
+		handshakes: make(chan struct{}, maxHandshakes),
+		sessions:   make(map[uint32]*session),
+	}
+	if s.log == nil {
+		s.log = log.New(io.Discard)
+	}
+	limit := opts.Connections
+	if limit == nil {
+		limit = evenShare(opts.View)
+	}
+	s.backends = newBackends(opts.View, limit, opts.Observers)
+	s.setPorts()
+	s.listener, err = net.Listen("tcp", opts.Settings.Entry.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	return s, nil
+}
+
+// setPorts fills in the simple implementations for ports that are not given.
+func (s *Server) setPorts() {
+	s.limiter, s.gate, s.router = s.opts.Limiter, s.opts.Gate, s.opts.Router
+	s.positions, s.durability = s.opts.Positions, s.opts.Durability
+	if s.limiter == nil {
+		s.limiter = Unlimited{}
+	}
+	if s.gate == nil {
+		s.gate = NewFIFOGate(s.opts.View)
+	}
+	if s.positions == nil && s.router == nil {
+		s.positions = NoPositions{}
+	}
+	if s.positions == nil {
+		s.positions = &PrimaryPositions{view: s.opts.View, current: s.PrimaryStatus}
+	}
+	if s.router == nil {
+		s.router = NewPrimaryRouter(s.opts.View)
+	}
+	if s.durability == nil {
+		s.durability = &majorityWait{view: s.opts.View, read: s.PrimaryStatus}
+	}
+}
+
+// Addr returns the address that callers connect to.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// PrimaryStatus reads the positions of an endpoint that is a primary. The
+// reading begins after the call; concurrent calls share one.
+func (s *Server) PrimaryStatus(ctx context.Context, endpoint string) (pgback.Status, error) {
+	member, err := s.backends.get(endpoint)
+	if err != nil {
+		return pgback.Status{}, err
+	}
+	return member.monitor.Positions(ctx)
+}
+
+// Run serves callers until ctx ends, then closes their connections. Drain
+// comes first for a graceful shutdown.
+func (s *Server) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	defer stop()
+	s.spawn(func() { s.backends.run(ctx) })
+	s.spawn(func() { s.watch(ctx) })
+	s.log.Info("entry_listening", "addr", s.Addr())
+	err := s.accept(ctx)
+	if s.draining.Load() {
+		<-ctx.Done()
+	}
+	cancel()
+	s.closeSessions()
+	s.tasks.Wait()
+	if ctx.Err() != nil && errors.Is(err, net.ErrClosed) {
+		return ctx.Err()
+	}
+	return err
+}
+
+func (s *Server) spawn(task func()) {
+	s.tasks.Add(1)
+	go func() {
+		defer s.tasks.Done()
+		task()
+	}()
+}
+
+func (s *Server) accept(ctx context.Context) error {
+	for {
+		nc, err := s.listener.Accept()
+		var netErr net.Error
+		switch {
+		case err == nil:
+			s.spawn(func() { s.serve(nc) })
+		case errors.Is(err, net.ErrClosed):
+			return err
+		case errors.As(err, &netErr):
+			s.log.Warn("accept_failed", "err", err)
+			if pause(ctx, acceptPause) != nil {
+				return ctx.Err()
+			}
+		default:
+			return errors.Wrap(err, "accept")
+		}
+	}
+}
+
+// acceptPause is the wait after a failed accept, for example when the process
+// has no file descriptors left.
+const acceptPause = 50 * time.Millisecond
+
+// watch tells the sessions about changes of the agreed state.
+func (s *Server) watch(ctx context.Context) {
+	for {
+		changed := s.opts.View.Changed()
+		v := s.opts.View.Current()
+		for _, session := range s.list() {
+			session.review(v)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) list() []*session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*session, 0, len(s.sessions))
+	for _, session := range s.sessions {
+		all = append(all, session)
+	}
+	return all
+}
+
+// Drain stops accepting callers and waits until each has ended its request or
+// transaction. Idle callers are told that the host shuts down.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	_ = s.listener.Close()
+	for {
+		all := s.list()
+		if len(all) == 0 {
+			return nil
+		}
+		for _, session := range all {
+			session.drain()
+		}
+		if err := pause(ctx, drainGrace); err != nil {
+			return errors.Wrapf(err, "%d callers are still connected", len(all))
+		}
+	}
+}
+
+func (s *Server) closeSessions() {
+	for _, session := range s.list() {
+		session.kill()
+	}
+}
+
+func newSecret() []byte {
+	secret := make([]byte, 4)
+	_, _ = rand.Read(secret) // crypto/rand.Read never fails
+	return secret
+}
--- /dev/null
+++ b/internal/pgback/query.go
@@ -0,0 +1,57 @@
+package pgback
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+)
+
+// Rows are the rows of one statement in text form. A null is an empty string.
+type Rows [][]string
+
+// Query runs SQL text of one or more statements in one round trip and returns
+// the rows of each. On error the connection must not be reused.
+func (c *Conn) Query(ctx context.Context, sql string) ([]Rows, error) {
+	stop := context.AfterFunc(ctx, c.Interrupt)
+	defer stop()
+	encoded, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode query")
+	}
+	if _, err := c.Write(encoded); err != nil {
+		return nil, err
+	}
+	return c.collect()
+}
+
+func (c *Conn) collect() ([]Rows, error) {
+	var results []Rows
+	var rows Rows
+	var failure error
+	for {
+		msg, err := c.Receive()
+		if err != nil {
+			return nil, err
+		}
+		switch msg := msg.(type) {
+		case *pgproto3.DataRow:
+			rows = append(rows, textRow(msg))
+		case *pgproto3.CommandComplete:
+			results = append(results, rows)
+			rows = nil
+		case *pgproto3.ErrorResponse:
+			failure = errors.Errorf("endpoint answers %s: %s", msg.Code, msg.Message)
+		case *pgproto3.ReadyForQuery:
+			return results, failure
+		}
+	}
+}
+
+func textRow(msg *pgproto3.DataRow) []string {
+	row := make([]string, len(msg.Values))
+	for i, value := range msg.Values {
+		row[i] = string(value)
+	}
+	return row
+}
--- /dev/null
+++ b/internal/pgfront/options.go
@@ -0,0 +1,61 @@
+package pgfront
+
+import (
+	"strings"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// parseOptions adds the run-time parameters of a start-up message's "options"
+// field, in the forms "-c name=value" and "--name=value". A backslash escapes
+// a space.
+func parseOptions(text string, into map[string]string) error {
+	words := splitOptions(text)
+	for i := 0; i < len(words); i++ {
+		word := words[i]
+		var pair string
+		switch {
+		case word == "-c" && i+1 < len(words):
+			i++
+			pair = words[i]
+		case strings.HasPrefix(word, "-c"):
+			pair = word[len("-c"):]
+		case strings.HasPrefix(word, "--"):
+			pair = word[len("--"):]
+		}
+		name, value, ok := strings.Cut(pair, "=")
+		if !ok || name == "" {
+			return result.New(result.MalformedMessage, "option %q", word)
+		}
+		into[strings.ReplaceAll(name, "-", "_")] = value
+	}
+	return nil
+}
+
+func splitOptions(text string) []string {
+	var words []string
+	var word strings.Builder
+	started := false
+	end := func() {
+		if started {
+			words = append(words, word.String())
+		}
+		word.Reset()
+		started = false
+	}
+	for i := 0; i < len(text); i++ {
+		switch {
+		case text[i] == '\\' && i+1 < len(text):
+			i++
+			word.WriteByte(text[i])
+			started = true
+		case text[i] == ' ' || text[i] == '\t' || text[i] == '\n':
+			end()
+		default:
+			word.WriteByte(text[i])
+			started = true
+		}
+	}
+	end()
+	return words
+}
--- /dev/null
+++ b/internal/pgfront/startup.go
@@ -0,0 +1,126 @@
+package pgfront
+
+import (
+	"crypto/tls"
+	"net"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// maxNegotiations bounds the requests for encryption before the start-up.
+const maxNegotiations = 3
+
+// Startup is what a caller asked for when it connected. Exactly one of
+// Parameters and Cancel is set.
+type Startup struct {
+	Workspace string
+	Service   string
+	// Parameters are the run-time parameters named at the start-up.
+	Parameters map[string]string
+	Cancel     *Cancel
+}
+
+// Cancel asks for the cancellation of another connection's request.
+type Cancel struct {
+	ProcessID uint32
+	Secret    []byte
+}
+
+// Accept negotiates encryption and reads the start-up message. The login
+// timeout starts here and ends with Ready. On error the connection is closed.
+func Accept(nc net.Conn, cfg Config) (*Conn, *Startup, error) {
+	c := newConn(nc, cfg)
+	c.SetReadLimit(cfg.LoginTimeout)
+	startup, err := c.negotiate()
+	if err != nil {
+		if result.CodeOf(err) != 0 {
+			c.Refuse(err)
+		}
+		_ = c.Close()
+		return nil, nil, err
+	}
+	return c, startup, nil
+}
+
+func (c *Conn) negotiate() (*Startup, error) {
+	for range maxNegotiations {
+		msg, err := c.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, describe(err)
+		}
+		switch msg := msg.(type) {
+		case *pgproto3.SSLRequest:
+			if err := c.answerTLS(); err != nil {
+				return nil, err
+			}
+		case *pgproto3.GSSEncRequest:
+			if err := c.answerByte('N'); err != nil {
+				return nil, err
+			}
+		case *pgproto3.CancelRequest:
+			return &Startup{Cancel: &Cancel{ProcessID: msg.ProcessID, Secret: msg.SecretKey}}, nil
+		case *pgproto3.StartupMessage:
+			return c.readStartup(msg)
+		}
+	}
+	return nil, result.New(result.MalformedMessage, "too many requests for encryption")
+}
+
+func (c *Conn) answerByte(answer byte) error {
+	c.out = append(c.out, answer)
+	return c.Flush()
+}
+
+func (c *Conn) answerTLS() error {
+	if c.cfg.TLS == nil {
+		return c.answerByte('N')
+	}
+	if err := c.answerByte('S'); err != nil {
+		return err
+	}
+	server := tls.Server(c.net, c.cfg.TLS)
+	if err := server.Handshake(); err != nil {
+		return errors.Wrap(err, "TLS handshake")
+	}
+	c.net = server
+	c.backend = newConn(server, c.cfg).backend
+	return nil
+}
+
+func (c *Conn) readStartup(msg *pgproto3.StartupMessage) (*Startup, error) {
+	_, encrypted := c.net.(*tls.Conn)
+	if c.cfg.RequireTLS && !encrypted {
+		return nil, result.New(result.TLSRequired, "the connection is not encrypted")
+	}
+	if msg.ProtocolVersion > pgproto3.ProtocolVersion30 {
+		if err := c.Queue(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: 0}); err != nil {
+			return nil, err
+		}
+	}
+	parameters := make(map[string]string, len(msg.Parameters))
+	for name, value := range msg.Parameters {
+		switch name {
+		case "user", "database", "options", "replication":
+		default:
+			parameters[name] = value
+		}
+	}
+	if replication := msg.Parameters["replication"]; replication != "" && replication != "false" && replication != "off" {
+		return nil, result.New(result.UnsupportedFeature, "replication connections are not served")
+	}
+	if err := parseOptions(msg.Parameters["options"], parameters); err != nil {
+		return nil, err
+	}
+	startup := &Startup{
+		Workspace:  msg.Parameters["user"],
+		Service:    msg.Parameters["database"],
+		Parameters: parameters,
+	}
+	if startup.Service == "" {
+		startup.Service = startup.Workspace
+	}
+	return startup, nil
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -36,6 +36,7 @@
 	ShuttingDown     Code = 2008
 	NoEndpoint       Code = 2009
 	RetryBudgetSpent Code = 2010
+	ServiceLeaving   Code = 2011
 
 	MalformedMessage    Code = 3001
 	MessageTooLarge     Code = 3002
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -19,6 +19,7 @@
 	{ShuttingDown, "shutting_down", "57P01", true, "The host is shutting down and takes no new request.", "Reconnect; the balancer chooses another host."},
 	{NoEndpoint, "no_endpoint", "57P03", true, "No endpoint can serve the request with the freshness it asks for.", "Retry, or allow a larger staleness."},
 	{RetryBudgetSpent, "retry_budget_spent", "57P03", true, "The request was not run and the retry budget allows no further attempt.", "Retry after a short wait."},
+	{ServiceLeaving, "service_leaving", "57P03", true, "The service is being taken out of use and gets no new work.", "Use another service; the operators decide about its return."},
 	{MalformedMessage, "malformed_message", "08P01", true, "The message does not follow the protocol.", "Check the client library."},
 	{MessageTooLarge, "message_too_large", "54000", true, "The message is larger than the host accepts.", "Split the statement or use COPY."},
 	{UnknownClass, "unknown_class", "22023", true, "galenabridge.class names no known class.", "Use interactive, correction or bulk."},
