--- /dev/null
+++ b/internal/standin/announce.go
@@ -0,0 +1,157 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	announceTimeout  = 2 * time.Second
+	announcePath     = "/v1/announce"
+	maxAnnounceBytes = 64 << 10
+)
+
+// Announcement tells the fleet of an endpoint and its position.
+type Announcement struct {
+	Service  string `json:"service"`
+	ID       string `json:"id"`
+	Addr     string `json:"addr"`
+	Domain   string `json:"domain"`
+	Role     Role   `json:"role"`
+	Timeline uint32 `json:"timeline"`
+	LSN      string `json:"lsn"`
+}
+
+// announceAnswer names the primary that the fleet has agreed on.
+type announceAnswer struct {
+	Term        uint64 `json:"term"`
+	Primary     string `json:"primary"`
+	PrimaryAddr string `json:"primary_addr"`
+}
+
+// announce posts announcements to one admin address after another.
+func (s *Server) announce(ctx context.Context) error {
+	if len(s.opts.Admins) == 0 {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	client := s.announceClient()
+	defer client.CloseIdleConnections()
+	for i := 0; ; {
+		answer, err := s.post(ctx, client, s.opts.Admins[i%len(s.opts.Admins)])
+		if err != nil {
+			s.opts.Logger.Debug("standin_announce_failed", "id", s.opts.ID, "err", err)
+			i++
+		} else {
+			s.learn(ctx, answer)
+		}
+		if err := waitChange(ctx, nil, nil, s.opts.AnnounceInterval); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Server) announceClient() *http.Client {
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return newGatedConn(conn, s.faults, LinkAnnouncements), nil
+	}
+	return &http.Client{
+		Timeout:   announceTimeout,
+		Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1},
+	}
+}
+
+func (s *Server) announcement() Announcement {
+	role, number, flushed, _ := s.Position()
+	addr := s.opts.Advertise
+	if addr == "" {
+		addr = s.Addr()
+	}
+	return Announcement{
+		Service: s.opts.Service, ID: s.opts.ID, Addr: addr, Domain: s.opts.Domain,
+		Role: role, Timeline: number, LSN: flushed.String(),
+	}
+}
+
+func (s *Server) post(ctx context.Context, client *http.Client, admin string) (announceAnswer, error) {
+	var answer announceAnswer
+	body, err := json.Marshal(s.announcement())
+	if err != nil {
+		return answer, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+admin+announcePath, bytes.NewReader(body))
+	if err != nil {
+		return answer, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := client.Do(req)
+	if err != nil {
+		return answer, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnnounceBytes))
+	if err != nil {
+		return answer, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return answer, errors.Errorf("announcement answered %s: %s", res.Status, data)
+	}
+	return answer, json.Unmarshal(data, &answer)
+}
+
+// learn acts on the primary that an answer names: a replica follows it, and a
+// primary steps down once the named one proves to be on a newer timeline.
+func (s *Server) learn(ctx context.Context, answer announceAnswer) {
+	if answer.Primary == "" || answer.Primary == s.opts.ID || answer.PrimaryAddr == "" {
+		return
+	}
+	if !s.isPrimary() {
+		s.SetUpstream(answer.PrimaryAddr)
+		return
+	}
+	newer, err := s.replacedBy(ctx, answer.PrimaryAddr)
+	if err != nil || !newer {
+		s.opts.Logger.Debug("standin_primary_named", "id", s.opts.ID, "primary", answer.Primary, "err", err)
+		return
+	}
+	if err := s.demote(answer.PrimaryAddr); err != nil {
+		s.opts.Logger.Error("standin_demote_failed", "id", s.opts.ID, "err", err)
+	}
+}
+
+// replacedBy reports whether the endpoint at addr is a primary on a newer
+// timeline.
+func (s *Server) replacedBy(ctx context.Context, addr string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := s.dial(ctx, addr, false)
+	if err != nil {
+		return false, err
+	}
+	defer conn.Close(ctx)
+	results, err := conn.Exec(ctx, "select pg_is_in_recovery(), timeline_id from pg_control_checkpoint()").ReadAll()
+	if err != nil {
+		return false, err
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return false, errors.New("unexpected answer of the named primary")
+	}
+	row := results[0].Rows[0]
+	var number uint32
+	if err := json.Unmarshal(row[1], &number); err != nil {
+		return false, errors.Wrap(err, "timeline")
+	}
+	return string(row[0]) == "f" && number > s.wal.current(), nil
+}
--- /dev/null
+++ b/internal/standin/auth.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"crypto/rand"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+	"github.com/xdg-go/scram"
+)
+
+const (
+	mechanism      = "SCRAM-SHA-256"
+	scramIters     = 4096
+	scramSaltBytes = 16
+)
+
+// newScramServer returns a server that knows the one password of the endpoint.
+func newScramServer(user, password string) (*scram.Server, error) {
+	client, err := scram.SHA256.NewClient(user, password, "")
+	if err != nil {
+		return nil, errors.Wrap(err, "password")
+	}
+	salt := make([]byte, scramSaltBytes)
+	if _, err := rand.Read(salt); err != nil {
+		return nil, errors.Wrap(err, "salt")
+	}
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: scramIters})
+	if err != nil {
+		return nil, errors.Wrap(err, "password")
+	}
+	return scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return stored, nil })
+}
+
+// authenticate checks the user of a start-up message and its password.
+func (s *session) authenticate(user string) error {
+	if user != s.srv.opts.User {
+		return fatal(stateBadPassword, "password authentication failed for user %q", user)
+	}
+	if s.srv.opts.Password == "" {
+		return nil
+	}
+	if err := s.scram(); err != nil {
+		var known *stateError
+		if errors.As(err, &known) {
+			return known
+		}
+		return fatal(stateBadPassword, "password authentication failed for user %q", user)
+	}
+	return nil
+}
+
+func (s *session) scram() error {
+	s.be.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+	if err := s.flushAuth(pgproto3.AuthTypeSASL); err != nil {
+		return err
+	}
+	msg, err := s.be.Receive()
+	if err != nil {
+		return err
+	}
+	initial, ok := msg.(*pgproto3.SASLInitialResponse)
+	if !ok || initial.AuthMechanism != mechanism {
+		return fatal(stateProtocol, "expected a SASL initial response for %s", mechanism)
+	}
+	conv := s.srv.scram.NewConversation()
+	challenge, err := conv.Step(string(initial.Data))
+	if err != nil {
+		return err
+	}
+	s.be.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
+	if err := s.flushAuth(pgproto3.AuthTypeSASLContinue); err != nil {
+		return err
+	}
+	if msg, err = s.be.Receive(); err != nil {
+		return err
+	}
+	final, ok := msg.(*pgproto3.SASLResponse)
+	if !ok {
+		return fatal(stateProtocol, "expected a SASL response")
+	}
+	proof, err := conv.Step(string(final.Data))
+	if err != nil {
+		return err
+	}
+	if !conv.Valid() {
+		return errors.New("proof not valid")
+	}
+	s.be.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(proof)})
+	return nil
+}
+
+func (s *session) flushAuth(authType uint32) error {
+	if err := s.be.SetAuthType(authType); err != nil {
+		return err
+	}
+	return s.be.Flush()
+}
--- /dev/null
+++ b/internal/standin/control.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// FaultRequest sets fault switches over HTTP. Fields left out keep their state.
+type FaultRequest struct {
+	Clear           bool    `json:"clear,omitempty"`
+	Stall           *bool   `json:"stall,omitempty"`
+	LateMS          *int    `json:"late_ms,omitempty"`
+	DropAfterCommit *int    `json:"drop_after_commit,omitempty"`
+	Cut             *[]Link `json:"cut,omitempty"`
+	ReplayLagMS     *int    `json:"replay_lag_ms,omitempty"`
+	ReplicationMS   *int    `json:"replication_delay_ms,omitempty"`
+	Kill            bool    `json:"kill,omitempty"`
+}
+
+// Status is the endpoint's state as its control address reports it.
+type Status struct {
+	ID       string `json:"id"`
+	Addr     string `json:"addr"`
+	Role     Role   `json:"role"`
+	Timeline uint32 `json:"timeline"`
+	Flushed  string `json:"flushed"`
+	Replayed string `json:"replayed"`
+}
+
+const controlHeaderTimeout = 5 * time.Second
+
+// serveControl serves the fault switches: POST /v1/faults and GET /v1/status.
+func (s *Server) serveControl(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/faults", s.handleFaults)
+	mux.HandleFunc("GET /v1/status", s.handleStatus)
+	server := &http.Server{Addr: s.opts.Control, Handler: mux, ReadHeaderTimeout: controlHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "control address")
+	}
+	return ctx.Err()
+}
+
+func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var request FaultRequest
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Apply(request)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Apply sets the switches that the request names.
+func (s *Server) Apply(r FaultRequest) {
+	if r.Clear {
+		s.faults.Clear()
+	}
+	if r.Stall != nil {
+		s.faults.Stall(*r.Stall)
+	}
+	if r.LateMS != nil {
+		s.faults.Late(milliseconds(*r.LateMS))
+	}
+	if r.DropAfterCommit != nil {
+		s.faults.DropAfterCommit(*r.DropAfterCommit)
+	}
+	if r.Cut != nil {
+		s.faults.cutOnly(*r.Cut)
+	}
+	if r.ReplayLagMS != nil {
+		s.SetReplayLag(milliseconds(*r.ReplayLagMS))
+	}
+	if r.ReplicationMS != nil {
+		s.SetReplicationDelay(milliseconds(*r.ReplicationMS))
+	}
+	if r.Kill {
+		s.Kill()
+	}
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (s *Server) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	role, number, flushed, replayed := s.Position()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Status{ // the client may have gone
+		ID: s.opts.ID, Addr: s.Addr(), Role: role, Timeline: number,
+		Flushed: flushed.String(), Replayed: replayed.String(),
+	})
+}
--- /dev/null
+++ b/internal/standin/copy.go
@@ -0,0 +1,161 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/galenabridge/galenabridge/internal/standin/sqltext"
+)
+
+// copySpec is a parsed COPY statement.
+type copySpec struct {
+	table   string
+	columns []string
+	// query holds the tokens of COPY (query) TO STDOUT.
+	query  []sqltext.Token
+	binary bool
+}
+
+func parseCopy(st *sqltext.Statement) (copySpec, error) {
+	var spec copySpec
+	tokens := st.Tokens[1:]
+	for _, t := range tokens {
+		spec.binary = spec.binary || t.Is("binary")
+		if t.Is("csv") {
+			return spec, errState(stateUnsupported, "COPY in CSV format is not supported by the stand-in")
+		}
+	}
+	if len(tokens) > 0 && tokens[0].Is("(") {
+		end := sqltext.CloseParen(tokens, 0)
+		if end < 0 {
+			return spec, errState(stateSyntax, "syntax error in COPY")
+		}
+		spec.query = tokens[1:end]
+		return spec, nil
+	}
+	for len(tokens) > 2 && tokens[1].Is(".") {
+		tokens = tokens[2:]
+	}
+	if len(tokens) == 0 {
+		return spec, errState(stateSyntax, "syntax error in COPY")
+	}
+	spec.table = tokens[0].Name()
+	if len(tokens) > 1 && tokens[1].Is("(") {
+		for _, t := range tokens[2:] {
+			if t.Is(")") {
+				break
+			}
+			if !t.Is(",") {
+				spec.columns = append(spec.columns, t.Name())
+			}
+		}
+	}
+	return spec, nil
+}
+
+// selectText returns a query for the rows that COPY TO sends and COPY FROM fills.
+func (c copySpec) selectText() string {
+	if len(c.columns) == 0 {
+		return "select * from " + quoteName(c.table)
+	}
+	return "select \"" + strings.Join(c.columns, "\", \"") + "\" from " + quoteName(c.table)
+}
+
+// copyOut serves COPY ... TO STDOUT.
+func (s *session) copyOut(ctx context.Context, st *sqltext.Statement) (*rowSet, error) {
+	spec, err := parseCopy(st)
+	if err != nil {
+		return nil, err
+	}
+	if spec.binary {
+		return nil, errState(stateUnsupported, "COPY TO in binary format is not supported by the stand-in")
+	}
+	text := ""
+	if spec.query != nil {
+		inner := &sqltext.Statement{Tokens: spec.query}
+		text, err = s.engineText(ctx, inner, nil)
+	} else {
+		text = spec.selectText()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := s.ensureRead(ctx); err != nil {
+		return nil, err
+	}
+	set, err := s.readText(ctx, text, nil)
+	if err != nil {
+		return nil, err
+	}
+	s.be.Send(&pgproto3.CopyOutResponse{ColumnFormatCodes: make([]uint16, len(set.columns))})
+	for _, row := range set.rows {
+		s.be.Send(&pgproto3.CopyData{Data: copyLine(set.columns, row)})
+	}
+	s.be.Send(&pgproto3.CopyDone{})
+	return &rowSet{affected: set.affected}, nil
+}
+
+var copyEscaper = strings.NewReplacer("\\", `\\`, "\n", `\n`, "\r", `\r`, "\t", `\t`)
+
+func copyLine(columns []column, row []any) []byte {
+	var line bytes.Buffer
+	for i, v := range row {
+		if i > 0 {
+			line.WriteByte('\t')
+		}
+		if v == nil {
+			line.WriteString(`\N`)
+			continue
+		}
+		line.WriteString(copyEscaper.Replace(string(encodeText(columns[i].oid, v))))
+	}
+	line.WriteByte('\n')
+	return line.Bytes()
+}
+
+// copyIn serves COPY ... FROM STDIN.
+func (s *session) copyIn(ctx context.Context, st *sqltext.Statement) (*rowSet, error) {
+	spec, err := parseCopy(st)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.ensureWrite(ctx); err != nil {
+		return nil, err
+	}
+	shape, err := query(ctx, s.db, spec.selectText()+" limit 0", nil)
+	if err != nil {
+		return nil, err
+	}
+	reader := &copyReader{session: s, columns: shape.columns, binary: spec.binary}
+	reader.insert = insertText(spec.table, shape.columns)
+	response := &pgproto3.CopyInResponse{ColumnFormatCodes: make([]uint16, len(shape.columns))}
+	if spec.binary {
+		response.OverallFormat = byte(binaryFormat)
+		for i := range response.ColumnFormatCodes {
+			response.ColumnFormatCodes[i] = uint16(binaryFormat)
+		}
+	}
+	s.be.Send(response)
+	if err := s.be.Flush(); err != nil {
+		return nil, errGoodbye
+	}
+	if err := reader.run(ctx); err != nil {
+		return nil, err
+	}
+	return &rowSet{affected: reader.count}, nil
+}
+
+func insertText(table string, columns []column) string {
+	names := make([]string, len(columns))
+	values := make([]string, len(columns))
+	for i, c := range columns {
+		names[i] = quoteName(c.name)
+		values[i] = "?" + strconv.Itoa(i+1)
+	}
+	return "insert into " + quoteName(table) + " (" + strings.Join(names, ", ") + ") values (" +
+		strings.Join(values, ", ") + ")"
+}
--- /dev/null
+++ b/internal/standin/copyreader.go
@@ -0,0 +1,207 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// copySignature begins COPY data in binary format.
+const copySignature = "PGCOPY\n\xff\r\n\x00"
+
+// copyHeaderBytes is the length of the signature, flags and extension length.
+const copyHeaderBytes = len(copySignature) + 8
+
+// copyReader inserts the rows of COPY FROM STDIN.
+type copyReader struct {
+	session *session
+	columns []column
+	insert  string
+	binary  bool
+
+	buf    []byte
+	header bool
+	ended  bool
+	count  int64
+}
+
+// run reads messages up to CopyDone.
+func (c *copyReader) run(ctx context.Context) error {
+	for {
+		msg, err := c.session.be.Receive()
+		if err != nil {
+			return errGoodbye
+		}
+		switch m := msg.(type) {
+		case *pgproto3.CopyData:
+			c.buf = append(c.buf, m.Data...)
+			if err := c.consume(ctx, false); err != nil {
+				return err
+			}
+		case *pgproto3.CopyDone:
+			return c.consume(ctx, true)
+		case *pgproto3.CopyFail:
+			return errState(stateCanceled, "COPY from stdin failed: %s", m.Message)
+		case *pgproto3.Sync, *pgproto3.Flush:
+		case *pgproto3.Terminate:
+			return errGoodbye
+		default:
+			return errState(stateProtocol, "unexpected message %T during COPY from stdin", msg)
+		}
+	}
+}
+
+func (c *copyReader) consume(ctx context.Context, final bool) error {
+	if c.binary {
+		return c.consumeBinary(ctx, final)
+	}
+	for !c.ended {
+		end := bytes.IndexByte(c.buf, '\n')
+		if end < 0 && (!final || len(c.buf) == 0) {
+			return nil
+		}
+		line := c.buf
+		if end >= 0 {
+			line, c.buf = c.buf[:end], c.buf[end+1:]
+		} else {
+			c.buf = nil
+		}
+		if err := c.textLine(ctx, strings.TrimSuffix(string(line), "\r")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *copyReader) textLine(ctx context.Context, line string) error {
+	if line == `\.` {
+		c.ended = true
+		return nil
+	}
+	fields := strings.Split(line, "\t")
+	if len(fields) != len(c.columns) {
+		return errState(stateBadCopy, "row %d has %d columns in place of %d", c.count+1, len(fields), len(c.columns))
+	}
+	args := make([]any, len(fields))
+	for i, field := range fields {
+		if field == `\N` {
+			continue
+		}
+		arg, err := decode(c.session.types, c.columns[i].oid, textFormat, []byte(unescapeCopy(field)))
+		if err != nil {
+			return err
+		}
+		args[i] = arg
+	}
+	return c.row(ctx, args)
+}
+
+func unescapeCopy(field string) string {
+	if !strings.Contains(field, `\`) {
+		return field
+	}
+	var out strings.Builder
+	for i := 0; i < len(field); i++ {
+		if field[i] != '\\' || i+1 == len(field) {
+			out.WriteByte(field[i])
+			continue
+		}
+		i++
+		switch field[i] {
+		case 'n':
+			out.WriteByte('\n')
+		case 't':
+			out.WriteByte('\t')
+		case 'r':
+			out.WriteByte('\r')
+		default:
+			out.WriteByte(field[i])
+		}
+	}
+	return out.String()
+}
+
+func (c *copyReader) consumeBinary(ctx context.Context, final bool) error {
+	if !c.header {
+		if len(c.buf) < copyHeaderBytes {
+			return c.cutShort(final)
+		}
+		if !bytes.HasPrefix(c.buf, []byte(copySignature)) {
+			return errState(stateBadCopy, "COPY file signature not recognized")
+		}
+		c.buf, c.header = c.buf[copyHeaderBytes:], true
+	}
+	for !c.ended {
+		args, size, err := c.tuple()
+		if err != nil {
+			return err
+		}
+		if size == 0 {
+			return c.cutShort(final)
+		}
+		c.buf = c.buf[size:]
+		if c.ended {
+			return nil
+		}
+		if err := c.row(ctx, args); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *copyReader) cutShort(final bool) error {
+	if final && len(c.buf) > 0 {
+		return errState(stateBadCopy, "unexpected end of COPY data")
+	}
+	return nil
+}
+
+// tuple decodes the row at the start of the buffer. A size of zero means that
+// the row is not complete.
+func (c *copyReader) tuple() (args []any, size int, err error) {
+	if len(c.buf) < 2 {
+		return nil, 0, nil
+	}
+	fields := int(int16(binary.BigEndian.Uint16(c.buf)))
+	size = 2
+	if fields < 0 {
+		c.ended = true
+		return nil, size, nil
+	}
+	if fields != len(c.columns) {
+		return nil, 0, errState(stateBadCopy, "row has %d columns in place of %d", fields, len(c.columns))
+	}
+	args = make([]any, fields)
+	for i := range args {
+		if len(c.buf) < size+4 {
+			return nil, 0, nil
+		}
+		length := int(int32(binary.BigEndian.Uint32(c.buf[size:])))
+		size += 4
+		if length < 0 {
+			continue
+		}
+		if len(c.buf) < size+length {
+			return nil, 0, nil
+		}
+		if args[i], err = decode(c.session.types, c.columns[i].oid, binaryFormat, c.buf[size:size+length]); err != nil {
+			return nil, 0, err
+		}
+		size += length
+	}
+	return args, size, nil
+}
+
+// row inserts one row.
+func (c *copyReader) row(ctx context.Context, args []any) error {
+	if _, err := exec(ctx, c.session.db, c.insert, args); err != nil {
+		return err
+	}
+	c.session.tx.changes = append(c.session.tx.changes, change{SQL: c.insert, Args: args})
+	c.count++
+	return nil
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,166 @@
+package standin
+
+import (
+	"context"
+	"database/sql"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/standin/sqltext"
+)
+
+const pragmas = "?_pragma=journal_mode(MEMORY)&_pragma=synchronous(OFF)&_pragma=cache_spill(0)" +
+	"&_pragma=busy_timeout(30000)&_pragma=case_sensitive_like(1)&_pragma=temp_store(MEMORY)"
+
+// engine is the embedded SQL engine over one database file. A transaction that
+// writes holds writer from its first write to its end. Commits exclude reads
+// through reads; every read outside a writing transaction holds its read lock.
+type engine struct {
+	dir    string
+	db     *sql.DB
+	writer chan struct{}
+	reads  sync.RWMutex
+
+	columnsMu sync.Mutex
+	columns   map[string]map[string]uint32
+}
+
+func openEngine() (*engine, error) {
+	dir, err := os.MkdirTemp("", "standin-")
+	if err != nil {
+		return nil, errors.Wrap(err, "database folder")
+	}
+	db, err := sql.Open("sqlite", "file:"+filepath.Join(dir, "data.db")+pragmas)
+	if err != nil {
+		os.RemoveAll(dir)
+		return nil, errors.Wrap(err, "open database")
+	}
+	e := &engine{dir: dir, db: db, writer: make(chan struct{}, 1)}
+	e.forgetColumns()
+	return e, nil
+}
+
+func (e *engine) close() {
+	e.db.Close()
+	os.RemoveAll(e.dir)
+}
+
+// lockWriter waits for the right to write.
+func (e *engine) lockWriter(ctx context.Context) error {
+	select {
+	case e.writer <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *engine) unlockWriter() { <-e.writer }
+
+// rowSet is the materialized result of a statement.
+type rowSet struct {
+	columns []column
+	rows    [][]any
+	// affected is the number of rows that were returned or changed.
+	affected int64
+}
+
+// column is a result column.
+type column struct {
+	name string
+	oid  uint32
+}
+
+// query runs SQL that yields rows.
+func query(ctx context.Context, conn *sql.Conn, text string, args []any) (*rowSet, error) {
+	rows, err := conn.QueryContext(ctx, text, args...)
+	if err != nil {
+		return nil, err
+	}
+	defer rows.Close()
+	set, err := describeRows(rows)
+	if err != nil {
+		return nil, err
+	}
+	for rows.Next() {
+		row := make([]any, len(set.columns))
+		targets := make([]any, len(row))
+		for i := range row {
+			targets[i] = &row[i]
+		}
+		if err := rows.Scan(targets...); err != nil {
+			return nil, err
+		}
+		set.rows = append(set.rows, row)
+	}
+	set.affected = int64(len(set.rows))
+	return set, rows.Err()
+}
+
+func describeRows(rows *sql.Rows) (*rowSet, error) {
+	types, err := rows.ColumnTypes()
+	if err != nil {
+		return nil, err
+	}
+	set := &rowSet{columns: make([]column, len(types))}
+	for i, t := range types {
+		set.columns[i].name = t.Name()
+		if declared := t.DatabaseTypeName(); declared != "" {
+			set.columns[i].oid = sqltext.TypeOf(declared)
+		}
+	}
+	return set, nil
+}
+
+// exec runs SQL that yields no rows.
+func exec(ctx context.Context, conn *sql.Conn, text string, args []any) (*rowSet, error) {
+	res, err := conn.ExecContext(ctx, text, args...)
+	if err != nil {
+		return nil, err
+	}
+	n, err := res.RowsAffected()
+	return &rowSet{affected: n}, err
+}
+
+func (e *engine) forgetColumns() {
+	e.columnsMu.Lock()
+	defer e.columnsMu.Unlock()
+	e.columns = make(map[string]map[string]uint32)
+}
+
+// columnType returns the data type of a table's column. A name such as "#2"
+// means the third column.
+func (e *engine) columnType(ctx context.Context, conn *sql.Conn, table, name string) uint32 {
+	e.columnsMu.Lock()
+	known, ok := e.columns[table]
+	e.columnsMu.Unlock()
+	if !ok {
+		known = readColumns(ctx, conn, table)
+		e.columnsMu.Lock()
+		e.columns[table] = known
+		e.columnsMu.Unlock()
+	}
+	return known[name]
+}
+
+func readColumns(ctx context.Context, conn *sql.Conn, table string) map[string]uint32 {
+	out := make(map[string]uint32)
+	rows, err := conn.QueryContext(ctx, "select name, type from pragma_table_info(?1)", table)
+	if err != nil {
+		return out
+	}
+	defer rows.Close()
+	for i := 0; rows.Next(); i++ {
+		var name, declared string
+		if err := rows.Scan(&name, &declared); err != nil {
+			return out
+		}
+		out[name] = sqltext.TypeOf(declared)
+		out["#"+strconv.Itoa(i)] = out[name]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/helpers_test.go
@@ -0,0 +1,98 @@
+package standin_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/galenabridge/galenabridge/internal/standin"
+)
+
+// patience bounds every wait for a condition.
+const patience = 60 * time.Second
+
+const password = "ledger secret"
+
+// startGroup runs a primary with two replicas until the test ends.
+func startGroup(t *testing.T, change func(*standin.Options)) *standin.Group {
+	t.Helper()
+	opts := standin.Options{
+		Service: "ledger", Password: password, RecordsTable: true, ConnectDelay: -1, ReplicationDelay: -1,
+	}
+	if change != nil {
+		change(&opts)
+	}
+	group, err := standin.NewGroup(opts, 3, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	run(t, group.Run)
+	return group
+}
+
+func run(t *testing.T, task func(context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- task(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("run: %v", err)
+		}
+	})
+}
+
+func url(s *standin.Server) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable",
+		standin.DefaultUser, "ledger%20secret", s.Addr(), standin.DefaultDatabase)
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func connect(t *testing.T, s *standin.Server) *pgx.Conn {
+	t.Helper()
+	ctx := testContext(t)
+	conn, err := pgx.Connect(ctx, url(s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close(context.Background()) })
+	return conn
+}
+
+func mustExec(t *testing.T, conn *pgx.Conn, text string, args ...any) {
+	t.Helper()
+	if _, err := conn.Exec(testContext(t), text, args...); err != nil {
+		t.Fatalf("%s: %v", text, err)
+	}
+}
+
+// eventually waits until condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %s", what, patience)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func count(t *testing.T, conn *pgx.Conn) int64 {
+	t.Helper()
+	var n int64
+	if err := conn.QueryRow(testContext(t), "select count(*) from records").Scan(&n); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/standin/replication_test.go
@@ -0,0 +1,136 @@
+package standin_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/standin"
+)
+
+func TestReplicasFollowAndRefuseWrites(t *testing.T) {
+	group := startGroup(t, nil)
+	primary := connect(t, group.Servers[0])
+	mustExec(t, primary, "create table extra(id bigserial primary key, at timestamptz)")
+	mustExec(t, primary, "insert into extra(at) values (now())")
+	mustExec(t, primary, "insert into records(id) values ('a')")
+	var want string
+	if err := primary.QueryRow(testContext(t), "select at::text from extra").Scan(&want); err != nil {
+		t.Fatal(err)
+	}
+	var current string
+	if err := primary.QueryRow(testContext(t), "select pg_current_wal_lsn()").Scan(&current); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range group.Servers[1:] {
+		replica := connect(t, s)
+		eventually(t, "replay", func() bool {
+			var replayed string
+			err := replica.QueryRow(testContext(t), "select pg_last_wal_replay_lsn()").Scan(&replayed)
+			return err == nil && replayed == current
+		})
+		var got string
+		if err := replica.QueryRow(testContext(t), "select at::text from extra").Scan(&got); err != nil || got != want {
+			t.Errorf("replayed %q, want %q: %v", got, want, err)
+		}
+		if _, err := replica.Exec(testContext(t), "insert into records(id) values ('b')"); state(err) != "25006" {
+			t.Error(err)
+		}
+		var recovering bool
+		err := replica.QueryRow(testContext(t), "select pg_is_in_recovery()").Scan(&recovering)
+		if err != nil || !recovering {
+			t.Error(recovering, err)
+		}
+	}
+	eventually(t, "flush reported to the primary", func() bool {
+		var n int64
+		err := primary.QueryRow(testContext(t),
+			"select count(*) from pg_stat_replication where flush_lsn = $1 and replay_lsn = $1", current).Scan(&n)
+		return err == nil && n == 2
+	})
+}
+
+func TestFlushComesBeforeReplay(t *testing.T) {
+	group := startGroup(t, func(o *standin.Options) { o.ReplayLag = time.Hour })
+	mustExec(t, connect(t, group.Servers[0]), "insert into records(id) values ('a')")
+	_, _, flushed, _ := group.Servers[0].Position()
+	replica := group.Servers[1]
+	eventually(t, "flush", func() bool {
+		_, _, got, _ := replica.Position()
+		return got == flushed
+	})
+	if _, _, _, replayed := replica.Position(); replayed >= flushed {
+		t.Errorf("replayed %s within the lag", replayed)
+	}
+	replica.SetReplayLag(0)
+	mustExec(t, connect(t, group.Servers[0]), "insert into records(id) values ('b')")
+	conn := connect(t, replica)
+	eventually(t, "replay", func() bool { return count(t, conn) == 2 })
+}
+
+func TestPromotionKeepsFlushedAndDropsTail(t *testing.T) {
+	var named atomic.Pointer[standin.Server]
+	admin := startAdmin(t, &named)
+	group := startGroup(t, func(o *standin.Options) {
+		o.ReplayLag, o.Admins, o.AnnounceInterval = time.Hour, []string{admin}, 10*time.Millisecond
+	})
+	old, next := group.Servers[0], group.Servers[1]
+	conn := connect(t, old)
+	mustExec(t, conn, "insert into records(id) values ('kept')")
+	_, _, flushed, _ := old.Position()
+	eventually(t, "flush", func() bool {
+		_, _, got, _ := next.Position()
+		return got == flushed
+	})
+	old.Faults().Partition(standin.LinkReplication, true)
+	mustExec(t, conn, "insert into records(id) values ('lost')")
+
+	promoted := connect(t, next)
+	mustExec(t, promoted, "select pg_promote()")
+	if n := count(t, promoted); n != 1 {
+		t.Errorf("%d records after promotion, want 1", n)
+	}
+	if role, number, _, _ := next.Position(); role != standin.RolePrimary || number != 2 {
+		t.Errorf("role %s, timeline %d", role, number)
+	}
+	mustExec(t, conn, "insert into records(id) values ('lost too')") // it still believes that it is the primary
+	mustExec(t, promoted, "insert into records(id) values ('new')")
+
+	old.Faults().Clear()
+	named.Store(next)
+	eventually(t, "demotion", func() bool {
+		role, number, _, _ := old.Position()
+		return role == standin.RoleReplica && number == 2
+	})
+	old.SetReplayLag(0)
+	var again int64
+	eventually(t, "old primary rebuilt", func() bool {
+		fresh := connect(t, old)
+		defer fresh.Close(testContext(t))
+		err := fresh.QueryRow(testContext(t), "select count(*) from records where id in ('kept', 'new')").Scan(&again)
+		return err == nil && again == 2 && count(t, fresh) == 2
+	})
+}
+
+// startAdmin answers announcements with the named primary, once there is one.
+func startAdmin(t *testing.T, named *atomic.Pointer[standin.Server]) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var a standin.Announcement
+		if err := json.NewDecoder(r.Body).Decode(&a); err != nil || a.Service != "ledger" || a.Addr == "" {
+			t.Errorf("announcement %+v: %v", a, err)
+		}
+		answer := map[string]any{"term": 1}
+		if s := named.Load(); s != nil {
+			answer["primary"], answer["primary_addr"] = s.ID(), s.Addr()
+		}
+		if err := json.NewEncoder(w).Encode(answer); err != nil {
+			t.Error(err)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
--- /dev/null
+++ b/internal/standin/role.go
@@ -0,0 +1,137 @@
+package standin
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+const recordsTable = "create table records(id text primary key, workspace text, body text, filed_at text)"
+
+// recover replays the log kept on disk and, on a primary, creates the table of
+// records when it is wanted and the log is empty.
+func (s *Server) recover() error {
+	if s.wal.flushed() > firstLSN {
+		if err := s.replayAll(s.ctx); err != nil {
+			return err
+		}
+	}
+	if err := s.wal.file.saveRole(s.role); err != nil {
+		return err
+	}
+	if !s.opts.RecordsTable || !s.isPrimary() || s.wal.flushed() > firstLSN {
+		return nil
+	}
+	if _, err := s.engine().db.ExecContext(s.ctx, recordsTable); err != nil {
+		return errors.Wrap(err, "create table")
+	}
+	_, err := s.wal.appendLocal([]change{{SQL: recordsTable}})
+	return err
+}
+
+// promote makes a replica the primary of a new timeline that starts at the end
+// of its flushed log.
+func (s *Server) promote(ctx context.Context) error {
+	s.roleMu.Lock()
+	defer s.roleMu.Unlock()
+	if s.isPrimary() {
+		return errState(stateNotPrerequisite, "recovery is not in progress")
+	}
+	s.setPromoting(true)
+	defer s.setPromoting(false)
+	if err := s.replayAll(ctx); err != nil {
+		return err
+	}
+	number, err := s.wal.branch(s.opts.ID)
+	if err != nil {
+		return err
+	}
+	if err := s.setRole(RolePrimary); err != nil {
+		return err
+	}
+	s.opts.Logger.Info("standin_promoted", "id", s.opts.ID, "timeline", number, "lsn", s.wal.flushed())
+	return nil
+}
+
+// setPromoting stops or resumes the receipt of the primary's log.
+func (s *Server) setPromoting(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.promoting = on
+	s.notifyLocked()
+}
+
+func (s *Server) setRole(role Role) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.wal.file.saveRole(role); err != nil {
+		return err
+	}
+	s.role = role
+	s.notifyLocked()
+	return nil
+}
+
+// demote makes a replaced primary a replica of upstream. Callers are
+// disconnected; their open transactions are rolled back.
+func (s *Server) demote(upstream string) error {
+	s.roleMu.Lock()
+	defer s.roleMu.Unlock()
+	if !s.isPrimary() {
+		return nil
+	}
+	if err := s.setRole(RoleReplica); err != nil {
+		return err
+	}
+	s.SetUpstream(upstream)
+	s.disconnect()
+	s.opts.Logger.Info("standin_demoted", "id", s.opts.ID, "upstream", upstream)
+	return nil
+}
+
+// SetUpstream names the primary that a replica follows.
+func (s *Server) SetUpstream(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.upstream == addr {
+		return
+	}
+	s.upstream = addr
+	s.notifyLocked()
+}
+
+// disconnect ends all sessions.
+func (s *Server) disconnect() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, session := range s.sessions {
+		session.terminate()
+	}
+}
+
+// rebuild drops the log after l and starts over with an empty database, into
+// which the rest of the log is replayed.
+func (s *Server) rebuild(ctx context.Context, l LSN) error {
+	old := s.engine()
+	s.disconnect()
+	if err := old.lockWriter(ctx); err != nil {
+		return err
+	}
+	defer old.unlockWriter()
+	fresh, err := openEngine()
+	if err != nil {
+		return err
+	}
+	lost := s.wal.flushed()
+	if _, err := s.wal.truncate(l); err != nil {
+		fresh.close()
+		return err
+	}
+	s.mu.Lock()
+	s.eng = fresh
+	s.mu.Unlock()
+	s.disconnect()
+	old.close()
+	s.opts.Logger.Warn("standin_log_dropped", "id", s.opts.ID, "from", l, "to", lost)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/sender.go
@@ -0,0 +1,173 @@
+package standin
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/galenabridge/galenabridge/internal/standin/sqltext"
+)
+
+// sendBatch is the number of transactions in one replication message.
+const sendBatch = 256
+
+// followRequest is what a replica asks for: the stream after the last position
+// that its log has in common with the primary's.
+type followRequest struct {
+	ID      string     `cbor:"1,keyasint"`
+	History []timeline `cbor:"2,keyasint"`
+	Flushed LSN        `cbor:"3,keyasint"`
+}
+
+// streamMessage carries transactions to a replica. The first message of a
+// stream holds the history and the position that it starts after.
+type streamMessage struct {
+	History []timeline `cbor:"1,keyasint,omitempty"`
+	From    LSN        `cbor:"2,keyasint,omitempty"`
+	Records []record   `cbor:"3,keyasint,omitempty"`
+}
+
+// followStatus reports a replica's positions to its primary.
+type followStatus struct {
+	Flushed  LSN `cbor:"1,keyasint"`
+	Replayed LSN `cbor:"2,keyasint"`
+}
+
+// standby is a replica that is streaming from this primary.
+type standby struct {
+	id     string
+	status followStatus
+}
+
+// sendReplication serves START_REPLICATION until the connection ends.
+func (s *session) sendReplication(st *sqltext.Statement) error {
+	if !s.srv.isPrimary() {
+		return errState(stateNotPrerequisite, "recovery is in progress")
+	}
+	s.be.Send(&pgproto3.CopyBothResponse{})
+	if err := s.be.Flush(); err != nil {
+		return errGoodbye
+	}
+	var request followRequest
+	if err := s.receiveCopy(&request); err != nil {
+		return errGoodbye
+	}
+	sb := &standby{id: request.ID}
+	s.srv.addStandby(sb)
+	defer s.srv.removeStandby(sb)
+	ctx, cancel := context.WithCancel(s.ctx)
+	go func() {
+		defer cancel()
+		s.receiveStatus(sb)
+	}()
+	err := s.stream(ctx, request)
+	s.conn.Close()
+	<-ctx.Done()
+	s.srv.opts.Logger.Debug("standin_stream_ended", "id", s.srv.opts.ID, "replica", sb.id, "err", err)
+	return errGoodbye
+}
+
+func (s *session) receiveCopy(v any) error {
+	msg, err := s.be.Receive()
+	if err != nil {
+		return err
+	}
+	data, ok := msg.(*pgproto3.CopyData)
+	if !ok {
+		return errState(stateProtocol, "unexpected message %T", msg)
+	}
+	return decoding.Unmarshal(data.Data, v)
+}
+
+func (s *session) receiveStatus(sb *standby) {
+	for {
+		var status followStatus
+		if err := s.receiveCopy(&status); err != nil {
+			return
+		}
+		s.srv.mu.Lock()
+		sb.status = status
+		s.srv.mu.Unlock()
+	}
+}
+
+// stream sends the log from the common position on, as long as this endpoint is
+// the primary. It always returns an error.
+func (s *session) stream(ctx context.Context, request followRequest) error {
+	log := s.srv.log()
+	history := log.timelines()
+	sent := commonPoint(history, request.History, min(request.Flushed, log.flushed()))
+	if err := s.sendCopy(streamMessage{History: history, From: sent}); err != nil {
+		return err
+	}
+	for {
+		changed := log.watch()
+		role, _, roleChanged := s.srv.watch()
+		if role != RolePrimary {
+			return errState(stateNotPrerequisite, "no longer the primary")
+		}
+		records := log.after(sent, sendBatch)
+		if len(records) == 0 {
+			if err := waitChange(ctx, changed, roleChanged, -1); err != nil {
+				return err
+			}
+			continue
+		}
+		last := records[len(records)-1]
+		if err := s.awaitDelay(ctx, last); err != nil {
+			return err
+		}
+		if err := s.sendCopy(streamMessage{Records: records}); err != nil {
+			return err
+		}
+		sent = last.End
+	}
+}
+
+// awaitDelay waits until the replication delay has passed since the commit of r.
+func (s *session) awaitDelay(ctx context.Context, r record) error {
+	delay := time.Duration(s.srv.delay.Load())
+	return sleep(ctx, delay-time.Since(r.flushedAt))
+}
+
+func (s *session) sendCopy(m streamMessage) error {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return err
+	}
+	s.be.Send(&pgproto3.CopyData{Data: data})
+	return s.be.Flush()
+}
+
+func (s *Server) addStandby(sb *standby) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.standbys[sb] = struct{}{}
+}
+
+func (s *Server) removeStandby(sb *standby) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.standbys, sb)
+}
+
+// standbyRelation returns the view pg_stat_replication.
+func (s *Server) standbyRelation() sqltext.Relation {
+	rel := sqltext.Relation{Columns: strings.Fields(
+		"application_name state sent_lsn write_lsn flush_lsn replay_lsn sync_state")}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sb := range s.standbys {
+		flushed, replayed := null, null
+		if sb.status.Flushed > 0 {
+			flushed, replayed = lsnLiteral(sb.status.Flushed), lsnLiteral(sb.status.Replayed)
+		}
+		rel.Rows = append(rel.Rows, []string{
+			sqltext.Quote(sb.id), "'streaming'", flushed, flushed, flushed, replayed, "'async'",
+		})
+	}
+	return rel
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/xdg-go/scram"
+)
+
+// Server is one endpoint.
+type Server struct {
+	opts   Options
+	ln     net.Listener
+	faults *Faults
+	scram  *scram.Server
+	wal    *wal
+	lag    atomic.Int64 // replay lag in nanoseconds
+	delay  atomic.Int64 // replication delay in nanoseconds
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	// roleMu serializes promotions and demotions.
+	roleMu sync.Mutex
+
+	mu        sync.Mutex
+	role      Role
+	promoting bool
+	upstream  string
+	eng       *engine
+	sessions  map[uint32]*session
+	callers   int
+	nextPID   uint32
+	standbys  map[*standby]struct{}
+	changed   chan struct{}
+}
+
+// New opens an endpoint and its listener. Run serves it.
+func New(opts Options) (*Server, error) {
+	opts.setDefaults()
+	log, err := openWAL(opts.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	verifier, err := newScramServer(opts.User, opts.Password)
+	if err != nil {
+		return nil, err
+	}
+	eng, err := openEngine()
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", opts.Listen)
+	if err != nil {
+		eng.close()
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		opts: opts, ln: ln, faults: newFaults(), scram: verifier, wal: log, ctx: ctx, cancel: cancel,
+		role: log.file.loadRole(opts.Role), upstream: opts.Upstream, eng: eng,
+		sessions: make(map[uint32]*session), standbys: make(map[*standby]struct{}),
+		changed: make(chan struct{}),
+	}
+	s.SetReplayLag(opts.ReplayLag)
+	s.SetReplicationDelay(opts.ReplicationDelay)
+	return s, nil
+}
+
+// Addr returns the address that the endpoint listens on.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// ID returns the endpoint's identity in its group.
+func (s *Server) ID() string { return s.opts.ID }
+
+// Faults returns the fault switches.
+func (s *Server) Faults() *Faults { return s.faults }
+
+// SetReplayLag changes the time from flush to replay of transactions on this
+// endpoint.
+func (s *Server) SetReplayLag(d time.Duration) {
+	s.lag.Store(int64(d))
+	s.wal.notify()
+}
+
+// SetReplicationDelay changes the time from a commit on this endpoint to its
+// flush on replicas.
+func (s *Server) SetReplicationDelay(d time.Duration) { s.delay.Store(int64(d)) }
+
+// Position returns the endpoint's role, timeline, and flushed and replayed
+// positions.
+func (s *Server) Position() (role Role, timeline uint32, flushed, replayed LSN) {
+	s.mu.Lock()
+	role = s.role
+	s.mu.Unlock()
+	return role, s.wal.current(), s.wal.flushed(), s.wal.replayedTo()
+}
+
+// Run serves until ctx ends. It returns nil after a regular end.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.close()
+	if err := s.recover(); err != nil {
+		return err
+	}
+	var group run.Group
+	tasks := []func(context.Context) error{s.accept, s.follow, s.replay, s.announce}
+	if s.opts.Control != "" {
+		tasks = append(tasks, s.serveControl)
+	}
+	for _, task := range tasks {
+		taskCtx, cancel := context.WithCancel(s.ctx)
+		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
+	}
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-s.ctx.Done():
+		}
+		return nil
+	}, func(error) { s.Kill() })
+	s.opts.Logger.Info("standin_started", "id", s.opts.ID, "addr", s.Addr(), "role", s.role)
+	err := group.Run()
+	if ctx.Err() != nil || errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Kill ends the endpoint at once, as the death of its process would: no
+// connection is told.
+func (s *Server) Kill() {
+	s.ln.Close()
+	s.mu.Lock()
+	for _, session := range s.sessions {
+		session.conn.Close()
+	}
+	s.mu.Unlock()
+	s.cancel()
+}
+
+func (s *Server) close() {
+	s.Kill()
+	s.tasks.Wait()
+	s.engine().close()
+	s.wal.file.close()
+}
+
+func (s *Server) accept(ctx context.Context) error {
+	for {
+		conn, err := s.ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return errors.Wrap(err, "accept")
+		}
+		s.tasks.Add(1)
+		go func() {
+			defer s.tasks.Done()
+			s.serve(conn)
+		}()
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	session := newSession(s, conn)
+	stop := context.AfterFunc(s.ctx, func() { session.conn.Close() })
+	defer stop()
+	session.serve()
+}
+
+// add registers a session that has authenticated.
+func (s *Server) add(session *session, replication bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !replication {
+		if s.callers >= s.opts.MaxConnections {
+			return fatal(stateTooMany, "sorry, too many clients already")
+		}
+		s.callers++
+		session.counted = true
+	}
+	s.nextPID++
+	session.pid = s.nextPID
+	s.sessions[session.pid] = session
+	return nil
+}
+
+func (s *Server) remove(session *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if session.pid == 0 {
+		return
+	}
+	delete(s.sessions, session.pid)
+	if session.counted {
+		s.callers--
+	}
+}
+
+func (s *Server) cancelStatement(pid uint32, secret []byte) {
+	s.mu.Lock()
+	session := s.sessions[pid]
+	s.mu.Unlock()
+	if session != nil {
+		session.interrupt(secret)
+	}
+}
+
+func (s *Server) log() *wal { return s.wal }
+
+func (s *Server) engine() *engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eng
+}
+
+func (s *Server) isPrimary() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.role == RolePrimary
+}
+
+// commit logs the changes of a session that holds the right to write and makes
+// them visible.
+func (s *Server) commit(session *session) error {
+	if !s.isPrimary() || s.engine() != session.eng {
+		return fatal(stateShutdown, "the endpoint is no longer the primary")
+	}
+	eng := session.eng
+	eng.reads.Lock()
+	defer eng.reads.Unlock()
+	if _, err := session.db.ExecContext(context.Background(), "commit"); err != nil {
+		return err
+	}
+	_, err := s.wal.appendLocal(session.tx.changes)
+	return err
+}
+
+// notifyLocked wakes the tasks that wait for a change of role or upstream.
+func (s *Server) notifyLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// watch returns the present role and upstream, and a channel that is closed at
+// their next change.
+func (s *Server) watch() (Role, string, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.role, s.upstream, s.changed
+}
--- /dev/null
+++ b/internal/standin/session.go
@@ -0,0 +1,298 @@
+package standin
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"database/sql"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+	"github.com/pkg/errors"
+)
+
+const secretKeyBytes = 4
+
+// session serves one connection. Its fields belong to the goroutine of serve,
+// but for cancel and conn.
+type session struct {
+	srv    *Server
+	conn   *gatedConn
+	be     *pgproto3.Backend
+	ctx    context.Context
+	cancel context.CancelFunc
+	pid    uint32
+	// counted is set when the session counts towards the connection cap.
+	counted bool
+	secret  []byte
+	types   *pgtype.Map
+
+	eng      *engine
+	db       *sql.Conn
+	settings map[string]string
+	tx       txState
+	prepared map[string]*prepared
+	portals  map[string]*portal
+	// skipping discards messages up to Sync after an error.
+	skipping bool
+
+	running sync.Mutex
+	stop    context.CancelFunc
+}
+
+var errGoodbye = errors.New("connection closed")
+
+func newSession(srv *Server, conn net.Conn) *session {
+	gated := newGatedConn(conn, srv.faults, "")
+	ctx, cancel := context.WithCancel(srv.ctx)
+	secret := make([]byte, secretKeyBytes)
+	_, _ = rand.Read(secret) // never fails
+	return &session{
+		srv: srv, conn: gated, be: pgproto3.NewBackend(gated, gated), ctx: ctx, cancel: cancel,
+		secret: secret, types: pgtype.NewMap(), settings: copySettings(defaultSettings),
+		prepared: make(map[string]*prepared), portals: make(map[string]*portal),
+	}
+}
+
+// serve runs the session until its connection ends.
+func (s *session) serve() {
+	defer s.conn.Close()
+	defer s.cancel()
+	err := s.start()
+	if err == nil {
+		err = s.loop()
+	}
+	s.end()
+	var known *stateError
+	if errors.As(err, &known) {
+		s.be.Send(known.response())
+		_ = s.be.Flush() // the connection ends anyway
+	}
+}
+
+func (s *session) end() {
+	if s.db != nil {
+		s.rollback()
+		s.db.Close()
+	}
+	s.srv.remove(s)
+}
+
+// start handles the messages up to the first ReadyForQuery.
+func (s *session) start() error {
+	startup, err := s.receiveStartup()
+	if err != nil {
+		return err
+	}
+	params := startup.Parameters
+	_, replication := params["replication"]
+	s.conn.setLink(LinkCallers)
+	if replication {
+		s.conn.setLink(LinkReplication)
+	}
+	if err := s.conn.await(); err != nil {
+		return err
+	}
+	if startup.ProtocolVersion != pgproto3.ProtocolVersion30 {
+		s.be.Send(&pgproto3.NegotiateProtocolVersion{})
+	}
+	if err := s.authenticate(params["user"]); err != nil {
+		return err
+	}
+	if db := params["database"]; db != "" && db != s.srv.opts.Database {
+		return fatal(stateNoDatabase, "database %q does not exist", db)
+	}
+	if err := s.srv.add(s, replication); err != nil {
+		return err
+	}
+	if err := sleep(s.ctx, s.srv.opts.ConnectDelay); err != nil {
+		return err
+	}
+	if err := s.attach(); err != nil {
+		return err
+	}
+	s.greet(params)
+	return s.ready()
+}
+
+// attach connects the session to the present database.
+func (s *session) attach() error {
+	s.eng = s.srv.engine()
+	db, err := s.eng.db.Conn(s.ctx)
+	if err != nil {
+		return fatal(stateStarting, "the database is starting: %v", err)
+	}
+	s.db = db
+	return nil
+}
+
+func (s *session) receiveStartup() (*pgproto3.StartupMessage, error) {
+	for {
+		msg, err := s.be.ReceiveStartupMessage()
+		if err != nil {
+			return nil, err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.CancelRequest:
+			s.srv.cancelStatement(m.ProcessID, m.SecretKey)
+			return nil, errGoodbye
+		default: // SSLRequest, GSSEncRequest
+			if _, err := s.conn.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+func (s *session) greet(params map[string]string) {
+	s.be.Send(&pgproto3.AuthenticationOk{})
+	for name, value := range params {
+		switch name {
+		case "user", "database", "replication", "options":
+		default:
+			s.settings[name] = value
+		}
+	}
+	for _, r := range reported {
+		s.be.Send(&pgproto3.ParameterStatus{Name: r.name, Value: s.settings[r.key]})
+	}
+	s.be.Send(&pgproto3.ParameterStatus{Name: "session_authorization", Value: s.srv.opts.User})
+	s.be.Send(&pgproto3.ParameterStatus{Name: "in_hot_standby", Value: onOff(!s.srv.isPrimary())})
+	s.be.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secret})
+}
+
+func onOff(b bool) string {
+	if b {
+		return "on"
+	}
+	return "off"
+}
+
+func (s *session) loop() error {
+	for {
+		msg, err := s.be.Receive()
+		if s.ctx.Err() != nil {
+			return fatal(stateShutdown, "terminating connection due to administrator command")
+		}
+		if err != nil {
+			return errGoodbye
+		}
+		if err := s.srv.faults.await(s.ctx, s.link()); err != nil {
+			return fatal(stateShutdown, "terminating connection due to administrator command")
+		}
+		if err := s.handle(msg); err != nil {
+			return err
+		}
+		if s.ctx.Err() != nil {
+			return fatal(stateShutdown, "terminating connection due to administrator command")
+		}
+	}
+}
+
+func (s *session) link() Link {
+	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	return s.conn.link
+}
+
+// handle serves one message. An error ends the connection.
+func (s *session) handle(msg pgproto3.FrontendMessage) error {
+	switch m := msg.(type) {
+	case *pgproto3.Query:
+		return s.simpleQuery(m.String)
+	case *pgproto3.Sync:
+		return s.sync()
+	case *pgproto3.Flush:
+		return s.be.Flush()
+	case *pgproto3.Terminate:
+		return errGoodbye
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		return nil // the rest of a failed COPY
+	}
+	if s.skipping {
+		return nil
+	}
+	err := s.extended(msg)
+	if err == nil {
+		return nil
+	}
+	return s.fail(err, true)
+}
+
+// fail reports an error of a statement. In the extended protocol the messages
+// up to Sync are skipped.
+func (s *session) fail(err error, skip bool) error {
+	known := toState(err)
+	if known.fatal || errors.Is(err, errGoodbye) {
+		return err
+	}
+	s.abort()
+	s.skipping = skip
+	s.be.Send(known.response())
+	return nil
+}
+
+// ready sends all answers and the state of the transaction.
+func (s *session) ready() error {
+	if err := sleep(s.ctx, s.srv.faults.lateness()); err != nil {
+		return fatal(stateShutdown, "terminating connection due to administrator command")
+	}
+	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: s.tx.status()})
+	return s.be.Flush()
+}
+
+// statementContext returns the context of one statement, which a CancelRequest
+// and the statement timeout end.
+func (s *session) statementContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	if limit := statementTimeout(s.settings); limit > 0 {
+		ctx, cancel = context.WithTimeout(s.ctx, limit)
+	}
+	s.running.Lock()
+	s.stop = cancel
+	s.running.Unlock()
+	return ctx, func() {
+		s.running.Lock()
+		s.stop = nil
+		s.running.Unlock()
+		cancel()
+	}
+}
+
+// interrupt cancels the running statement when the secret is right.
+func (s *session) interrupt(secret []byte) {
+	if subtle.ConstantTimeCompare(secret, s.secret) != 1 {
+		return
+	}
+	s.running.Lock()
+	defer s.running.Unlock()
+	if s.stop != nil {
+		s.stop()
+	}
+}
+
+// terminate ends the session as an administrator's command does. A session that
+// waits for its client is closed at once.
+func (s *session) terminate() {
+	s.cancel()
+	_ = s.conn.SetReadDeadline(time.Now())
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/standin/simple.go
@@ -0,0 +1,222 @@
+package standin
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/galenabridge/galenabridge/internal/standin/sqltext"
+)
+
+// simpleQuery serves a Query message. Its statements share one transaction
+// unless they open a block of their own.
+func (s *session) simpleQuery(text string) error {
+	s.skipping = false
+	if err := s.simpleStatements(text); err != nil {
+		if err := s.fail(err, false); err != nil {
+			return err
+		}
+	}
+	return s.ready()
+}
+
+func (s *session) simpleStatements(text string) error {
+	statements, err := sqltext.Parse(text)
+	if err != nil {
+		return errState(stateSyntax, "%v", err)
+	}
+	if len(statements) == 0 {
+		s.be.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	for i, st := range statements {
+		last := i == len(statements)-1
+		if err := s.simpleStatement(st, last); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) simpleStatement(st *sqltext.Statement, last bool) error {
+	if st.Class == sqltext.StartReplication {
+		return s.sendReplication(st)
+	}
+	s.openTx()
+	ctx, done := s.statementContext()
+	defer done()
+	set, tag, err := s.run(ctx, st, nil)
+	if err != nil {
+		return err
+	}
+	if set.columns != nil {
+		s.finishColumns(st, set)
+		s.be.Send(rowDescription(set.columns, nil))
+		if err := s.sendRows(set.columns, set.rows, nil); err != nil {
+			return err
+		}
+	}
+	if last && !s.tx.block {
+		if _, err := s.commit(); err != nil {
+			return err
+		}
+	}
+	s.be.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	return nil
+}
+
+// sendRows encodes rows in the wanted formats.
+func (s *session) sendRows(columns []column, rows [][]any, formats []int16) error {
+	for _, row := range rows {
+		values := make([][]byte, len(row))
+		for i, v := range row {
+			data, err := encode(s.types, columns[i].oid, formatOf(formats, i), v)
+			if err != nil {
+				return err
+			}
+			values[i] = data
+		}
+		s.be.Send(&pgproto3.DataRow{Values: values})
+	}
+	return nil
+}
+
+// finishColumns completes the names and types of result columns from the text
+// of the statement and the values of the rows.
+func (s *session) finishColumns(st *sqltext.Statement, set *rowSet) {
+	nameColumns(st, set.columns)
+	for i := range set.columns {
+		for j := 0; set.columns[i].oid == sqltext.Unknown && j < len(set.rows); j++ {
+			if v := set.rows[j][i]; v != nil {
+				set.columns[i].oid = typeOfValue(v)
+			}
+		}
+		if set.columns[i].oid == sqltext.Unknown {
+			set.columns[i].oid = sqltext.Text
+		}
+	}
+}
+
+func nameColumns(st *sqltext.Statement, columns []column) {
+	items := st.Items()
+	if len(items) != len(columns) {
+		return
+	}
+	for i, item := range items {
+		if item.Name != "" {
+			columns[i].name = item.Name
+		}
+		if item.Type != sqltext.Unknown {
+			columns[i].oid = item.Type
+		}
+	}
+}
+
+// run executes one statement and returns its rows and command tag.
+func (s *session) run(ctx context.Context, st *sqltext.Statement, args []any) (*rowSet, string, error) {
+	if s.tx.failed && st.Class != sqltext.Commit && st.Class != sqltext.Rollback && st.Class != sqltext.RollbackTo {
+		return nil, "", errFailedTx()
+	}
+	switch st.Class {
+	case sqltext.Read:
+		set, err := s.read(ctx, st, args)
+		return set, commandTag(st, set), err
+	case sqltext.Write:
+		set, err := s.write(ctx, st, args)
+		return set, commandTag(st, set), err
+	case sqltext.CopyIn:
+		set, err := s.copyIn(ctx, st)
+		return set, commandTag(st, set), err
+	case sqltext.CopyOut:
+		set, err := s.copyOut(ctx, st)
+		return set, commandTag(st, set), err
+	case sqltext.Unsupported, sqltext.StartReplication:
+		return nil, "", unsupported(st)
+	}
+	return s.control(ctx, st)
+}
+
+func unsupported(st *sqltext.Statement) error {
+	switch st.First() {
+	case "lock", "listen", "notify", "unlisten", "prepare", "execute", "declare", "fetch", "close", "grant",
+		"revoke", "vacuum", "analyze", "copy", "do", "call", "comment", "merge", "cluster", "reindex":
+		return errState(stateUnsupported, "%s is not supported by the stand-in", st.First())
+	}
+	return errState(stateSyntax, "syntax error at or near %q", st.First())
+}
+
+func errFailedTx() error {
+	return errState(stateFailedTx, "current transaction is aborted, commands ignored until end of transaction block")
+}
+
+func commandTag(st *sqltext.Statement, set *rowSet) string {
+	if !st.Counted || set == nil {
+		return st.Tag
+	}
+	return st.Tag + " " + strconv.FormatInt(set.affected, 10)
+}
+
+// read runs a statement that only reads.
+func (s *session) read(ctx context.Context, st *sqltext.Statement, args []any) (*rowSet, error) {
+	text, err := s.engineText(ctx, st, args)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.ensureRead(ctx); err != nil {
+		return nil, err
+	}
+	return s.readText(ctx, text, args)
+}
+
+func (s *session) readText(ctx context.Context, text string, args []any) (*rowSet, error) {
+	if s.tx.held == holdNothing {
+		s.eng.reads.RLock()
+		defer s.eng.reads.RUnlock()
+	}
+	return query(ctx, s.db, text, args)
+}
+
+// engineText returns the statement in the engine's dialect, with the server's
+// own functions replaced by their values.
+func (s *session) engineText(ctx context.Context, st *sqltext.Statement, args []any) (string, error) {
+	tokens := st.Tokens
+	if st.Volatile() {
+		expanded, err := sqltext.Expand(tokens, &functions{s: s, ctx: ctx, args: args})
+		if err != nil {
+			return "", err
+		}
+		tokens = expanded
+	}
+	text, err := sqltext.SQLite(tokens)
+	if err != nil {
+		return "", errState(stateUnsupported, "%v", err)
+	}
+	return text, nil
+}
+
+// write runs a statement that changes data and notes it for the log.
+func (s *session) write(ctx context.Context, st *sqltext.Statement, args []any) (*rowSet, error) {
+	if err := s.ensureWrite(ctx); err != nil {
+		return nil, err
+	}
+	text, err := s.engineText(ctx, st, args)
+	if err != nil {
+		return nil, err
+	}
+	runner := exec
+	if st.Returning {
+		runner = query
+	}
+	set, err := runner(ctx, s.db, text, args)
+	if err != nil {
+		return nil, err
+	}
+	if !st.Counted {
+		s.eng.forgetColumns()
+	}
+	if st.First() != "select" && (!st.Counted || set.affected > 0) {
+		s.tx.changes = append(s.tx.changes, change{SQL: text, Args: args})
+	}
+	return set, nil
+}
--- /dev/null
+++ b/internal/standin/sqltext/expand.go
@@ -0,0 +1,214 @@
+package sqltext
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Relation is a system view or the result of a table function. Its values are
+// SQL literals.
+type Relation struct {
+	Columns []string
+	Rows    [][]string
+}
+
+// Env resolves the server's own functions and views while a statement runs.
+type Env interface {
+	// Function returns the result as an SQL literal. The last value is false
+	// when the server has no such function.
+	Function(name string, args []string) (string, bool, error)
+	// Relation returns a system view or table function by name.
+	Relation(name string) (Relation, bool)
+	// Param returns the text of a bound parameter, counted from one.
+	Param(n string) string
+}
+
+var volatileWords = map[string]bool{
+	"now": true, "clock_timestamp": true, "random": true, "version": true, "current_setting": true,
+	"set_config": true, "gen_random_uuid": true, "current_timestamp": true, "current_user": true,
+	"session_user": true, "current_database": true, "txid_current": true, "statement_timestamp": true,
+	"transaction_timestamp": true, "current_date": true, "current_schema": true,
+}
+
+// Volatile reports whether the statement uses functions or views of the server
+// that must be resolved anew at each execution.
+func (s *Statement) Volatile() bool {
+	for _, t := range s.Tokens {
+		if t.Kind == Word && (volatileWords[t.Text] || strings.HasPrefix(t.Text, "pg_")) {
+			return true
+		}
+	}
+	return false
+}
+
+// Uses reports whether the statement calls the named function.
+func (s *Statement) Uses(function string) bool {
+	for i, t := range s.Tokens {
+		if t.Is(function) && i+1 < len(s.Tokens) && s.Tokens[i+1].Is("(") {
+			return true
+		}
+	}
+	return false
+}
+
+// Expand replaces the server's functions and views by their present values.
+func Expand(tokens []Token, env Env) ([]Token, error) {
+	out := make([]Token, 0, len(tokens)+16)
+	for i := 0; i < len(tokens); i++ {
+		replaced, end, err := expandAt(tokens, i, env)
+		if err != nil {
+			return nil, err
+		}
+		if end < 0 {
+			out = append(out, tokens[i])
+			continue
+		}
+		out = append(out, replaced...)
+		i = end
+	}
+	return out, nil
+}
+
+// expandAt returns the replacement of the tokens from i up to end, or -1 when
+// nothing is replaced.
+func expandAt(tokens []Token, i int, env Env) ([]Token, int, error) {
+	if field, end, ok := compositeField(tokens, i, env); ok {
+		return field, end, nil
+	}
+	t := tokens[i]
+	if t.Kind != Word || i > 0 && tokens[i-1].Is(".") && !tokens[i-2].Is("pg_catalog") {
+		return nil, -1, nil
+	}
+	call := i+1 < len(tokens) && tokens[i+1].Is("(")
+	if inFrom(tokens, i) {
+		return expandRelation(tokens, i, call, env)
+	}
+	if !call {
+		literal, ok, err := bareFunction(t.Text, env)
+		if err != nil || !ok {
+			return nil, -1, err
+		}
+		return literalTokens(literal), i, nil
+	}
+	if !volatileWords[t.Text] && !strings.HasPrefix(t.Text, "pg_") {
+		return nil, -1, nil
+	}
+	end := CloseParen(tokens, i+1)
+	if end < 0 {
+		return nil, -1, errors.New("syntax error: unbalanced parentheses")
+	}
+	literal, ok, err := env.Function(t.Text, argValues(tokens[i+2:end], env))
+	if err != nil || !ok {
+		return nil, -1, err
+	}
+	return literalTokens(literal), end, nil
+}
+
+// bareFunction resolves functions that are written without parentheses.
+func bareFunction(name string, env Env) (string, bool, error) {
+	switch name {
+	case "current_timestamp", "current_user", "session_user", "current_date", "current_schema":
+		return env.Function(name, nil)
+	}
+	return "", false, nil
+}
+
+func literalTokens(literal string) []Token {
+	if strings.HasPrefix(literal, "'") {
+		return []Token{{String, literal}}
+	}
+	return []Token{{Number, literal}}
+}
+
+func argValues(tokens []Token, env Env) []string {
+	if len(tokens) == 0 {
+		return nil
+	}
+	var out []string
+	for _, expr := range splitCommas(tokens) {
+		if len(expr) == 0 {
+			continue
+		}
+		out = append(out, argValue(expr[0], env))
+	}
+	return out
+}
+
+func argValue(t Token, env Env) string {
+	switch t.Kind {
+	case String:
+		return Unquote(t.Text)
+	case Param:
+		return env.Param(t.Text[1:])
+	}
+	return t.Text
+}
+
+// inFrom reports whether tokens[i] stands where a relation is named.
+func inFrom(tokens []Token, i int) bool {
+	if i > 1 && tokens[i-1].Is(".") {
+		i -= 2
+	}
+	if i == 0 {
+		return false
+	}
+	return tokens[i-1].Is("from") || tokens[i-1].Is("join")
+}
+
+func expandRelation(tokens []Token, i int, call bool, env Env) ([]Token, int, error) {
+	rel, ok := env.Relation(tokens[i].Text)
+	if !ok {
+		return nil, -1, nil
+	}
+	end := i
+	if call {
+		end = CloseParen(tokens, i+1)
+	}
+	out := []Token{{Op, "("}, {Word, rel.query()}, {Op, ")"}}
+	if end+1 >= len(tokens) || !tokens[end+1].Is("as") && !isAlias(tokens[end+1]) {
+		out = append(out, Token{Word, "as"}, Token{Word, tokens[i].Text})
+	}
+	return out, end, nil
+}
+
+func isAlias(t Token) bool {
+	switch t.Text {
+	case "where", "order", "group", "limit", "join", "left", "inner", "cross", "union", "having":
+		return false
+	}
+	return isName(t)
+}
+
+func (r Relation) query() string {
+	if len(r.Rows) == 0 {
+		return "select null as " + strings.Join(r.Columns, ", null as ") + " where 0"
+	}
+	selects := make([]string, len(r.Rows))
+	for i, row := range r.Rows {
+		fields := make([]string, len(row))
+		for j, value := range row {
+			fields[j] = value + " as " + r.Columns[j]
+		}
+		selects[i] = "select " + strings.Join(fields, ", ")
+	}
+	return strings.Join(selects, " union all ")
+}
+
+// compositeField resolves "(function()).field".
+func compositeField(tokens []Token, i int, env Env) ([]Token, int, bool) {
+	if i+6 >= len(tokens) || !tokens[i].Is("(") || !tokens[i+2].Is("(") || !tokens[i+3].Is(")") ||
+		!tokens[i+4].Is(")") || !tokens[i+5].Is(".") {
+		return nil, 0, false
+	}
+	rel, ok := env.Relation(tokens[i+1].Text)
+	if !ok || len(rel.Rows) != 1 {
+		return nil, 0, false
+	}
+	for j, name := range rel.Columns {
+		if name == tokens[i+6].Text {
+			return literalTokens(rel.Rows[0][j]), i + 6, true
+		}
+	}
+	return nil, 0, false
+}
--- /dev/null
+++ b/internal/standin/sqltext/infer.go
@@ -0,0 +1,220 @@
+package sqltext
+
+import "strings"
+
+// Item is one expression of a select list or RETURNING clause.
+type Item struct {
+	// Name is the column name that PostgreSQL would give, or "" when the SQL
+	// engine's own name holds.
+	Name string
+	// Type is the data type, or Unknown.
+	Type uint32
+}
+
+// Items returns the expressions of the statement's result. It returns nil when
+// they cannot be told from the text, such as for "*".
+func (s *Statement) Items() []Item {
+	list := s.resultList()
+	if len(list) == 0 {
+		return nil
+	}
+	var items []Item
+	for _, expr := range splitCommas(list) {
+		if len(expr) == 0 || expr[len(expr)-1].Is("*") {
+			return nil
+		}
+		items = append(items, describeItem(expr))
+	}
+	return items
+}
+
+func (s *Statement) resultList() []Token {
+	tokens := s.Tokens
+	if s.Class == Write && s.First() != "select" {
+		i := s.topLevel("returning")
+		if i < 0 {
+			return nil
+		}
+		return tokens[i+1:]
+	}
+	i := s.topLevel("select")
+	if i < 0 {
+		return nil
+	}
+	list := tokens[i+1:]
+	if len(list) > 0 && (list[0].Is("distinct") || list[0].Is("all")) {
+		list = list[1:]
+	}
+	for _, end := range []string{"from", "where", "union", "order", "limit", "for", "group", "having", "offset"} {
+		if j := topLevel(list, end); j >= 0 {
+			list = list[:j]
+		}
+	}
+	return list
+}
+
+func splitCommas(tokens []Token) [][]Token {
+	var out [][]Token
+	depth, start := 0, 0
+	for i, t := range tokens {
+		switch {
+		case t.Is("("):
+			depth++
+		case t.Is(")"):
+			depth--
+		case depth == 0 && t.Is(","):
+			out = append(out, tokens[start:i])
+			start = i + 1
+		}
+	}
+	return append(out, tokens[start:])
+}
+
+func describeItem(expr []Token) Item {
+	if i := topLevel(expr, "as"); i >= 0 && i+1 < len(expr) {
+		return Item{Name: expr[i+1].Name(), Type: exprType(expr[:i])}
+	}
+	n := len(expr)
+	if n >= 2 && isName(expr[n-1]) && endsOperand(expr[n-2]) {
+		return Item{Name: expr[n-1].Name(), Type: exprType(expr[:n-1])}
+	}
+	return Item{Name: exprName(expr), Type: exprType(expr)}
+}
+
+func isName(t Token) bool {
+	return t.Kind == QuotedName || t.Kind == Word && !isKeyword(t.Text) && t.Text != "end" && t.Text != "null"
+}
+
+func endsOperand(t Token) bool {
+	return t.Is(")") || t.Kind == Number || t.Kind == String || t.Kind == Param || isName(t)
+}
+
+func exprName(expr []Token) string {
+	first := expr[0]
+	if n := len(expr); n >= 3 && n%2 == 1 && expr[n-2].Is(".") {
+		return expr[n-1].Name()
+	}
+	switch {
+	case len(expr) == 1 && isName(first):
+		return ""
+	case first.Is("case"), first.Is("exists"):
+		return first.Text
+	case first.Kind == Word && len(expr) > 1 && expr[1].Is("("):
+		return first.Text
+	}
+	if i := castIndex(expr); i > 0 {
+		if i == 1 && isName(first) {
+			return first.Name()
+		}
+		name, _ := readType(expr, i+1)
+		return name
+	}
+	return "?column?"
+}
+
+// castIndex returns the index of a "::" whose type ends the expression, or -1.
+func castIndex(expr []Token) int {
+	for i := len(expr) - 2; i > 0; i-- {
+		if !expr[i].Is("::") {
+			continue
+		}
+		if _, end := readType(expr, i+1); end == len(expr)-1 {
+			return i
+		}
+		return -1
+	}
+	return -1
+}
+
+var functionTypes = map[string]uint32{
+	"count": Int8, "length": Int4, "char_length": Int4, "octet_length": Int4, "pg_is_in_recovery": Bool,
+	"pg_promote": Bool, "exists": Bool, "pg_backend_pid": Int4, "lower": Text, "upper": Text, "version": Text,
+	"current_setting": Text, "set_config": Text, "now": Timestamptz, "clock_timestamp": Timestamptz,
+	"avg": Float8, "pg_sleep": Text, "pg_current_wal_lsn": LSN, "pg_last_wal_receive_lsn": LSN,
+	"pg_last_wal_replay_lsn": LSN, "pg_wal_lsn_diff": Numeric, "gen_random_uuid": UUID, "random": Float8,
+	"pg_last_xact_replay_timestamp": Timestamptz, "txid_current": Int8, "pg_current_wal_flush_lsn": LSN,
+}
+
+func exprType(expr []Token) uint32 {
+	if len(expr) == 0 {
+		return Unknown
+	}
+	first := expr[0]
+	if i := castIndex(expr); i > 0 && !hasOperator(expr[:i]) {
+		name, _ := readType(expr, i+1)
+		return TypeOf(name)
+	}
+	if len(expr) == 1 {
+		return literalType(first)
+	}
+	if first.Is("cast") && expr[len(expr)-1].Is(")") {
+		if i := topLevel(expr[2:len(expr)-1], "as"); i >= 0 {
+			name, _ := readType(expr, i+3)
+			return TypeOf(name)
+		}
+	}
+	if first.Kind == Word && expr[1].Is("(") && CloseParen(expr, 1) == len(expr)-1 {
+		return functionTypes[first.Text]
+	}
+	if isComparison(expr) {
+		return Bool
+	}
+	if topOperator(expr, "||") {
+		return Text
+	}
+	return Unknown
+}
+
+func hasOperator(expr []Token) bool {
+	for _, op := range []string{"+", "-", "*", "/", "||", "=", "<", ">"} {
+		if topOperator(expr, op) {
+			return true
+		}
+	}
+	return false
+}
+
+func topOperator(expr []Token, op string) bool {
+	depth := 0
+	for _, t := range expr {
+		switch {
+		case t.Is("("):
+			depth++
+		case t.Is(")"):
+			depth--
+		case depth == 0 && t.Kind == Op && t.Text == op:
+			return true
+		}
+	}
+	return false
+}
+
+func isComparison(expr []Token) bool {
+	if expr[0].Is("not") {
+		return true
+	}
+	for _, op := range []string{"=", "<>", "!=", "<", ">", "<=", ">="} {
+		if topOperator(expr, op) {
+			return expr[0].Text != "case"
+		}
+	}
+	return false
+}
+
+func literalType(t Token) uint32 {
+	switch {
+	case t.Kind == Number && len(t.Text) < 10 && !strings.ContainsAny(t.Text, ".eE"):
+		return Int4
+	case t.Kind == Number && !strings.ContainsAny(t.Text, ".eE"):
+		return Int8
+	case t.Kind == Number:
+		return Float8
+	case t.Kind == String, t.Is("current_user"), t.Is("session_user"):
+		return Text
+	case t.Is("true"), t.Is("false"):
+		return Bool
+	case t.Is("current_timestamp"):
+		return Timestamptz
+	}
+	return Unknown
+}
--- /dev/null
+++ b/internal/standin/sqltext/lexer.go
@@ -0,0 +1,249 @@
+// Package sqltext splits SQL text in PostgreSQL's dialect into statements,
+// classifies them and rewrites them for SQLite. It understands as much of the
+// language as the stand-in endpoint needs; the SQL engine checks the rest. The
+// package performs no I/O.
+package sqltext
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is the lexical class of a token.
+type Kind uint8
+
+// Lexical classes.
+const (
+	Word Kind = iota
+	QuotedName
+	String
+	Number
+	Param
+	Op
+)
+
+// Token is one lexical element of a statement.
+type Token struct {
+	Kind Kind
+	// Text is the source text; words are in lower case.
+	Text string
+}
+
+// Is reports whether t is the given word or operator.
+func (t Token) Is(text string) bool {
+	return (t.Kind == Word || t.Kind == Op) && t.Text == text
+}
+
+// ErrUnterminated reports a quoted element or comment without an end.
+var ErrUnterminated = errors.New("unterminated quoted string or comment")
+
+type lexer struct {
+	src    string
+	pos    int
+	tokens []Token
+}
+
+// Lex splits src into tokens. Comments and white space are dropped.
+func Lex(src string) ([]Token, error) {
+	l := &lexer{src: src}
+	for l.pos < len(l.src) {
+		if err := l.next(); err != nil {
+			return nil, err
+		}
+	}
+	return l.tokens, nil
+}
+
+func (l *lexer) next() error {
+	c := l.src[l.pos]
+	switch {
+	case isSpace(c):
+		l.pos++
+	case strings.HasPrefix(l.src[l.pos:], "--"):
+		l.skipLine()
+	case strings.HasPrefix(l.src[l.pos:], "/*"):
+		return l.skipBlock()
+	case c == '\'':
+		return l.quoted(String, '\'')
+	case c == '"':
+		return l.quoted(QuotedName, '"')
+	case (c == 'e' || c == 'E') && l.peek(1) == '\'':
+		return l.escaped()
+	case c == '$' && isDigit(l.peek(1)):
+		l.take(Param, l.scan(l.pos+1, isDigit))
+	case c == '$':
+		return l.dollar()
+	case isDigit(c) || (c == '.' && isDigit(l.peek(1))):
+		l.take(Number, l.number())
+	case isLetter(c):
+		l.take(Word, l.scan(l.pos, isWordPart))
+	default:
+		l.operator()
+	}
+	return nil
+}
+
+func (l *lexer) peek(n int) byte {
+	if l.pos+n >= len(l.src) {
+		return 0
+	}
+	return l.src[l.pos+n]
+}
+
+func (l *lexer) scan(from int, accept func(byte) bool) int {
+	for from < len(l.src) && accept(l.src[from]) {
+		from++
+	}
+	return from
+}
+
+func (l *lexer) take(kind Kind, end int) {
+	text := l.src[l.pos:end]
+	if kind == Word {
+		text = strings.ToLower(text)
+	}
+	l.tokens = append(l.tokens, Token{Kind: kind, Text: text})
+	l.pos = end
+}
+
+func (l *lexer) skipLine() {
+	end := strings.IndexByte(l.src[l.pos:], '\n')
+	if end < 0 {
+		l.pos = len(l.src)
+		return
+	}
+	l.pos += end + 1
+}
+
+func (l *lexer) skipBlock() error {
+	end := strings.Index(l.src[l.pos+2:], "*/")
+	if end < 0 {
+		return ErrUnterminated
+	}
+	l.pos += end + 4
+	return nil
+}
+
+func (l *lexer) quoted(kind Kind, quote byte) error {
+	for end := l.pos + 1; end < len(l.src); end++ {
+		if l.src[end] != quote {
+			continue
+		}
+		if end+1 < len(l.src) && l.src[end+1] == quote {
+			end++
+			continue
+		}
+		l.take(kind, end+1)
+		return nil
+	}
+	return ErrUnterminated
+}
+
+// escaped reads a string with backslash escapes, such as E'a\n'.
+func (l *lexer) escaped() error {
+	var value strings.Builder
+	for i := l.pos + 2; i < len(l.src); i++ {
+		c := l.src[i]
+		switch {
+		case c == '\\' && i+1 < len(l.src):
+			i++
+			value.WriteByte(unescape(l.src[i]))
+		case c == '\'' && i+1 < len(l.src) && l.src[i+1] == '\'':
+			i++
+			value.WriteByte('\'')
+		case c == '\'':
+			l.tokens = append(l.tokens, Token{Kind: String, Text: Quote(value.String())})
+			l.pos = i + 1
+			return nil
+		default:
+			value.WriteByte(c)
+		}
+	}
+	return ErrUnterminated
+}
+
+func unescape(c byte) byte {
+	switch c {
+	case 'n':
+		return '\n'
+	case 't':
+		return '\t'
+	case 'r':
+		return '\r'
+	}
+	return c
+}
+
+// dollar reads a dollar-quoted string such as $tag$text$tag$.
+func (l *lexer) dollar() error {
+	tagEnd := l.scan(l.pos+1, isWordPart)
+	if tagEnd >= len(l.src) || l.src[tagEnd] != '$' {
+		l.operator()
+		return nil
+	}
+	tag := l.src[l.pos : tagEnd+1]
+	length := strings.Index(l.src[tagEnd+1:], tag)
+	if length < 0 {
+		return ErrUnterminated
+	}
+	text := l.src[tagEnd+1 : tagEnd+1+length]
+	l.tokens = append(l.tokens, Token{Kind: String, Text: Quote(text)})
+	l.pos = tagEnd + 1 + length + len(tag)
+	return nil
+}
+
+func (l *lexer) number() int {
+	end := l.scan(l.pos, func(c byte) bool { return isDigit(c) || c == '.' })
+	if end < len(l.src) && (l.src[end] == 'e' || l.src[end] == 'E') {
+		exp := end + 1
+		if exp < len(l.src) && (l.src[exp] == '+' || l.src[exp] == '-') {
+			exp++
+		}
+		if exp < len(l.src) && isDigit(l.src[exp]) {
+			end = l.scan(exp, isDigit)
+		}
+	}
+	return end
+}
+
+var longOperators = []string{"::", "<=", ">=", "<>", "!=", "||", "->>", "->"}
+
+func (l *lexer) operator() {
+	for _, op := range longOperators {
+		if strings.HasPrefix(l.src[l.pos:], op) {
+			l.take(Op, l.pos+len(op))
+			return
+		}
+	}
+	l.take(Op, l.pos+1)
+}
+
+func isSpace(c byte) bool  { return c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' }
+func isDigit(c byte) bool  { return c >= '0' && c <= '9' }
+func isLetter(c byte) bool { return c == '_' || c|0x20 >= 'a' && c|0x20 <= 'z' || c >= 0x80 }
+func isWordPart(c byte) bool {
+	return isLetter(c) || isDigit(c)
+}
+
+// Quote returns text as an SQL string literal.
+func Quote(text string) string {
+	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
+}
+
+// Unquote returns the value of a string literal or quoted name.
+func Unquote(literal string) string {
+	if len(literal) < 2 {
+		return literal
+	}
+	quote := literal[:1]
+	return strings.ReplaceAll(literal[1:len(literal)-1], quote+quote, quote)
+}
+
+// Name returns the value of a word or quoted name.
+func (t Token) Name() string {
+	if t.Kind == QuotedName || t.Kind == String {
+		return Unquote(t.Text)
+	}
+	return t.Text
+}
--- /dev/null
+++ b/internal/standin/walfile.go
@@ -0,0 +1,158 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// walFile keeps a log in a folder. Methods on a nil walFile do nothing.
+type walFile struct {
+	dir string
+	log *os.File
+	enc *cbor.Encoder
+}
+
+const (
+	logName     = "log.cbor"
+	historyName = "history.json"
+	roleName    = "role"
+)
+
+// decoding reads integers of both signs as int64, as the SQL engine yields them.
+var decoding = mustDecoding()
+
+func mustDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{IntDec: cbor.IntDecConvertSignedOrFail}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// openWAL reads the log kept in dir; an empty dir keeps it in memory alone.
+func openWAL(dir string) (*wal, error) {
+	w := newWAL()
+	if dir == "" {
+		return w, nil
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, errors.Wrap(err, "data folder")
+	}
+	f := &walFile{dir: dir}
+	if err := f.load(w); err != nil {
+		return nil, err
+	}
+	if err := f.rewrite(w.records); err != nil {
+		return nil, err
+	}
+	w.file = f
+	return w, f.saveHistory(w.history)
+}
+
+func (f *walFile) load(w *wal) error {
+	data, err := os.ReadFile(filepath.Join(f.dir, historyName))
+	if os.IsNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read history")
+	}
+	if err := json.Unmarshal(data, &w.history); err != nil {
+		return errors.Wrap(err, "decode history")
+	}
+	file, err := os.Open(filepath.Join(f.dir, logName))
+	if err != nil {
+		return errors.Wrap(err, "read log")
+	}
+	defer file.Close()
+	dec := decoding.NewDecoder(file)
+	for {
+		var r record
+		err := dec.Decode(&r)
+		if err == io.EOF || err == io.ErrUnexpectedEOF {
+			return nil // a record cut short was never acknowledged
+		}
+		if err != nil {
+			return errors.Wrap(err, "decode log")
+		}
+		w.records = append(w.records, r)
+	}
+}
+
+func (f *walFile) append(r record) error {
+	if f == nil {
+		return nil
+	}
+	return errors.Wrap(f.enc.Encode(r), "append to log")
+}
+
+// rewrite replaces the log on disk by records.
+func (f *walFile) rewrite(records []record) error {
+	if f == nil {
+		return nil
+	}
+	path := filepath.Join(f.dir, logName)
+	file, err := os.Create(path + ".new")
+	if err != nil {
+		return errors.Wrap(err, "create log")
+	}
+	if f.log != nil {
+		f.log.Close()
+	}
+	f.log, f.enc = file, cbor.NewEncoder(file)
+	for _, r := range records {
+		if err := f.append(r); err != nil {
+			return err
+		}
+	}
+	return errors.Wrap(os.Rename(path+".new", path), "replace log")
+}
+
+func (f *walFile) saveHistory(history []timeline) error {
+	if f == nil {
+		return nil
+	}
+	data, err := json.Marshal(history)
+	if err != nil {
+		return errors.Wrap(err, "encode history")
+	}
+	return f.replace(historyName, data)
+}
+
+func (f *walFile) saveRole(role Role) error {
+	if f == nil {
+		return nil
+	}
+	return f.replace(roleName, []byte(role))
+}
+
+// loadRole returns the role saved last, or fallback.
+func (f *walFile) loadRole(fallback Role) Role {
+	if f == nil {
+		return fallback
+	}
+	data, err := os.ReadFile(filepath.Join(f.dir, roleName))
+	if err != nil {
+		return fallback
+	}
+	return Role(data)
+}
+
+func (f *walFile) replace(name string, data []byte) error {
+	path := filepath.Join(f.dir, name)
+	if err := os.WriteFile(path+".new", data, 0o600); err != nil {
+		return errors.Wrap(err, "write "+name)
+	}
+	return errors.Wrap(os.Rename(path+".new", path), "replace "+name)
+}
+
+func (f *walFile) close() {
+	if f != nil && f.log != nil {
+		f.log.Close()
+	}
+}
