Add admission to the slots of endpoints

Cause: an endpoint runs few statements at once; without an order one workspace or one class of long reads can hold them all.

Change: internal/admit keeps one queue per endpoint: classes by precedence with floors for correction and bulk and a cap for bulk, start-time fair queueing over the workspaces of a class charged by slot time, deadlines that end a wait as not run, bounded queues, slots that change at run time. The FIFO order under the same interface is the baseline.

Conclusion: under saturation each workspace gets 0.9 to 1.1 of its share of slot time whatever its requests cost (property test), and each class its floor.

--- /dev/null
+++ b/internal/admit/fifo.go
@@ -0,0 +1,33 @@
+package admit
+
+import (
+	"slices"
+	"time"
+)
+
+// fifo serves requests in the order of arrival.
+type fifo struct {
+	waiters []*waiter
+}
+
+func (f *fifo) push(w *waiter) { f.waiters = append(f.waiters, w) }
+
+func (f *fifo) remove(w *waiter) {
+	if i := slices.Index(f.waiters, w); i >= 0 {
+		f.waiters = slices.Delete(f.waiters, i, i+1)
+	}
+}
+
+func (f *fifo) pop(time.Time, load) *waiter {
+	if len(f.waiters) == 0 {
+		return nil
+	}
+	w := f.waiters[0]
+	f.waiters[0] = nil
+	f.waiters = f.waiters[1:]
+	return w
+}
+
+func (f *fifo) charge(Request) time.Duration { return 0 }
+
+func (f *fifo) settle(runner, time.Duration) {}
--- /dev/null
+++ b/internal/admit/floor.go
@@ -0,0 +1,53 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+)
+
+// maxCredit bounds the slot time that a floor saves up, per slot.
+const maxCredit = 100 * time.Millisecond
+
+// floor guarantees a class a share of slot time. While the class has waiters
+// it earns credit for its share of all slots; the slot time of its ended
+// requests is spent from the credit.
+type floor struct {
+	class note.Class
+	share float64
+	// credit is in seconds of slot time; negative when the class had more.
+	credit  float64
+	updated time.Time
+	waited  bool
+}
+
+// accrue adds the credit earned since the last call, and notes whether the
+// class waits from now on.
+func (f *floor) accrue(now time.Time, l load, waits bool) {
+	if f.waited && now.After(f.updated) {
+		earned := now.Sub(f.updated).Seconds() * f.share * float64(l.slots)
+		f.credit = min(f.credit+earned, maxCredit.Seconds()*float64(l.slots))
+	}
+	if !waits && f.credit > 0 {
+		f.credit = 0
+	}
+	f.updated, f.waited = now, waits
+}
+
+// spend takes the slot time of an ended request from the credit. The debt is
+// bounded, so that one long request does not shut the class out for long.
+func (f *floor) spend(used time.Duration) {
+	f.credit = max(f.credit-used.Seconds(), -maxDebt.Seconds())
+}
+
+// maxDebt bounds the slot time that a class may owe to its floor.
+const maxDebt = time.Second
+
+// due reports whether the floor entitles the class to the next free slot. A
+// class that already holds its share of the slots is not entitled to more.
+func (f *floor) due(l load) bool {
+	if f.share <= 0 || f.credit <= 0 {
+		return false
+	}
+	return float64(l.running[f.class]) < max(1, f.share*float64(l.slots))
+}
--- /dev/null
+++ b/internal/admit/queue.go
@@ -0,0 +1,199 @@
+package admit
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// load is the use of an endpoint's slots.
+type load struct {
+	slots   int
+	running map[note.Class]int
+}
+
+// Queue admits requests to the slots of one endpoint. It is not safe for
+// concurrent use.
+type Queue struct {
+	cfg       Config
+	order     order
+	waiting   map[uint64]*waiter
+	running   map[uint64]runner
+	byClass   map[note.Class]int
+	queued    map[string]int // waiting requests by workspace
+	deadlines deadlineHeap
+	effects   []Effect
+}
+
+// New returns an empty Queue.
+func New(cfg Config) *Queue {
+	q := &Queue{
+		cfg:     cfg,
+		waiting: make(map[uint64]*waiter),
+		running: make(map[uint64]runner),
+		byClass: make(map[note.Class]int),
+		queued:  make(map[string]int),
+	}
+	if cfg.Policy == PolicyFIFO {
+		q.order = &fifo{}
+	} else {
+		q.order = newFair(cfg)
+	}
+	return q
+}
+
+// Arrive adds a request. It is started, queued or refused. An unknown class is
+// served as bulk.
+func (q *Queue) Arrive(now time.Time, r Request) []Effect {
+	q.begin(now)
+	if r.Weight <= 0 {
+		r.Weight = 1
+	}
+	if !slices.Contains(precedence, r.Class) {
+		r.Class = note.ClassBulk
+	}
+	switch {
+	case !r.Deadline.IsZero() && !now.Before(r.Deadline):
+		q.refuse(r.ID, result.DeadlineInQueue)
+	case q.queued[r.Workspace] >= q.cfg.QueueLimit:
+		q.refuse(r.ID, result.QueueFull)
+	default:
+		q.enqueue(r)
+	}
+	return q.dispatch(now)
+}
+
+// Done frees the slot of a started request.
+func (q *Queue) Done(now time.Time, id uint64) []Effect {
+	q.begin(now)
+	if r, ok := q.running[id]; ok {
+		delete(q.running, id)
+		q.byClass[r.request.Class]--
+		q.order.settle(r, now.Sub(r.since))
+	}
+	return q.dispatch(now)
+}
+
+// Cancel takes a waiting request out of the queue without an effect for it. It
+// reports whether the request was still waiting.
+func (q *Queue) Cancel(now time.Time, id uint64) (bool, []Effect) {
+	q.begin(now)
+	w, ok := q.waiting[id]
+	if ok {
+		q.order.remove(w)
+		q.forget(w)
+	}
+	return ok, q.dispatch(now)
+}
+
+// SetSlots changes the number of slots. Running requests are not affected.
+func (q *Queue) SetSlots(now time.Time, slots int) []Effect {
+	q.begin(now)
+	q.cfg.Slots = slots
+	return q.dispatch(now)
+}
+
+// Tick refuses the requests whose deadline has passed.
+func (q *Queue) Tick(now time.Time) []Effect {
+	q.begin(now)
+	return q.dispatch(now)
+}
+
+// NextDeadline returns the time at which Tick is due, or false when no waiting
+// request has a deadline.
+func (q *Queue) NextDeadline() (time.Time, bool) {
+	if len(q.deadlines) == 0 {
+		return time.Time{}, false
+	}
+	return q.deadlines[0].Deadline, true
+}
+
+// Waiting returns the number of waiting requests.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Running returns the number of requests that hold a slot.
+func (q *Queue) Running() int { return len(q.running) }
+
+// begin starts an event: deadlines that have passed come first, so that no
+// request starts after its deadline.
+func (q *Queue) begin(now time.Time) {
+	q.effects = nil
+	for len(q.deadlines) > 0 && !now.Before(q.deadlines[0].Deadline) {
+		w := q.deadlines[0]
+		q.order.remove(w)
+		q.forget(w)
+		q.refuse(w.ID, result.DeadlineInQueue)
+	}
+}
+
+func (q *Queue) refuse(id uint64, code result.Code) {
+	q.effects = append(q.effects, Refuse{ID: id, Code: code})
+}
+
+func (q *Queue) enqueue(r Request) {
+	w := &waiter{Request: r, heapIndex: -1}
+	q.waiting[r.ID] = w
+	q.queued[r.Workspace]++
+	if !r.Deadline.IsZero() {
+		heap.Push(&q.deadlines, w)
+	}
+	q.order.push(w)
+}
+
+// forget drops the accounts of a waiter that the order no longer holds.
+func (q *Queue) forget(w *waiter) {
+	delete(q.waiting, w.ID)
+	q.queued[w.Workspace]--
+	if q.queued[w.Workspace] == 0 {
+		delete(q.queued, w.Workspace)
+	}
+	if w.heapIndex >= 0 {
+		heap.Remove(&q.deadlines, w.heapIndex)
+	}
+}
+
+// dispatch starts waiting requests while slots are free.
+func (q *Queue) dispatch(now time.Time) []Effect {
+	for len(q.running) < q.cfg.Slots {
+		w := q.order.pop(now, load{slots: q.cfg.Slots, running: q.byClass})
+		if w == nil {
+			break
+		}
+		q.forget(w)
+		q.running[w.ID] = runner{request: w.Request, since: now, estimate: q.order.charge(w.Request)}
+		q.byClass[w.Class]++
+		q.effects = append(q.effects, Start{ID: w.ID})
+	}
+	return q.effects
+}
+
+// deadlineHeap orders waiters by deadline.
+type deadlineHeap []*waiter
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].Deadline.Before(h[j].Deadline) }
+
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex, h[j].heapIndex = i, j
+}
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) {
+	w := x.(*waiter)
+	w.heapIndex = len(*h)
+	*h = append(*h, w)
+}
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	w.heapIndex = -1
+	*h = old[:len(old)-1]
+	return w
+}
--- /dev/null
+++ b/internal/admit/queue_test.go
@@ -0,0 +1,300 @@
+package admit
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+var epoch = time.Unix(0, 0)
+
+func req(id uint64, workspace string, class note.Class) Request {
+	return Request{ID: id, Workspace: workspace, Class: class}
+}
+
+func starts(effects []Effect) []uint64 {
+	var ids []uint64
+	for _, e := range effects {
+		if s, ok := e.(Start); ok {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// checker follows the effects of a queue and holds them against its rules.
+type checker struct {
+	t        *rapid.T
+	q        *Queue
+	slots    int
+	waiting  map[uint64]Request
+	running  map[uint64]Request
+	maxSlots int
+}
+
+func (c *checker) take(now time.Time, effects []Effect) {
+	for _, e := range effects {
+		switch ef := e.(type) {
+		case Start:
+			r, ok := c.waiting[ef.ID]
+			if !ok {
+				c.t.Fatalf("request %d started, but it does not wait", ef.ID)
+			}
+			if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+				c.t.Fatalf("request %d started after its deadline", ef.ID)
+			}
+			delete(c.waiting, ef.ID)
+			c.running[ef.ID] = r
+			if len(c.running) > c.slots {
+				c.t.Fatalf("%d requests run in %d slots", len(c.running), c.slots)
+			}
+		case Refuse:
+			r, ok := c.waiting[ef.ID]
+			if !ok {
+				c.t.Fatalf("request %d refused, but it does not wait", ef.ID)
+			}
+			if ef.Code == result.DeadlineInQueue && now.Before(r.Deadline) {
+				c.t.Fatalf("request %d refused before its deadline", ef.ID)
+			}
+			delete(c.waiting, ef.ID)
+		}
+	}
+	c.check()
+}
+
+func (c *checker) check() {
+	if c.q.Waiting() != len(c.waiting) || c.q.Running() != len(c.running) {
+		c.t.Fatalf("queue counts %d and %d, want %d and %d", c.q.Waiting(), c.q.Running(), len(c.waiting), len(c.running))
+	}
+	bulk, others := 0, 0
+	for _, r := range c.running {
+		if r.Class == note.ClassBulk {
+			bulk++
+		}
+	}
+	for _, r := range c.waiting {
+		if r.Class != note.ClassBulk {
+			others++
+		}
+	}
+	if c.maxSlots > 1 && bulk >= c.maxSlots {
+		c.t.Fatalf("bulk holds %d slots of %d", bulk, c.maxSlots)
+	}
+	if others > 0 && len(c.running) < c.slots {
+		c.t.Fatalf("%d requests wait beside free slots", others)
+	}
+}
+
+func TestQueueKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig(rapid.IntRange(1, 6).Draw(t, "slots"))
+		cfg.QueueLimit = rapid.IntRange(1, 8).Draw(t, "limit")
+		c := &checker{t: t, q: New(cfg), slots: cfg.Slots, maxSlots: cfg.Slots, waiting: map[uint64]Request{}, running: map[uint64]Request{}}
+		now, next := epoch, uint64(0)
+		anyOf := func(m map[uint64]Request) uint64 {
+			ids := make([]uint64, 0, len(m))
+			for id := range m {
+				ids = append(ids, id)
+			}
+			slices.Sort(ids)
+			return rapid.SampledFrom(ids).Draw(t, "id")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				next++
+				r := req(next, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"), rapid.SampledFrom(precedence).Draw(t, "class"))
+				r.Weight = rapid.Float64Range(0.1, 10).Draw(t, "weight")
+				if rapid.Bool().Draw(t, "bounded") {
+					r.Deadline = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "deadline")) * time.Millisecond)
+				}
+				c.waiting[r.ID] = r
+				c.take(now, c.q.Arrive(now, r))
+			},
+			"done": func(t *rapid.T) {
+				if len(c.running) == 0 {
+					t.Skip("nothing runs")
+				}
+				id := anyOf(c.running)
+				delete(c.running, id)
+				c.take(now, c.q.Done(now, id))
+			},
+			"cancel": func(t *rapid.T) {
+				if len(c.waiting) == 0 {
+					t.Skip("nothing waits")
+				}
+				id := anyOf(c.waiting)
+				r := c.waiting[id]
+				delete(c.waiting, id)
+				ok, effects := c.q.Cancel(now, id)
+				if !ok {
+					c.waiting[id] = r // its deadline has just passed
+				}
+				c.take(now, effects)
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * time.Millisecond)
+				c.take(now, c.q.Tick(now))
+			},
+			"slots": func(t *rapid.T) {
+				c.slots = rapid.IntRange(1, 6).Draw(t, "slots")
+				c.maxSlots = max(c.maxSlots, c.slots)
+				c.take(now, c.q.SetSlots(now, c.slots))
+			},
+		})
+	})
+}
+
+func TestDeadlineEndsTheWait(t *testing.T) {
+	q := New(DefaultConfig(1))
+	q.Arrive(epoch, req(1, "a", note.ClassInteractive))
+	late := req(2, "a", note.ClassInteractive)
+	late.Deadline = epoch.Add(time.Second)
+	q.Arrive(epoch, late)
+	if due, ok := q.NextDeadline(); !ok || !due.Equal(late.Deadline) {
+		t.Fatalf("next deadline %v %v", due, ok)
+	}
+	got := q.Done(late.Deadline, 1)
+	want := Refuse{ID: 2, Code: result.DeadlineInQueue}
+	if len(got) != 1 || got[0] != want {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+}
+
+func TestQueueOfOneWorkspaceIsBounded(t *testing.T) {
+	cfg := DefaultConfig(1)
+	cfg.QueueLimit = 2
+	q := New(cfg)
+	var last []Effect
+	for id := range uint64(4) {
+		last = q.Arrive(epoch, req(id, "a", note.ClassInteractive))
+	}
+	if want := (Refuse{ID: 3, Code: result.QueueFull}); len(last) != 1 || last[0] != want {
+		t.Fatalf("got %v, want %v", last, want)
+	}
+	if got := q.Arrive(epoch, req(9, "b", note.ClassInteractive)); len(got) != 0 {
+		t.Fatalf("another workspace was affected: %v", got)
+	}
+}
+
+func TestClassesAreServedByPrecedence(t *testing.T) {
+	q := New(DefaultConfig(1))
+	q.Arrive(epoch, req(1, "a", note.ClassInteractive))
+	q.Arrive(epoch, req(2, "b", note.ClassBulk))
+	q.Arrive(epoch, req(3, "c", note.ClassCorrection))
+	q.Arrive(epoch, req(4, "d", note.ClassInteractive))
+	var order []uint64
+	for id := uint64(1); id != 0; {
+		next := starts(q.Done(epoch, id))
+		id = 0
+		if len(next) > 0 {
+			id = next[0]
+			order = append(order, id)
+		}
+	}
+	if !slices.Equal(order, []uint64{4, 3, 2}) {
+		t.Fatalf("order %v", order)
+	}
+}
+
+func TestFIFOServesInOrderOfArrival(t *testing.T) {
+	cfg := DefaultConfig(1)
+	cfg.Policy = PolicyFIFO
+	q := New(cfg)
+	for id := range uint64(3) {
+		q.Arrive(epoch, req(id, "a", precedence[2-id]))
+	}
+	if got := starts(q.Done(epoch, 0)); !slices.Equal(got, []uint64{1}) {
+		t.Fatalf("started %v", got)
+	}
+}
+
+// saturate keeps the given number of requests of each source waiting and
+// returns the slot time that each source got.
+func saturate(cfg Config, total time.Duration, sources []source) []time.Duration {
+	q := New(cfg)
+	used := make([]time.Duration, len(sources))
+	owner, began := map[uint64]int{}, map[uint64]time.Time{}
+	now, next := epoch, uint64(0)
+	var running []uint64
+	take := func(effects []Effect) {
+		for _, id := range starts(effects) {
+			running = append(running, id)
+			began[id] = now
+		}
+	}
+	arrive := func(i int) {
+		next++
+		owner[next] = i
+		r := req(next, sources[i].workspace, sources[i].class)
+		r.Weight = sources[i].weight
+		take(q.Arrive(now, r))
+	}
+	for i := range sources {
+		for range 20 {
+			arrive(i)
+		}
+	}
+	for now.Sub(epoch) < total {
+		end := func(id uint64) time.Time { return began[id].Add(sources[owner[id]].service) }
+		first := slices.MinFunc(running, func(a, b uint64) int { return end(a).Compare(end(b)) })
+		running = slices.DeleteFunc(running, func(id uint64) bool { return id == first })
+		now = end(first)
+		i := owner[first]
+		used[i] += sources[i].service
+		take(q.Done(now, first))
+		arrive(i)
+	}
+	return used
+}
+
+type source struct {
+	workspace string
+	class     note.Class
+	weight    float64
+	service   time.Duration
+}
+
+func TestSlotTimeFollowsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sources []source
+		weights := 0.0
+		for i := range rapid.IntRange(2, 5).Draw(t, "workspaces") {
+			s := source{
+				workspace: fmt.Sprint(i), class: note.ClassInteractive,
+				weight:  float64(rapid.IntRange(1, 4).Draw(t, "weight")),
+				service: time.Duration(rapid.IntRange(1, 40).Draw(t, "service")) * time.Millisecond,
+			}
+			sources = append(sources, s)
+			weights += s.weight
+		}
+		total := 20 * time.Second
+		slots := rapid.IntRange(1, 3).Draw(t, "slots")
+		used := saturate(DefaultConfig(slots), total, sources)
+		for i, s := range sources {
+			fair := total.Seconds() * float64(slots) * s.weight / weights
+			if got := used[i].Seconds() / fair; got < 0.9 || got > 1.1 {
+				t.Fatalf("workspace %d of %+v got %.2f of its fair share", i, sources, got)
+			}
+		}
+	})
+}
+
+func TestLowerClassesKeepTheirFloors(t *testing.T) {
+	used := saturate(DefaultConfig(5), time.Minute, []source{
+		{"crew", note.ClassInteractive, 1, 5 * time.Millisecond},
+		{"sync", note.ClassCorrection, 1, 5 * time.Millisecond},
+		{"audit", note.ClassBulk, 1, 50 * time.Millisecond},
+	})
+	all := 5 * time.Minute.Seconds()
+	for i, floor := range []float64{0.6, DefaultCorrectionFloor, DefaultBulkFloor} {
+		if share := used[i].Seconds() / all; share < 0.9*floor {
+			t.Errorf("class %s got %.3f of the slot time, its floor is %.2f", precedence[i], share, floor)
+		}
+	}
+}
