--- /dev/null
+++ b/internal/entry/failure_test.go
@@ -0,0 +1,325 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+func withdrawKey(s *agreed.State) { delete(s.Catalog.Keys, "crew-1") }
+
+func TestWithdrawnKeyClosesAnIdleCaller(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	f.publish(withdrawKey)
+	// The session ends without a request of the caller.
+	front := conn.PgConn().Frontend()
+	msg, err := front.Receive()
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusal, ok := msg.(*pgproto3.ErrorResponse)
+	if !ok || !strings.HasPrefix(refusal.Message, "GB1003 ") || refusal.Severity != "FATAL" {
+		t.Fatalf("%+v", msg)
+	}
+	if _, err := pgx.Connect(testContext(t), f.url("crew", callerKey, "")); err == nil {
+		t.Error("the key still opens sessions")
+	}
+}
+
+func TestWithdrawnKeyCancelsATransaction(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int primary key)")
+	mustExec(t, conn, "begin")
+	mustExec(t, conn, "insert into entries values (1)")
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "select pg_sleep(100)")
+		done <- err
+	}()
+	f.waitHeld()
+	f.publish(withdrawKey)
+	wantCode(t, <-done, result.KeyWithdrawn)
+	if n := queryInt(t, f.direct(0), "select count(*) from entries"); n != 0 {
+		t.Error("the transaction was committed")
+	}
+}
+
+// waitHeld waits until a session uses an endpoint connection.
+func (f *fixture) waitHeld() {
+	f.t.Helper()
+	eventually(f.t, "statement sent", func() bool {
+		for _, s := range f.server.list() {
+			s.mu.Lock()
+			held := s.held != nil
+			s.mu.Unlock()
+			if held {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func TestNoWorkPastTheLease(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int primary key)")
+	f.expire()
+	_, err := conn.Exec(testContext(t), "insert into entries values (1)")
+	wantCode(t, err, result.NoConfigLease)
+	_, err = pgx.Connect(testContext(t), f.url("crew", callerKey, ""))
+	wantCode(t, err, result.NoConfigLease)
+	f.publish(func(*agreed.State) {})
+	if n := queryInt(t, conn, "select count(*) from entries"); n != 0 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestRequestIsHeldWhileThereIsNoPrimary(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int primary key)")
+	seal := func(s *agreed.State) {
+		g := s.Groups[testService]
+		g.Term, g.Phase = g.Term+1, agreed.PhaseSealed
+		s.Groups[testService] = g
+	}
+	f.publish(seal)
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "insert into entries values (1)")
+		done <- err
+	}()
+	hurried := f.connect("galenabridge.deadline=50")
+	_, err := hurried.Exec(testContext(t), "insert into entries values (2)")
+	wantCode(t, err, result.NoPrimary)
+	f.publish(func(s *agreed.State) {
+		g := s.Groups[testService]
+		g.Phase = agreed.PhaseActive
+		s.Groups[testService] = g
+	})
+	if err := <-done; err != nil {
+		t.Fatalf("the held request: %v", err)
+	}
+	if n := queryInt(t, conn, "select count(*) from entries"); n != 1 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestOutcomeIsUnknownWhenTheAnswerIsLost(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int primary key)")
+	f.group.Servers[0].Faults().DropAfterCommit(1)
+	_, err := conn.Exec(testContext(t), "insert into entries values (1)")
+	wantCode(t, err, result.OutcomeUnknown)
+	mustExec(t, conn, "insert into entries values (2)")
+	if n := queryInt(t, conn, "select count(*) from entries"); n != 2 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestNoAcknowledgementWithoutAMajority(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int primary key)")
+	f.group.Servers[0].Faults().Partition("replication", true)
+	mustExec(t, conn, "set galenabridge.deadline = '100'")
+	_, err := conn.Exec(testContext(t), "insert into entries values (1)")
+	wantCode(t, err, result.OutcomeUnknown)
+}
+
+func TestLateAnswerOfAReplacedPrimaryIsNotPassedOn(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int primary key)")
+	f.group.Servers[0].Faults().Stall(true)
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "insert into entries values (1)")
+		done <- err
+	}()
+	f.waitHeld()
+	f.publish(func(s *agreed.State) {
+		g := s.Groups[testService]
+		g.Term, g.Primary = g.Term+1, g.Members[1]
+		s.Groups[testService] = g
+	})
+	wantCode(t, <-done, result.OutcomeUnknown)
+	f.group.Servers[0].Faults().Stall(false)
+}
+
+func TestLostTransactionStaysFailed(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int primary key)")
+	mustExec(t, conn, "begin")
+	mustExec(t, conn, "insert into entries values (1)")
+	f.publish(func(s *agreed.State) {
+		g := s.Groups[testService]
+		g.Term++
+		s.Groups[testService] = g
+	})
+	_, err := conn.Exec(testContext(t), "insert into entries values (2)")
+	wantCode(t, err, result.EndpointLost)
+	_, err = conn.Exec(testContext(t), "insert into entries values (3)")
+	var pgErr *pgconn.PgError
+	if !errors.As(err, &pgErr) || pgErr.Code != "25P02" {
+		t.Fatalf("a statement after the loss: %v", err)
+	}
+	tag, err := conn.Exec(testContext(t), "commit")
+	if err != nil || tag.String() != "ROLLBACK" {
+		t.Fatalf("%s, %v", tag, err)
+	}
+	if n := queryInt(t, conn, "select count(*) from entries"); n != 0 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestOversizedMessage(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	_, err := conn.Exec(testContext(t), "select '"+strings.Repeat("x", 2<<20)+"'")
+	wantCode(t, err, result.MessageTooLarge)
+	if n := queryInt(t, f.connect(""), "select 1"); n != 1 {
+		t.Error("the server does not go on")
+	}
+}
+
+func TestMalformedMessage(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	raw := conn.PgConn().Conn()
+	if _, err := raw.Write([]byte{'?', 0, 0, 0, 4}); err != nil {
+		t.Fatal(err)
+	}
+	msg, err := conn.PgConn().Frontend().Receive()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if refusal, ok := msg.(*pgproto3.ErrorResponse); !ok || refusal.Code != "08P01" {
+		t.Errorf("%+v", msg)
+	}
+	nc, err := net.Dial("tcp", f.server.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	if _, err := nc.Write([]byte("GET / HTTP/1.1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	if n := queryInt(t, f.connect(""), "select 1"); n != 1 {
+		t.Error("the server does not go on")
+	}
+}
+
+func TestClientThatStopsReadingIsClosed(t *testing.T) {
+	f := newFixture(t, fixtureConfig{options: func(o *Options) { o.WriteTimeout = 50 * time.Millisecond }})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (word text)")
+	for range 8 {
+		mustExec(t, conn, "insert into entries values ($1)", strings.Repeat("x", 512<<10))
+	}
+	front := conn.PgConn().Frontend()
+	front.SendQuery(&pgproto3.Query{String: "select a.word from entries a, entries b"})
+	if err := front.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "session closed", func() bool { return len(f.server.list()) == 0 })
+	if n := queryInt(t, f.connect(""), "select count(*) from entries"); n != 8 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestCancel(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "select pg_sleep(100)")
+		done <- err
+	}()
+	f.waitHeld()
+	if err := conn.PgConn().CancelRequest(testContext(t)); err != nil {
+		t.Fatal(err)
+	}
+	var pgErr *pgconn.PgError
+	if err := <-done; !errors.As(err, &pgErr) || pgErr.Code != "57014" {
+		t.Fatalf("%v", err)
+	}
+	if n := queryInt(t, conn, "select 1"); n != 1 {
+		t.Error("the session does not go on")
+	}
+}
+
+func TestDrainLetsTransactionsEnd(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	idle, busy := f.connect(""), f.connect("")
+	mustExec(t, busy, "create table entries (id int primary key)")
+	mustExec(t, busy, "begin")
+	drained := make(chan error, 1)
+	go func() { drained <- f.server.Drain(testContext(t)) }()
+	msg, err := idle.PgConn().Frontend().Receive()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if farewell, ok := msg.(*pgproto3.ErrorResponse); !ok || farewell.Code != "57P01" {
+		t.Errorf("%+v", msg)
+	}
+	mustExec(t, busy, "insert into entries values (1)")
+	mustExec(t, busy, "commit")
+	if err := <-drained; err != nil {
+		t.Fatal(err)
+	}
+	if n := queryInt(t, f.direct(0), "select count(*) from entries"); n != 1 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestOpenWorkspaceReadsOnly(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	mustExec(t, f.connect(""), "create table entries (id int primary key)")
+	conn, err := pgx.Connect(testContext(t), f.url("pull", "", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close(context.Background()) }()
+	if n := queryInt(t, conn, "select count(*) from entries"); n != 0 {
+		t.Errorf("%d rows", n)
+	}
+	for _, sql := range []string{
+		"insert into entries values (1)", "begin read write", "set default_transaction_read_only = off",
+		"select 1; insert into entries values (1)",
+	} {
+		if _, err := conn.Exec(testContext(t), sql); err == nil {
+			t.Errorf("%q was accepted", sql)
+		}
+	}
+	if n := queryInt(t, f.direct(0), "select count(*) from entries"); n != 0 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestWorkspaceMayBeBoundToServices(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	f.publish(func(s *agreed.State) {
+		s.Catalog.Workspaces["crew"] = note.Workspace{Name: "crew", Rate: 1, Burst: 1, Class: "bulk", Services: []string{"other"}}
+	})
+	_, err := pgx.Connect(testContext(t), f.url("crew", callerKey, ""))
+	wantCode(t, err, result.NotAllowed)
+	_, err = pgx.Connect(testContext(t), strings.Replace(f.url("crew", callerKey, ""), "/"+testService, "/other", 1))
+	wantCode(t, err, result.UnknownService)
+}
