Add the choice of endpoints

Cause: reads can be served by replicas only when they hold what the caller must see, and one slow or failing endpoint must not take its share of errors.

Change: internal/route keeps one table per service. Writes go to the primary. Reads go to a replica on the group's timeline that has the required position, or that provably holds everything written a stated time ago; the better of two drawn at random, local ones first unless loaded. Failing replicas are ejected with back-off, never more than half of the members; returned ones start slowly; failure domains out and services leaving get no new work.

Conclusion: staleness needs no clock of the database: a replica at a position that the primary had when asked holds all that was written before.

--- /dev/null
+++ b/internal/route/table_test.go
@@ -0,0 +1,307 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+var start = time.Unix(100, 0)
+
+func groupView() View {
+	return View{
+		Service: "s", Term: 2, Timeline: 2, Primary: "p", Active: true,
+		Members: []Member{{Endpoint: "p", Domain: "d1", Slots: 5}, {Endpoint: "r1", Domain: "d1", Slots: 5}, {Endpoint: "r2", Domain: "d2", Slots: 5}},
+	}
+}
+
+func newTable(seed uint64) *Table {
+	return NewTable(DefaultConfig("d1"), rand.New(rand.NewPCG(seed, 0)))
+}
+
+// ready returns a table whose replicas have replayed everything.
+func ready() *Table {
+	t := newTable(1)
+	t.SetView(start, groupView())
+	report(t, start, 100, 100, 100)
+	return t
+}
+
+// report observes the primary and both replicas at the given positions.
+func report(t *Table, now time.Time, primary, r1, r2 uint64) {
+	t.Observe(now, Status{Endpoint: "p", Asked: now, Timeline: 2, LSN: primary})
+	t.Observe(now, Status{Endpoint: "r1", Asked: now, Timeline: 2, InRecovery: true, LSN: r1})
+	t.Observe(now, Status{Endpoint: "r2", Asked: now, Timeline: 2, InRecovery: true, LSN: r2})
+}
+
+func expectPick(t *testing.T, table *Table, now time.Time, need Need, want string) {
+	t.Helper()
+	got, err := table.Pick(now, need)
+	if err != nil || got != want {
+		t.Fatalf("picked %q, %v; want %q", got, err, want)
+	}
+}
+
+func expectCode(t *testing.T, table *Table, now time.Time, need Need, want result.Code) {
+	t.Helper()
+	got, err := table.Pick(now, need)
+	if result.CodeOf(err) != want {
+		t.Fatalf("picked %q, %v; want code %d", got, err, want)
+	}
+}
+
+func TestWriteGoesToThePrimaryOnly(t *testing.T) {
+	table := ready()
+	expectPick(t, table, start, Need{Exclude: []string{"p"}}, "p")
+	v := groupView()
+	v.Active, v.Reason = false, "sealed"
+	table.SetView(start, v)
+	expectCode(t, table, start, Need{}, result.NoPrimary)
+	expectPick(t, table, start, Need{ReadOnly: true}, "r1")
+}
+
+func TestReadNeedsItsPosition(t *testing.T) {
+	table := ready()
+	report(table, start, 200, 150, 180)
+	read := func(lsn uint64) Need { return Need{ReadOnly: true, Min: Position{Term: 2, LSN: lsn}} }
+	expectPick(t, table, start, read(150), "r1")
+	expectPick(t, table, start, read(151), "r2")
+	expectPick(t, table, start, read(181), "p")
+	expectCode(t, table, start, Need{ReadOnly: true, Min: Position{Term: 3}}, result.NoEndpoint)
+}
+
+func TestReplicaOnAnotherTimelineIsNotUsed(t *testing.T) {
+	table := ready()
+	for _, id := range []string{"r1", "r2"} {
+		table.Observe(start, Status{Endpoint: id, Asked: start, Timeline: 1, InRecovery: true, LSN: 900})
+	}
+	expectPick(t, table, start, Need{ReadOnly: true}, "p")
+	expectPick(t, table, start, Need{ReadOnly: true, MaxStaleness: time.Second}, "p")
+}
+
+func TestStalenessIsMeasuredFromThePrimarysPositions(t *testing.T) {
+	table := newTable(1)
+	table.SetView(start, groupView())
+	for i := range 11 {
+		report(table, start.Add(time.Duration(i)*time.Second), uint64(100+i), 105, 0)
+	}
+	now := start.Add(10 * time.Second)
+	expectPick(t, table, now, Need{ReadOnly: true, MaxStaleness: 5 * time.Second}, "r1")
+	expectPick(t, table, now, Need{ReadOnly: true, MaxStaleness: 5*time.Second - 1}, "p")
+}
+
+func TestNoNewWorkWhereItIsNotWanted(t *testing.T) {
+	table := ready()
+	v := groupView()
+	v.Members[1].Out = true
+	table.SetView(start, v)
+	expectPick(t, table, start, Need{ReadOnly: true}, "r2")
+	v = groupView()
+	v.Members[0].Out = true
+	table.SetView(start, v)
+	expectCode(t, table, start, Need{}, result.NoPrimary)
+	for i := range v.Members {
+		v.Members[i].Out = true
+	}
+	table.SetView(start, v)
+	expectCode(t, table, start, Need{ReadOnly: true}, result.NoEndpoint)
+	v = groupView()
+	v.Leaving = true
+	table.SetView(start, v)
+	expectCode(t, table, start, Need{}, result.NoPrimary)
+	expectCode(t, table, start, Need{ReadOnly: true}, result.NoEndpoint)
+}
+
+func TestSilentReplicaIsNotUsed(t *testing.T) {
+	table := ready()
+	later := start.Add(table.cfg.StatusTTL + 1)
+	expectPick(t, table, later, Need{ReadOnly: true}, "p")
+	report(table, later, 100, 100, 100)
+	table.Observe(later, Status{Endpoint: "r1", Asked: later, Failed: true})
+	expectPick(t, table, later, Need{ReadOnly: true}, "r2")
+}
+
+func TestFailuresEjectWithBackOffAndFloor(t *testing.T) {
+	table := ready()
+	now := start
+	fail := func(id string) {
+		for range table.cfg.EjectAfter {
+			table.Begin(id)
+			table.End(now, Report{Endpoint: id, Failed: true}, true)
+		}
+	}
+	fail("r1")
+	expectPick(t, table, now, Need{ReadOnly: true}, "r2")
+	fail("r2") // one of three members is out already; two would be too many
+	expectPick(t, table, now, Need{ReadOnly: true}, "r2")
+	now = now.Add(table.cfg.EjectBase)
+	report(table, now, 100, 100, 100)
+	expectPick(t, table, now, Need{ReadOnly: true, Exclude: []string{"r2"}}, "r1")
+	fail("r1")
+	now = now.Add(2*table.cfg.EjectBase - 1)
+	report(table, now, 100, 100, 100)
+	expectPick(t, table, now, Need{ReadOnly: true, Exclude: []string{"r2"}}, "p")
+}
+
+func TestLocalReplicaUnlessLoaded(t *testing.T) {
+	table := ready()
+	expectPick(t, table, start, Need{ReadOnly: true}, "r1")
+	for range 5 {
+		table.Begin("r1")
+	}
+	expectPick(t, table, start, Need{ReadOnly: true}, "r2")
+}
+
+func TestReturnedReplicaStartsSlowly(t *testing.T) {
+	table := newTable(7)
+	v := groupView()
+	v.Members[1].Domain = "d2" // both replicas are remote
+	out := v
+	out.Members = append([]Member(nil), v.Members...)
+	out.Members[1].Out = true
+	table.SetView(start, out)
+	report(table, start, 1, 1, 1)
+	table.SetView(start, v)
+	share := func(now time.Time) float64 {
+		report(table, now, 1, 1, 1)
+		n := 0
+		for range 4000 {
+			if id, _ := table.Pick(now, Need{ReadOnly: true}); id == "r1" {
+				n++
+			}
+		}
+		return float64(n) / 4000
+	}
+	if early := share(start); early > 0.15 {
+		t.Errorf("share %.2f right after the return", early)
+	}
+	if late := share(start.Add(table.cfg.SlowStart)); late < 0.45 || late > 0.55 {
+		t.Errorf("share %.2f after the slow start", late)
+	}
+}
+
+// The table is held against a direct reading of its rules, with a primary that
+// writes, replicas that lag and statuses that arrive late.
+func TestPickedEndpointQualifies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"))
+		for range 300 {
+			w.step()
+			if w.failure != "" {
+				t.Fatal(w.failure)
+			}
+		}
+	})
+}
+
+// world is a group as it really is, beside the table that only sees statuses.
+type world struct {
+	rnd     *rand.Rand
+	table   *Table
+	now     time.Time
+	view    View
+	written []sample // the primary's position by time
+	lsn     map[string]uint64
+	late    []Status
+	failure string
+}
+
+func newWorld(seed uint64) *world {
+	w := &world{rnd: rand.New(rand.NewPCG(seed, 2)), now: start, view: groupView(), lsn: map[string]uint64{}}
+	w.table = NewTable(DefaultConfig("d1"), w.rnd)
+	w.table.SetView(w.now, w.view)
+	w.written = []sample{{at: w.now}}
+	return w
+}
+
+func (w *world) step() {
+	w.now = w.now.Add(time.Duration(w.rnd.IntN(100)) * time.Millisecond)
+	switch w.rnd.IntN(8) {
+	case 0, 1:
+		w.lsn["p"] += uint64(w.rnd.IntN(50))
+		w.written = append(w.written, sample{at: w.now, lsn: w.lsn["p"]})
+	case 2, 3:
+		id := []string{"r1", "r2"}[w.rnd.IntN(2)]
+		w.lsn[id] += uint64(w.rnd.Int64N(int64(w.lsn["p"]-w.lsn[id]) + 1))
+	case 4:
+		i := w.rnd.IntN(3)
+		w.view.Members = append([]Member(nil), w.view.Members...)
+		w.view.Members[i].Out = !w.view.Members[i].Out
+		w.table.SetView(w.now, w.view)
+	case 5:
+		m := w.view.Members[w.rnd.IntN(3)].Endpoint
+		w.table.Begin(m)
+		w.table.End(w.now, Report{Endpoint: m, Failed: w.rnd.IntN(2) == 0, Latency: time.Millisecond}, true)
+	default:
+		w.report()
+	}
+	w.pick()
+}
+
+// report reads a status and delivers it or an older one.
+func (w *world) report() {
+	m := w.view.Members[w.rnd.IntN(3)].Endpoint
+	s := Status{Endpoint: m, Asked: w.now, Timeline: 2, InRecovery: m != "p", LSN: w.lsn[m], Failed: w.rnd.IntN(10) == 0}
+	w.late = append(w.late, s)
+	i := w.rnd.IntN(len(w.late))
+	w.table.Observe(w.now, w.late[i])
+	w.late = append(w.late[:i], w.late[i+1:]...)
+}
+
+func (w *world) pick() {
+	need := Need{ReadOnly: w.rnd.IntN(4) > 0, Min: Position{Term: 2, LSN: uint64(w.rnd.Int64N(int64(w.lsn["p"]) + 1))}}
+	if w.rnd.IntN(2) == 0 {
+		need.MaxStaleness = time.Duration(1+w.rnd.IntN(2000)) * time.Millisecond
+	}
+	id, err := w.table.Pick(w.now, need)
+	if err != nil {
+		if !w.view.Members[0].Out {
+			w.failure = fmt.Sprintf("%+v failed beside a primary in use: %v", need, err)
+		}
+		return
+	}
+	e := w.table.endpoints[id]
+	switch {
+	case e.member.Out:
+		w.failure = fmt.Sprintf("%s is out of use", id)
+	case !need.ReadOnly && id != "p":
+		w.failure = fmt.Sprintf("a write was routed to %s", id)
+	case id == "p":
+	case e.isEjected(w.now):
+		w.failure = fmt.Sprintf("%s is ejected", id)
+	case need.MaxStaleness == 0 && w.lsn[id] < need.Min.LSN:
+		w.failure = fmt.Sprintf("%s is at %d, %d is needed", id, w.lsn[id], need.Min.LSN)
+	case need.MaxStaleness > 0 && w.lsn[id] < w.writtenBy(w.now.Add(-need.MaxStaleness)):
+		w.failure = fmt.Sprintf("%s lacks writes that are older than %s", id, need.MaxStaleness)
+	}
+}
+
+// writtenBy returns the primary's position at a past time.
+func (w *world) writtenBy(at time.Time) uint64 {
+	var lsn uint64
+	for _, s := range w.written {
+		if !s.at.After(at) {
+			lsn = s.lsn
+		}
+	}
+	return lsn
+}
+
+func BenchmarkPickRead(b *testing.B) {
+	table := ready()
+	need := Need{ReadOnly: true, Min: Position{Term: 2, LSN: 50}}
+	b.ReportAllocs()
+	for b.Loop() {
+		id, err := table.Pick(start, need)
+		if err != nil {
+			b.Fatal(err)
+		}
+		table.Begin(id)
+		table.End(start, Report{Endpoint: id, Latency: time.Millisecond}, true)
+	}
+}
--- /dev/null
+++ b/internal/route/types.go
@@ -0,0 +1,116 @@
+// Package route chooses the endpoint of a database group that a request runs
+// on. Writes go to the primary; reads go to a replica that is fresh enough and
+// least loaded, and to the primary only when no replica qualifies. The package
+// performs no I/O, reads no clock and takes its randomness from the caller.
+package route
+
+import "time"
+
+// Position is a log position in a term of the group.
+type Position struct {
+	Term uint64
+	// LSN is the log position in bytes.
+	LSN uint64
+}
+
+// Rand is a source of random numbers, such as *rand.Rand.
+type Rand interface {
+	// IntN returns a number in [0, n).
+	IntN(n int) int
+	// Float64 returns a number in [0, 1).
+	Float64() float64
+}
+
+// Config holds the settings of a Table.
+type Config struct {
+	// Domain is the failure domain of this host.
+	Domain string
+	// StatusTTL is how long a replica's status counts without a newer one.
+	StatusTTL time.Duration
+	// EjectAfter is the number of consecutive failures that eject a replica.
+	EjectAfter int
+	// EjectBase is the time of the first ejection. Each further one takes twice
+	// as long, up to EjectMax.
+	EjectBase time.Duration
+	EjectMax  time.Duration
+	// SlowStart is the time over which a returned replica gets its full share.
+	SlowStart time.Duration
+	// SpillFactor is how many times the load of a remote replica a local one
+	// may carry and still be preferred.
+	SpillFactor float64
+	// LatencyWindow is the time constant of the average latency.
+	LatencyWindow time.Duration
+}
+
+// DefaultConfig returns the settings for a host in the given failure domain.
+func DefaultConfig(domain string) Config {
+	return Config{
+		Domain:        domain,
+		StatusTTL:     time.Second,
+		EjectAfter:    3,
+		EjectBase:     time.Second,
+		EjectMax:      30 * time.Second,
+		SlowStart:     10 * time.Second,
+		SpillFactor:   2,
+		LatencyWindow: 5 * time.Second,
+	}
+}
+
+// View is the agreed state of the group.
+type View struct {
+	Service string
+	Term    uint64
+	// Timeline is the database timeline of the term.
+	Timeline uint32
+	Primary  string
+	// Active reports that the primary may be used under the term.
+	Active bool
+	// Leaving reports that the service gets no new work.
+	Leaving bool
+	// Reason tells why the group is not active.
+	Reason  string
+	Members []Member
+}
+
+// Member is an endpoint of the group.
+type Member struct {
+	Endpoint string
+	Domain   string
+	// Out reports that the member gets no new work: its failure domain is out
+	// or it is leaving.
+	Out bool
+	// Slots is the number of requests that it runs at once.
+	Slots int
+}
+
+// Status is what an endpoint reported of itself.
+type Status struct {
+	Endpoint string
+	// Asked is when the question was sent; the answer is at least as new.
+	Asked      time.Time
+	Failed     bool
+	InRecovery bool
+	Timeline   uint32
+	// LSN is the current position of a primary or the replayed position of a
+	// replica.
+	LSN uint64
+}
+
+// Need describes what a request requires of an endpoint.
+type Need struct {
+	ReadOnly bool
+	// Min is the position that a replica must have replayed.
+	Min Position
+	// MaxStaleness, when above zero, replaces Min: the replica must hold
+	// everything that was written this long ago.
+	MaxStaleness time.Duration
+	// Exclude lists endpoints that a read has already tried.
+	Exclude []string
+}
+
+// Report tells how a request on an endpoint ended.
+type Report struct {
+	Endpoint string
+	Failed   bool
+	Latency  time.Duration
+}
