Check consensus under random schedules of faults

Cause: agreement is only worth its checks under loss, reorder and crashes. Mended: a learner that its log names, but the group does not, now asks to be let in again.

--- a/internal/consensus/checker_test.go
+++ b/internal/consensus/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -79,13 +80,31 @@
 		k.maxCommit = max(k.maxCommit, e.Index)
 	}
 	for _, r := range rd.Confirmed {
-		if r.Index < k.calls[r.ID] {
-			k.fail("confirmed read %d at %d is older than the commit %d before it", r.ID, r.Index, k.calls[r.ID])
-		}
+		k.checkRead(r)
 	}
 	k.checkLogs(c, p)
 }
 
+// checkRead checks that a confirmed read sees all commits before its call.
+func (k *checker) checkRead(r Confirmation) {
+	if r.Index < k.calls[r.ID] {
+		k.fail("confirmed read %d at %d is older than the commit %d before it", r.ID, r.Index, k.calls[r.ID])
+	}
+}
+
+// checkState checks a state that came by snapshot against the history.
+func (k *checker) checkState(p *process) {
+	var want []string
+	for i := uint64(1); i <= p.state.index; i++ {
+		if e := k.committed[i]; e.Kind == EntryCommand && e.Index != 0 {
+			want = append(want, string(e.Data))
+		}
+	}
+	if !slices.Equal(p.state.commands, want) {
+		k.fail("%s installed %q at %d, applied were %q", p.cfg.Host, p.state.commands, p.state.index, want)
+	}
+}
+
 // checkLeader checks election safety and leader completeness.
 func (k *checker) checkLeader(p *process) {
 	term := p.node.hard.Term
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -3,9 +3,15 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"testing"
 )
 
+// testingT is the part of testing.TB that rapid.T has as well.
+type testingT interface {
+	Helper()
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // disk is the content of a data folder in a test.
 type disk struct {
 	Stored
@@ -54,26 +60,42 @@
 	commands []string
 }
 
+// crashPoint tells where a process stops while it handles work.
+type crashPoint int
+
+const (
+	noCrash crashPoint = iota
+	crashBeforeSync
+	crashAfterSync
+)
+
 // cluster drives processes over an in-memory network.
 type cluster struct {
-	t       testing.TB
+	t       testingT
 	rng     *rand.Rand
 	procs   map[string]*process
 	hosts   []string
 	net     []Message
 	cut     map[[2]string]bool
 	check   *checker
-	skip    func(p *process, d Durable) Durable // plants a fault in what is synced
-	compact uint64                              // applied entries between snapshots, zero for none
+	compact uint64   // applied entries between snapshots, zero for none
+	wanted  []Wanted // control hosts that leaders bring into the group
+	// skip plants a fault in what is synced.
+	skip func(p *process, d Durable) Durable
+	// crash ends the next handling of work early.
+	crash crashPoint
+	// electionTicks is the least election timeout of the nodes.
+	electionTicks int
 }
 
-func newCluster(t testing.TB, seed uint64, founders ...string) *cluster {
+func newCluster(t testingT, seed uint64, founders ...string) *cluster {
 	c := &cluster{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), procs: map[string]*process{},
-		cut: map[[2]string]bool{}, check: newChecker(),
+		cut: map[[2]string]bool{}, check: newChecker(), electionTicks: DefaultElectionTicks,
 	}
 	for _, h := range founders {
 		c.add(h, founders)
+		c.wanted = append(c.wanted, Wanted{Host: h, Voter: true})
 	}
 	return c
 }
@@ -81,7 +103,9 @@
 func (c *cluster) add(host string, founders []string) *process {
 	p := &process{cfg: Config{
 		Host: host, Peers: slices.Clone(c.hosts), Founders: founders,
-		Rand: rand.New(rand.NewPCG(c.rng.Uint64(), 2)), Trailing: 4, ChunkBytes: 64, MaxInflight: 4,
+		Rand:          rand.New(rand.NewPCG(c.rng.Uint64(), 2)),
+		ElectionTicks: c.electionTicks, HeartbeatTicks: max(1, c.electionTicks/5),
+		Trailing: 4, ChunkBytes: 64, MaxInflight: 4, MaxAppendBytes: 200,
 	}}
 	p.disk = c.newDisk()
 	c.procs[host] = p
@@ -122,13 +146,22 @@
 			c.wipe(p.cfg.Host)
 			continue
 		}
+		if c.crash == crashBeforeSync {
+			p.node, c.crash = nil, noCrash
+			return
+		}
 		d := rd.Durable
 		if c.skip != nil {
 			d = c.skip(p, d)
 		}
 		p.disk.save(d)
+		if c.crash == crashAfterSync {
+			p.node, c.crash = nil, noCrash
+			return
+		}
 		if rd.Install != nil {
 			p.state = decodeState(*rd.Install)
+			c.check.checkState(p)
 		}
 		c.net = append(c.net, rd.Messages...)
 		for _, e := range rd.Committed {
@@ -160,6 +193,22 @@
 	}
 	p.node.Tick()
 	c.handle(p)
+	c.manage(p)
+}
+
+// manage proposes the next membership change, as a leader's driver does.
+func (c *cluster) manage(p *process) {
+	if p.node == nil {
+		return
+	}
+	change, ok := p.node.NextChange(c.wanted)
+	if !ok {
+		return
+	}
+	if _, err := p.node.ProposeChange(change); err != nil {
+		c.t.Fatalf("change %+v: %v", change, err)
+	}
+	c.handle(p)
 }
 
 // deliver hands the message at position i of the network to its receiver.
--- a/internal/consensus/founding.go
+++ b/internal/consensus/founding.go
@@ -22,12 +22,19 @@
 	return founding{heard: map[string]newcomer{}}
 }
 
-// tickFounding asks the other control hosts for a group. The founder with the
+// isOutside reports whether the node may be unknown to the group: it does not
+// vote and hears no leader. Its log may name it nonetheless, by an entry that
+// was never committed.
+func (n *Node) isOutside() bool {
+	return !n.isVoter() && (len(n.members) == 0 || n.electionElapsed >= n.electionTimeout)
+}
+
+// tickOutside asks the other control hosts for a group. The founder with the
 // least name founds one once every founder has said that it knows none. Should
 // a founder lose its disk meanwhile and found another group, the disk
 // identities of the others can take part in one of the two only, so at most
 // one has a quorum.
-func (n *Node) tickFounding() {
+func (n *Node) tickOutside() {
 	if n.ticks%helloTicks == 0 {
 		n.sendHellos()
 	}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -75,10 +75,10 @@
 		return
 	}
 	n.ticks++
-	if len(n.members) == 0 {
-		n.tickFounding()
-	}
 	n.electionElapsed++
+	if n.isOutside() {
+		n.tickOutside()
+	}
 	if n.role == Leader {
 		n.tickLeader()
 		return
