Add bridgebench: open-loop load, checks, report and comparison

Cause: the promises and measures of the two deployments need a load that does not wait for a stalled system, and checks of every answer.

It checks that each acknowledged entry is stored once, that a refusal called not run is true, that entries read back, and that no answer is another request's.

Conclusion: faults are scheduled by the profile; the target's actuator causes them.

--- /dev/null
+++ b/internal/bench/check.go
@@ -0,0 +1,80 @@
+package bench
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/pkg/errors"
+)
+
+// checkTimeout bounds the reading of all stored records.
+const checkTimeout = 5 * time.Minute
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text)) // never fails
+	return h.Sum64()
+}
+
+// checkAll compares all that was sent with what is stored.
+func (r *runner) checkAll(ctx context.Context, res *Result) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	for _, w := range r.profile.Workspaces {
+		for _, service := range r.profile.services(w) {
+			if err := r.checkWorkspace(ctx, res, w.Name, service); err != nil {
+				return errors.Wrapf(err, "check of workspace %s in service %s", w.Name, service)
+			}
+		}
+	}
+	res.Checked = true
+	return nil
+}
+
+func (r *runner) checkWorkspace(ctx context.Context, res *Result, workspace, service string) error {
+	conn, err := pgx.Connect(ctx, r.target.CheckURL(workspace, service))
+	if err != nil {
+		return err
+	}
+	defer closeConn(conn)
+	l := r.ledgers[workspace]
+	for _, kind := range []struct {
+		table string
+		sent  []*entry
+	}{{"records", l.entries}, {"corrections", l.corrections}} {
+		stored, err := storedIDs(ctx, conn, kind.table, workspace)
+		if err != nil {
+			return err
+		}
+		res.Violations.checkStored(kind.table, ofService(kind.sent, service), stored)
+	}
+	return nil
+}
+
+func ofService(entries []*entry, service string) []*entry {
+	var out []*entry
+	for _, e := range entries {
+		if e.service == service {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func storedIDs(ctx context.Context, conn *pgx.Conn, table, workspace string) (map[string]int, error) {
+	rows, err := conn.Query(ctx, "select id from "+table+" where workspace = $1", workspace)
+	if err != nil {
+		return nil, err
+	}
+	ids, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	if err != nil {
+		return nil, err
+	}
+	stored := make(map[string]int, len(ids))
+	for _, id := range ids {
+		stored[id]++
+	}
+	return stored, nil
+}
--- /dev/null
+++ b/internal/bench/classify.go
@@ -0,0 +1,52 @@
+package bench
+
+import (
+	"regexp"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// Causes of failure besides the names of result codes.
+const (
+	causeConnect    = "connect_failed"
+	causeConnection = "connection_lost"
+	causeWrong      = "wrong_answer"
+	causeDropped    = "generator_overrun"
+)
+
+var resultCode = regexp.MustCompile(`GB(\d{4})\b`)
+
+// classify returns what an error tells about its request and a name for its
+// cause.
+func classify(err error) (Outcome, string) {
+	if err == nil {
+		return Acked, ""
+	}
+	var refused connectError
+	if errors.As(err, &refused) {
+		return NotRun, causeConnect
+	}
+	var pg *pgconn.PgError
+	if !errors.As(err, &pg) {
+		return Unknown, causeConnection
+	}
+	match := resultCode.FindStringSubmatch(pg.Message)
+	if match == nil {
+		return Unknown, "sqlstate_" + pg.Code
+	}
+	code, _ := strconv.Atoi(match[1])
+	info := result.Lookup(result.Code(code))
+	if info.NotRun {
+		return NotRun, info.Name
+	}
+	return Unknown, info.Name
+}
+
+// connectError wraps a failure to connect: the request was never sent.
+type connectError struct{ error }
+
+func (e connectError) Unwrap() error { return e.error }
--- /dev/null
+++ b/internal/bench/result.go
@@ -0,0 +1,136 @@
+package bench
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+)
+
+// Figures are the measurements of a group of requests.
+type Figures struct {
+	Offered  int            `json:"offered"`
+	Served   int            `json:"served"`
+	Refusals map[string]int `json:"refusals,omitempty"`
+	// Latencies are in milliseconds from the intended start.
+	P50 float64 `json:"p50_ms"`
+	P99 float64 `json:"p99_ms"`
+	Max float64 `json:"max_ms"`
+	// Share is served / offered, where offered is capped by what the rate and
+	// burst of the workspace allow. It is set for workspaces alone.
+	Share float64 `json:"share,omitempty"`
+}
+
+// Point holds the figures of one second.
+type Point struct {
+	Classes  map[note.Class]Figures `json:"classes"`
+	Refusals map[string]int         `json:"refusals,omitempty"`
+}
+
+// FaultEvent is a fault as it was caused.
+type FaultEvent struct {
+	At     float64 `json:"at_s"`
+	Action Action  `json:"action"`
+	Target string  `json:"target,omitempty"`
+	Error  string  `json:"error,omitempty"`
+}
+
+// Result is the outcome of a run.
+type Result struct {
+	Profile      string                 `json:"profile"`
+	Policy       string                 `json:"policy"`
+	Version      string                 `json:"version"`
+	Seed         uint64                 `json:"seed"`
+	Duration     float64                `json:"duration_s"`
+	Workspaces   map[string]Figures     `json:"workspaces"`
+	Classes      map[note.Class]Figures `json:"classes"`
+	Operations   map[Operation]Figures  `json:"operations"`
+	ReplicaShare float64                `json:"replica_share"`
+	// Worst is the lowest share of a workspace.
+	Worst      float64            `json:"worst_share"`
+	Gaps       map[string]float64 `json:"longest_write_gap_s"`
+	Violations Violations         `json:"violations"`
+	Faults     []FaultEvent       `json:"faults,omitempty"`
+	Seconds    []Point            `json:"seconds"`
+	// Checked reports that the final comparison with the stored records ran.
+	Checked bool `json:"checked"`
+}
+
+const microsecondsPerMillisecond = 1000
+
+func (t *tally) figures() Figures {
+	ms := func(us int64) float64 { return float64(us) / microsecondsPerMillisecond }
+	return Figures{
+		Offered: t.offered, Served: t.served, Refusals: t.refusals,
+		P50: ms(t.latency.ValueAtQuantile(50)), P99: ms(t.latency.ValueAtQuantile(99)), Max: ms(t.latency.Max()),
+	}
+}
+
+func figuresOf[K comparable](m map[K]*tally) map[K]Figures {
+	out := make(map[K]Figures, len(m))
+	for key, t := range m {
+		out[key] = t.figures()
+	}
+	return out
+}
+
+// result summarizes the run.
+func (r *recorder) result(p *Profile, duration float64) *Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := &Result{
+		Profile: p.Name, Duration: duration, Workspaces: figuresOf(r.workspaces), Classes: figuresOf(r.classes),
+		Operations: figuresOf(r.ops), Gaps: make(map[string]float64), Violations: r.violations, Faults: r.faults,
+		Worst: 1,
+	}
+	for _, w := range p.Workspaces {
+		f, ok := res.Workspaces[w.Name]
+		if !ok {
+			continue
+		}
+		f.Share = share(w, f, duration)
+		res.Workspaces[w.Name] = f
+		res.Worst = min(res.Worst, f.Share)
+	}
+	if r.reads > 0 {
+		res.ReplicaShare = float64(r.replicas) / float64(r.reads)
+	}
+	for service, gap := range r.gaps {
+		res.Gaps[service] = gap.Seconds()
+	}
+	for _, s := range r.seconds {
+		res.Seconds = append(res.Seconds, Point{Classes: figuresOf(s.classes), Refusals: s.refusals})
+	}
+	return res
+}
+
+// share returns the part of the requests within the workspace's rate and burst
+// that were served.
+func share(w Workspace, f Figures, duration float64) float64 {
+	allowed := min(float64(f.Offered), w.Rate*duration+w.Burst)
+	if allowed <= 0 {
+		return 1
+	}
+	return min(float64(f.Served)/allowed, 1)
+}
+
+// Save writes the result as JSON.
+func (r *Result) Save(path string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode result")
+	}
+	return errors.Wrap(os.WriteFile(path, append(data, '\n'), 0o644), "write result")
+}
+
+// LoadResult reads a result.
+func LoadResult(path string) (*Result, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read result")
+	}
+	var r Result
+	return &r, errors.Wrapf(json.Unmarshal(data, &r), "result %s", path)
+}
--- /dev/null
+++ b/internal/bench/summary.go
@@ -0,0 +1,40 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+)
+
+// NoFaults is the Actuator of a system that cannot be disturbed.
+type NoFaults struct{}
+
+// Cause implements Actuator.
+func (NoFaults) Cause(context.Context, Action, string) error {
+	return errors.New("this target has no fault switches")
+}
+
+// Summarize writes the main figures of a result as tables.
+func Summarize(w io.Writer, r *Result) {
+	fmt.Fprintf(w, "%s, %.0f s, seed %d, policy %s\n\n", r.Profile, r.Duration, r.Seed, r.Policy)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "class\toffered\tserved\tp50 ms\tp99 ms\tmax ms\trefusals")
+	for _, class := range []note.Class{note.ClassInteractive, note.ClassCorrection, note.ClassBulk} {
+		if f, ok := r.Classes[class]; ok {
+			fmt.Fprintf(t, "%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%v\n", class, f.Offered, f.Served, f.P50, f.P99, f.Max, f.Refusals)
+		}
+	}
+	fmt.Fprintln(t, "\nworkspace\toffered\tserved\tshare\tp50 ms\tp99 ms\trefusals")
+	for _, name := range sortedKeys(r.Workspaces) {
+		f := r.Workspaces[name]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.3f\t%.2f\t%.2f\t%v\n", name, f.Offered, f.Served, f.Share, f.P50, f.P99, f.Refusals)
+	}
+	t.Flush()
+	fmt.Fprintf(w, "\nreplica share %.3f, worst share %.3f, longest write gap %v s\n", r.ReplicaShare, r.Worst, r.Gaps)
+	fmt.Fprintf(w, "violations %+v, stored records checked: %v\n", r.Violations, r.Checked)
+}
