Keep the wait of a new leader after registrations changed

Cause: the property test found a process that was replaced, and whose successor was then removed, acting on revision 34 while 36 was reported as settled: the removal had hidden that a registration changed recently.

Change: the agreed state records the revision of the last change of the hosts, and a new leader ends its wait early only when that revision is settled.

Conclusion: removals count as changes of the set of possible holders.

--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -157,8 +157,8 @@
 // Electorate describes the registered processes that may act.
 type Electorate struct {
 	Holders []ID
-	// Registered is the greatest revision at which one of them was registered.
-	Registered uint64
+	// Changed is the revision at which a process was last registered or removed.
+	Changed uint64
 }
 
 // Settle returns the greatest revision known to be applied by every holder of a
@@ -167,8 +167,9 @@
 //
 // For one lease time after an election, a process may hold a lease of a former
 // leader that this broker does not count. In that time the result grows only
-// while every registered process is among the counted holders, and only if no
-// process has replaced another one after the last settled revision.
+// while every registered process is among the counted holders, and only if the
+// registrations have not changed after the last settled revision: a process that
+// was replaced or removed since may still hold a lease.
 func (b *Broker) Settle(now time.Time, revision uint64, e Electorate) uint64 {
 	b.expire(now)
 	if now.Before(b.assumeUntil) && !b.allPresent(e) {
@@ -185,7 +186,7 @@
 func (b *Broker) Settled() uint64 { return b.settled }
 
 func (b *Broker) allPresent(e Electorate) bool {
-	if e.Registered > b.settled {
+	if e.Changed > b.settled {
 		return false
 	}
 	present := b.holders()
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -102,7 +102,7 @@
 func TestNewLeaderEndsItsWaitEarly(t *testing.T) {
 	now := time.Unix(100, 0)
 	b := NewBroker(DefaultConfig(), 0)
-	e := Electorate{Holders: []ID{{"h", 1}}, Registered: 2}
+	e := Electorate{Holders: []ID{{"h", 1}}, Changed: 2}
 	b.Learn(3)
 	b.Lead(now)
 	if got := b.Settle(now, 9, e); got != 3 {
--- a/internal/lease/sim_test.go
+++ b/internal/lease/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -385,7 +386,11 @@
 	var e Electorate
 	for name, reg := range s.registry[c.applied] {
 		e.Holders = append(e.Holders, ID{name, reg.incarnation})
-		e.Registered = max(e.Registered, reg.registered)
+	}
+	for revision := c.applied; revision > 0 && e.Changed == 0; revision-- {
+		if !maps.Equal(s.registry[revision], s.registry[revision-1]) {
+			e.Changed = revision
+		}
 	}
 	s.reported = max(s.reported, c.broker.Settle(s.local(c.rate), c.applied, e))
 	if s.fault == faultEndWait && c.broker.allPresent(e) {
