Add checks of recorded histories

Cause: the promises need checks that any run can use, each shown to fail.

The direct baseline no longer refuses its own callers for want of connections.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/galenabridge/galenabridge/internal/history"
 	"github.com/galenabridge/galenabridge/internal/note"
 )
 
@@ -81,9 +82,9 @@
 // broken promise.
 func TestStoredCheckFindsPlantedFaults(t *testing.T) {
 	sent := []*entry{
-		{id: "kept", outcome: Acked}, {id: "lost", outcome: Acked}, {id: "twice", outcome: Acked},
-		{id: "refused", outcome: NotRun}, {id: "ran", outcome: NotRun},
-		{id: "open", outcome: Unknown}, {id: "open twice", outcome: Unknown},
+		{id: "kept", outcome: history.Acked}, {id: "lost", outcome: history.Acked}, {id: "twice", outcome: history.Acked},
+		{id: "refused", outcome: history.NotRun}, {id: "ran", outcome: history.NotRun},
+		{id: "open", outcome: history.Unknown}, {id: "open twice", outcome: history.Unknown},
 	}
 	stored := map[string]int{"kept": 1, "twice": 2, "ran": 1, "open twice": 2}
 	var v Violations
--- a/internal/bench/classify.go
+++ b/internal/bench/classify.go
@@ -7,6 +7,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/pkg/errors"
 
+	"github.com/galenabridge/galenabridge/internal/history"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
@@ -22,28 +23,28 @@
 
 // classify returns what an error tells about its request and a name for its
 // cause.
-func classify(err error) (Outcome, string) {
+func classify(err error) (history.Outcome, string) {
 	if err == nil {
-		return Acked, ""
+		return history.Acked, ""
 	}
 	var refused connectError
 	if errors.As(err, &refused) {
-		return NotRun, causeConnect
+		return history.NotRun, causeConnect
 	}
 	var pg *pgconn.PgError
 	if !errors.As(err, &pg) {
-		return Unknown, causeConnection
+		return history.Unknown, causeConnection
 	}
 	match := resultCode.FindStringSubmatch(pg.Message)
 	if match == nil {
-		return Unknown, "sqlstate_" + pg.Code
+		return history.Unknown, "sqlstate_" + pg.Code
 	}
 	code, _ := strconv.Atoi(match[1])
 	info := result.Lookup(result.Code(code))
 	if info.NotRun {
-		return NotRun, info.Name
+		return history.NotRun, info.Name
 	}
-	return Unknown, info.Name
+	return history.Unknown, info.Name
 }
 
 // connectError wraps a failure to connect: the request was never sent.
--- a/internal/bench/direct.go
+++ b/internal/bench/direct.go
@@ -20,13 +20,17 @@
 // NewDirect opens the groups of a profile.
 func NewDirect(p *Profile, replayLag time.Duration) (*Direct, error) {
 	d := &Direct{groups: make(map[string]*standin.Group)}
+	callers := 0
+	for _, w := range p.Workspaces {
+		callers += w.Callers
+	}
 	for _, s := range p.Services {
 		domains := make([]string, len(p.Domains))
 		for i, area := range p.Domains {
 			domains[i] = area.Name
 		}
 		group, err := standin.NewGroup(standin.Options{
-			Service: s.Name, RecordsTable: true, MaxConnections: s.Connections, ReplayLag: replayLag,
+			Service: s.Name, RecordsTable: true, MaxConnections: max(s.Connections, 2*callers), ReplayLag: replayLag,
 		}, s.Endpoints, domains)
 		if err != nil {
 			return nil, err
--- a/internal/bench/ledger.go
+++ b/internal/bench/ledger.go
@@ -4,18 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-)
-
-// Outcome is what a caller knows about its request.
-type Outcome uint8
 
-// Outcomes.
-const (
-	Acked Outcome = iota
-	// NotRun is a refusal that says the request had no effect.
-	NotRun
-	// Unknown is an error that leaves open whether the request ran.
-	Unknown
+	"github.com/galenabridge/galenabridge/internal/history"
 )
 
 // entry is a record or correction that a caller has sent.
@@ -24,7 +14,7 @@
 	body      string
 	service   string
 	workspace string
-	outcome   Outcome
+	outcome   history.Outcome
 }
 
 // ledger remembers what the callers of one workspace have sent, for the checks.
@@ -48,7 +38,7 @@
 		return
 	}
 	l.entries = append(l.entries, e)
-	if e.outcome == Acked {
+	if e.outcome == history.Acked {
 		l.readable[e.service] = append(l.readable[e.service], e)
 	}
 }
@@ -92,18 +82,19 @@
 // ids that the database keeps unique, doubled entries cannot show; corrections
 // have no such key.
 func (v *Violations) checkStored(kind string, sent []*entry, stored map[string]int) {
-	for _, e := range sent {
-		n := stored[e.id]
-		switch {
-		case n > 1:
-			v.Doubled++
-			v.note("%s %s of %s is stored %d times", kind, e.id, e.workspace, n)
-		case n == 0 && e.outcome == Acked:
+	writes := make([]history.Write, len(sent))
+	for i, e := range sent {
+		writes[i] = history.Write{ID: e.id, Workspace: e.workspace, Outcome: e.outcome}
+	}
+	for _, found := range history.Stored(writes, stored) {
+		switch found.Rule {
+		case history.RuleKept:
 			v.Lost++
-			v.note("%s %s of %s was acknowledged and is not stored", kind, e.id, e.workspace)
-		case n == 1 && e.outcome == NotRun:
+		case history.RuleOnce:
+			v.Doubled++
+		case history.RuleNotRun:
 			v.RanAnyway++
-			v.note("%s %s of %s was refused as not run and is stored", kind, e.id, e.workspace)
 		}
+		v.note("%s: %s", kind, found)
 	}
 }
--- a/internal/bench/recorder.go
+++ b/internal/bench/recorder.go
@@ -6,6 +6,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/galenabridge/galenabridge/internal/history"
 	"github.com/galenabridge/galenabridge/internal/note"
 )
 
@@ -28,7 +29,7 @@
 	service   string
 	intended  time.Time
 	finished  time.Time
-	outcome   Outcome
+	outcome   history.Outcome
 	cause     string
 	replica   bool
 }
@@ -47,7 +48,7 @@
 
 func (t *tally) add(s sample) {
 	t.offered++
-	if s.outcome != Acked {
+	if s.outcome != history.Acked {
 		t.refusals[s.cause]++
 		return
 	}
@@ -103,7 +104,7 @@
 	tallyOf(r.ops, s.op).add(s)
 	sec := r.secondOf(s.finished)
 	tallyOf(sec.classes, s.class).add(s)
-	if s.outcome != Acked {
+	if s.outcome != history.Acked {
 		sec.refusals[s.cause]++
 		return
 	}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -10,6 +10,8 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/history"
 )
 
 // Target is the system under load.
@@ -182,7 +184,7 @@
 func (r *runner) dropped(w Workspace, req request) {
 	r.recorder.done(sample{
 		workspace: w.Name, class: w.Class, op: req.op, service: req.service, intended: req.intended,
-		finished: time.Now(), outcome: NotRun, cause: causeDropped,
+		finished: time.Now(), outcome: history.NotRun, cause: causeDropped,
 	})
 }
 
