Route reads to replicas and admit requests by class and workspace

Cause: all requests went to the primary and to an endpoint's slots in order of arrival.

Change: the entry feeds the routing table and the admission queue. A read that a replica refuses with SQLSTATE 25006 moves to the primary; a read whose endpoint is lost moves to another one. Until session positions are shared between hosts, a read waits for the primary's position at the time of the read. Options.Baseline keeps the former policies for comparison. The port Router gets to know whether a request had begun, and only real failures of an endpoint count as such.

Before: no read was served by a replica. After: `go test -race ./internal/entry` covers own writes over three connections with 0 and 200 ms replay lag, a query that writes, read-only transactions, reads of a stated age and the loss of a replica; all pass.

--- a/internal/agreed/apply_host.go
+++ b/internal/agreed/apply_host.go
@@ -26,12 +26,11 @@
 	next := copyOf(s)
 	next.Hosts = maps.Clone(s.Hosts)
 	next.Hosts[h.ID] = h
-	next.HostsChanged = index
 	return next, Outcome{}
 }
 
 // removeHost removes a host unless a newer incarnation has registered.
-func removeHost(s *State, index uint64, c *RemoveHost) (*State, Outcome) {
+func removeHost(s *State, c *RemoveHost) (*State, Outcome) {
 	known, ok := s.Hosts[c.ID]
 	if !ok || known.Incarnation != c.Incarnation {
 		return nil, Outcome{}
@@ -39,6 +38,5 @@
 	next := copyOf(s)
 	next.Hosts = maps.Clone(s.Hosts)
 	delete(next.Hosts, c.ID)
-	next.HostsChanged = index
 	return next, Outcome{}
 }
--- a/internal/agreed/delta.go
+++ b/internal/agreed/delta.go
@@ -29,8 +29,6 @@
 	Hosts      *Changes[Host]           `cbor:"9,keyasint,omitempty"`
 	Endpoints  *Changes[Endpoint]       `cbor:"10,keyasint,omitempty"`
 	Groups     *Changes[Group]          `cbor:"11,keyasint,omitempty"`
-	// HostsChanged is the revision of the last change of the hosts.
-	HostsChanged uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // ErrGap is returned by Patch when the delta does not start at the state.
@@ -49,8 +47,6 @@
 		Hosts:      diffMap(from.Hosts, to.Hosts),
 		Endpoints:  diffMap(from.Endpoints, to.Endpoints),
 		Groups:     diffMap(from.Groups, to.Groups),
-
-		HostsChanged: to.HostsChanged,
 	}
 	for _, stamp := range to.History {
 		if stamp.Number > from.Catalog.Stamp.Number {
@@ -102,7 +98,6 @@
 	next.Hosts = patchMap(s.Hosts, d.Hosts)
 	next.Endpoints = patchMap(s.Endpoints, d.Endpoints)
 	next.Groups = patchMap(s.Groups, d.Groups)
-	next.HostsChanged = d.HostsChanged
 	return next, nil
 }
 
--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -74,6 +74,4 @@
 	Hosts     map[string]Host     `json:"hosts" cbor:"5,keyasint"`
 	Endpoints map[string]Endpoint `json:"endpoints" cbor:"6,keyasint"`
 	Groups    map[string]Group    `json:"groups" cbor:"7,keyasint"`
-	// HostsChanged is the revision of the last change of Hosts.
-	HostsChanged uint64 `json:"hosts_changed" cbor:"8,keyasint"`
 }
--- a/internal/entry/backends.go
+++ b/internal/entry/backends.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pgback"
 	"github.com/galenabridge/galenabridge/internal/view"
 )
@@ -178,8 +179,8 @@
 	}, true
 }
 
-// evenShare shares the cap of a service evenly among the entry hosts.
-func evenShare(src view.Source) func(service, endpoint string) int {
+// evenShare shares a cap of a service evenly among the entry hosts.
+func evenShare(src view.Source, whole func(note.Service) int) func(service, endpoint string) int {
 	return func(service, _ string) int {
 		state := src.Current().State
 		if state == nil {
@@ -191,6 +192,6 @@
 				hosts++
 			}
 		}
-		return state.Catalog.Services[service].Connections / max(hosts, 1)
+		return max(whole(state.Catalog.Services[service])/max(hosts, 1), 1)
 	}
 }
--- /dev/null
+++ b/internal/entry/gate.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/admit"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// QueueGate is a Gate with an admission queue for each endpoint.
+type QueueGate struct {
+	policy admit.Policy
+	slots  func(service, endpoint string) int
+
+	mu    sync.Mutex
+	gates map[string]*endpointGate
+}
+
+// NewGate returns a gate. The slots of this host at an endpoint may change
+// over time.
+func NewGate(policy admit.Policy, slots func(service, endpoint string) int) *QueueGate {
+	return &QueueGate{policy: policy, slots: slots, gates: make(map[string]*endpointGate)}
+}
+
+// Enter implements Gate.
+func (g *QueueGate) Enter(ctx context.Context, a Admission) (func(), error) {
+	return g.gate(a).enter(ctx, a)
+}
+
+// Waiting returns the number of requests that wait for an endpoint's slots.
+func (g *QueueGate) Waiting(endpoint string) int {
+	g.mu.Lock()
+	e, ok := g.gates[endpoint]
+	g.mu.Unlock()
+	if !ok {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.queue.Waiting()
+}
+
+func (g *QueueGate) gate(a Admission) *endpointGate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, ok := g.gates[a.Endpoint]
+	if !ok {
+		slots := func() int { return g.slots(a.Service, a.Endpoint) }
+		cfg := admit.DefaultConfig(slots())
+		cfg.Policy = g.policy
+		e = &endpointGate{queue: admit.New(cfg), slots: slots, waiting: make(map[uint64]chan error)}
+		g.gates[a.Endpoint] = e
+	}
+	return e
+}
+
+// endpointGate feeds the queue of one endpoint.
+type endpointGate struct {
+	slots func() int
+
+	mu      sync.Mutex
+	queue   *admit.Queue
+	current int
+	lastID  uint64
+	waiting map[uint64]chan error
+	timer   *time.Timer
+}
+
+func (e *endpointGate) enter(ctx context.Context, a Admission) (func(), error) {
+	turn := make(chan error, 1)
+	e.mu.Lock()
+	now := time.Now()
+	e.resize(now)
+	e.lastID++
+	id := e.lastID
+	e.waiting[id] = turn
+	e.apply(e.queue.Arrive(now, admit.Request{
+		ID: id, Workspace: a.Workspace, Weight: a.Weight, Class: a.Class, Deadline: a.Deadline,
+	}))
+	e.mu.Unlock()
+	select {
+	case err := <-turn:
+		return e.exit(id, a, err)
+	case <-ctx.Done():
+	}
+	if !e.cancel(id) {
+		return e.exit(id, a, <-turn)
+	}
+	return nil, result.New(result.DeadlineInQueue, "waiting for a slot of endpoint %s", a.Endpoint)
+}
+
+// exit returns the function that frees the slot.
+func (e *endpointGate) exit(id uint64, a Admission, err error) (func(), error) {
+	if code := result.CodeOf(err); code != 0 {
+		return nil, result.New(code, "waiting for a slot of endpoint %s", a.Endpoint)
+	}
+	return func() { e.done(id) }, nil
+}
+
+func (e *endpointGate) done(id uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.resize(now)
+	e.apply(e.queue.Done(now, id))
+}
+
+// cancel reports whether the request was still waiting.
+func (e *endpointGate) cancel(id uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	waiting, effects := e.queue.Cancel(time.Now(), id)
+	if waiting {
+		delete(e.waiting, id)
+	}
+	e.apply(effects)
+	return waiting
+}
+
+// resize follows a change of the number of slots.
+func (e *endpointGate) resize(now time.Time) {
+	if slots := e.slots(); slots != e.current {
+		e.current = slots
+		e.apply(e.queue.SetSlots(now, slots))
+	}
+}
+
+// apply tells waiters what the queue decided.
+func (e *endpointGate) apply(effects []admit.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case admit.Start:
+			e.tell(effect.ID, nil)
+		case admit.Refuse:
+			e.tell(effect.ID, &result.Error{Code: effect.Code})
+		}
+	}
+	e.schedule()
+}
+
+func (e *endpointGate) tell(id uint64, err error) {
+	if turn, ok := e.waiting[id]; ok {
+		delete(e.waiting, id)
+		turn <- err
+	}
+}
+
+// schedule calls the queue at its next deadline. Waiters have contexts that
+// end then as well, so that a late call delays nobody.
+func (e *endpointGate) schedule() {
+	next, ok := e.queue.NextDeadline()
+	switch {
+	case !ok && e.timer != nil:
+		e.timer.Stop()
+	case ok && e.timer == nil:
+		e.timer = time.AfterFunc(time.Until(next), e.tick)
+	case ok:
+		e.timer.Reset(time.Until(next))
+	}
+}
+
+func (e *endpointGate) tick() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.apply(e.queue.Tick(time.Now()))
+}
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/config"
@@ -36,6 +37,8 @@
 	group  *standin.Group
 	box    *view.Box
 	server *Server
+	// registry holds the server's metrics.
+	registry *prometheus.Registry
 
 	mu    sync.Mutex
 	state agreed.State
@@ -63,7 +66,10 @@
 	if cfg.connections == 0 {
 		cfg.connections = 20
 	}
-	f := &fixture{t: t, group: group, box: view.NewBox(), state: newState(group, cfg.connections)}
+	f := &fixture{
+		t: t, group: group, box: view.NewBox(), registry: prometheus.NewRegistry(),
+		state: newState(group, cfg.connections),
+	}
 	f.background(group.Run)
 	f.publish(func(*agreed.State) {})
 	f.start(cfg)
@@ -131,7 +137,7 @@
 		Settings: &config.Settings{Host: "entry-1", Entry: &config.Entry{
 			Listen: "127.0.0.1:0", MaxMessage: 1 << 20, DefaultDeadline: config.Duration(patience),
 		}},
-		View: f.box,
+		View: f.box, Registerer: f.registry,
 	}
 	if cfg.options != nil {
 		cfg.options(&opts)
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -19,7 +19,10 @@
 	conn     *pgback.Conn
 	backend  *backend
 	leave    func()
-	started  time.Time
+	// latency is the time of the first answer.
+	latency time.Duration
+	// lost tells that the endpoint failed.
+	lost bool
 	// readOnly tells that the caller declared the transaction read-only.
 	readOnly bool
 	// transaction tells that the endpoint reported a transaction in progress.
@@ -82,16 +85,13 @@
 	conn, err := member.pool.Acquire(ctx)
 	if err != nil {
 		leave()
-		s.srv.router.End(Report{Endpoint: endpoint, Failed: true})
+		s.srv.router.End(Report{Endpoint: endpoint, Failed: ctx.Err() == nil})
 		if ctx.Err() != nil {
 			return nil, result.New(result.DeadlineInQueue, "waiting for a connection to endpoint %s", endpoint)
 		}
 		return nil, result.New(result.NoEndpoint, "%v", err)
 	}
-	l := &lease{
-		endpoint: endpoint, service: need.Service, conn: conn, backend: member,
-		leave: leave, started: time.Now(),
-	}
+	l := &lease{endpoint: endpoint, service: need.Service, conn: conn, backend: member, leave: leave}
 	s.srv.router.Begin(endpoint)
 	if err := s.recheck(l, need); err != nil {
 		s.release(l, true)
@@ -146,7 +146,7 @@
 	s.unhold(l)
 	l.conn.SetDeadline(time.Time{})
 	l.leave()
-	s.srv.router.End(Report{Endpoint: l.endpoint, Failed: !reusable, Latency: time.Since(l.started)})
+	s.srv.router.End(Report{Endpoint: l.endpoint, Began: true, Failed: l.lost, Latency: l.latency})
 	if !reusable || !l.conn.Session.Dirty {
 		l.backend.pool.Release(l.conn, reusable)
 		return
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -9,7 +9,9 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenabridge/galenabridge/internal/admit"
 	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pgback"
 	"github.com/galenabridge/galenabridge/internal/pgfront"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -40,7 +42,7 @@
 }
 
 // Options configure a Server. Settings and View are required; other ports that
-// are nil get the simple implementations of this package.
+// are nil get the implementations of this package.
 type Options struct {
 	Settings *config.Settings
 	View     view.Source
@@ -55,11 +57,17 @@
 	Durability Durability
 	// Cancels forwards cancel requests for other hosts; nil drops them.
 	Cancels CancelForwarder
+	// Baseline serves requests in order of arrival and on the primary only, as
+	// a measure for the policies. It replaces the router and positions.
+	Baseline bool
 	// Observers are told each status of the endpoints in use.
 	Observers []Observer
 	// Connections returns the cap on connections of this host to an endpoint.
 	// Nil shares the cap of the service evenly among the entry hosts.
 	Connections func(service, endpoint string) int
+	// Slots returns the number of slots of this host at an endpoint, for the
+	// gate that is used when Gate is nil. Nil shares them evenly as well.
+	Slots func(service, endpoint string) int
 
 	Log        *log.Logger
 	Registerer prometheus.Registerer
@@ -92,3 +100,17 @@
 	cfg.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
 	return cfg, nil
 }
+
+func (o *Options) gatePolicy() admit.Policy {
+	if o.Baseline {
+		return admit.PolicyFIFO
+	}
+	return admit.PolicyFair
+}
+
+func (o *Options) slots() func(service, endpoint string) int {
+	if o.Slots != nil {
+		return o.Slots
+	}
+	return evenShare(o.View, func(svc note.Service) int { return svc.Slots })
+}
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -59,8 +59,12 @@
 // Report tells the router how a request on an endpoint ended.
 type Report struct {
 	Endpoint string
-	Failed   bool
-	Latency  time.Duration
+	// Began tells that Begin was called for the request.
+	Began bool
+	// Failed tells that the endpoint could not be reached or was lost.
+	Failed bool
+	// Latency is the time of the first answer.
+	Latency time.Duration
 }
 
 // Router chooses endpoints.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -39,7 +39,9 @@
 	fresh bool
 	// reached tells that a part of the unit may have reached the endpoint.
 	reached bool
-	writer  chan error
+	// sent is when the unit was sent.
+	sent   time.Time
+	writer chan error
 	// flushed counts the bytes that the caller has been sent.
 	flushed int
 	// mark is the queue's length before the first answer that is held back.
@@ -231,6 +233,9 @@
 // idle.
 func (r *relay) returnLease() {
 	l := r.s.lease
+	if l.latency == 0 {
+		l.latency = time.Since(r.sent)
+	}
 	r.s.lease = nil
 	reusable := r.writer == nil || <-r.writer == nil
 	r.s.release(l, reusable)
--- /dev/null
+++ b/internal/entry/replica_test.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/galenabridge/galenabridge/internal/standin"
+)
+
+// waitReplicas waits until reads of a caller are served by a replica.
+func (f *fixture) waitReplicas(conn *pgx.Conn) {
+	f.t.Helper()
+	eventually(f.t, "a replica serves reads", func() bool {
+		queryInt(f.t, conn, "select count(*) from records")
+		return f.reads("replica") > 0
+	})
+}
+
+// reads returns the number of reads that endpoints of a role served.
+func (f *fixture) reads(role string) int {
+	f.t.Helper()
+	families, err := f.registry.Gather()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() != "galenabridge_entry_reads_total" {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			if m.GetLabel()[0].GetValue() == role {
+				return int(m.GetCounter().GetValue())
+			}
+		}
+	}
+	return 0
+}
+
+func TestReadsGoToReplicasAndSeeOwnWrites(t *testing.T) {
+	for name, lag := range map[string]time.Duration{"no lag": 0, "lag": 200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, fixtureConfig{
+				standin: func(o *standin.Options) { o.ReplayLag = lag },
+			})
+			writer := f.connect("")
+			mustExec(t, writer, "create table entries (id int primary key)")
+			early := f.connect("")
+			for i := range 20 {
+				mustExec(t, writer, "insert into entries values ($1)", i)
+				for _, reader := range []*pgx.Conn{writer, early, f.connect("")} {
+					if n := queryInt(t, reader, "select count(*) from entries"); n != i+1 {
+						t.Fatalf("%d entries are read after %d were acknowledged", n, i+1)
+					}
+				}
+			}
+			f.waitReplicas(writer)
+		})
+	}
+}
+
+func TestLoneQueryThatWritesRunsOnThePrimaryOnce(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int)")
+	f.waitReplicas(conn)
+	const sql = "with note as (select 1) insert into entries select 1 returning id"
+	for _, params := range []string{"", "default_query_exec_mode=simple_protocol"} {
+		var id int
+		err := f.connect(params).QueryRow(testContext(t), sql).Scan(&id)
+		if err != nil || id != 1 {
+			t.Fatalf("%q: %d, %v", params, id, err)
+		}
+	}
+	if n := queryInt(t, f.direct(0), "select count(*) from entries"); n != 2 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestReadOnlyTransactionsRunOnReplicas(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int)")
+	f.waitReplicas(conn)
+	before := f.reads("primary")
+	err := pgx.BeginTxFunc(testContext(t), conn, pgx.TxOptions{AccessMode: pgx.ReadOnly}, func(tx pgx.Tx) error {
+		var n int
+		if err := tx.QueryRow(testContext(t), "select count(*) from entries").Scan(&n); err != nil {
+			return err
+		}
+		var replica bool
+		if err := tx.QueryRow(testContext(t), "select pg_is_in_recovery()").Scan(&replica); err != nil {
+			return err
+		}
+		if !replica {
+			t.Error("the transaction runs on the primary")
+		}
+		if _, err := tx.Exec(testContext(t), "insert into entries values (1)"); err == nil {
+			t.Error("a read-only transaction wrote")
+		}
+		return context.Canceled
+	})
+	if err != context.Canceled {
+		t.Fatal(err)
+	}
+	if after := f.reads("primary"); after != before {
+		t.Errorf("%d reads went to the primary", after-before)
+	}
+}
+
+func TestStaleReadsAreServedWhenAskedFor(t *testing.T) {
+	f := newFixture(t, fixtureConfig{standin: func(o *standin.Options) { o.ReplayLag = 300 * time.Millisecond }})
+	conn := f.connect("galenabridge.max_staleness=30000")
+	mustExec(t, conn, "create table entries (id int)")
+	f.waitReplicas(conn)
+	before := f.reads("primary")
+	for i := range 10 {
+		mustExec(t, conn, "insert into entries values ($1)", i)
+		queryInt(t, conn, "select count(*) from records")
+	}
+	if after := f.reads("primary"); after != before {
+		t.Errorf("%d reads went to the primary", after-before)
+	}
+}
+
+func TestReadMovesToAnotherEndpointWhenOneFails(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	f.waitReplicas(conn)
+	f.group.Servers[1].Kill()
+	for range 50 {
+		queryInt(t, conn, "select count(*) from records")
+	}
+}
--- /dev/null
+++ b/internal/entry/router.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/pgback"
+	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/route"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+// TableRouter is a Router with a routing table for each service. It is also an
+// Observer of the endpoints' states.
+type TableRouter struct {
+	view view.Source
+	cfg  route.Config
+
+	mu       sync.Mutex
+	services map[string]*serviceTable
+	// owners maps endpoints to the service that they belong to.
+	owners map[string]string
+}
+
+type serviceTable struct {
+	table    *route.Table
+	revision uint64
+}
+
+// NewTableRouter returns a router of a host in the given failure domain.
+func NewTableRouter(src view.Source, domain string) *TableRouter {
+	return &TableRouter{
+		view: src, cfg: route.DefaultConfig(domain),
+		services: make(map[string]*serviceTable),
+		owners:   make(map[string]string),
+	}
+}
+
+// Pick implements Router.
+func (r *TableRouter) Pick(now time.Time, need Need) (string, error) {
+	v := r.view.Current()
+	if !v.Valid(now) {
+		return "", result.New(result.NoConfigLease, "the configuration lease ended")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table(now, v.State, need.Service).Pick(now, route.Need{
+		ReadOnly:     need.ReadOnly,
+		Min:          route.Position(need.Min),
+		MaxStaleness: need.MaxStaleness,
+		Exclude:      need.Exclude,
+	})
+}
+
+// Begin implements Router.
+func (r *TableRouter) Begin(endpoint string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.services[r.owners[endpoint]]; ok {
+		s.table.Begin(endpoint)
+	}
+}
+
+// End implements Router.
+func (r *TableRouter) End(report Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.services[r.owners[report.Endpoint]]
+	if !ok {
+		return
+	}
+	s.table.End(time.Now(), route.Report{
+		Endpoint: report.Endpoint, Failed: report.Failed, Latency: report.Latency,
+	}, report.Began)
+}
+
+// Observe implements Observer.
+func (r *TableRouter) Observe(service string, s pgback.Status) {
+	state := r.view.Current().State
+	if state == nil {
+		return
+	}
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table(now, state, service).Observe(now, route.Status{
+		Endpoint: s.Endpoint, Asked: s.Asked, Failed: s.Err != nil,
+		InRecovery: s.InRecovery, Timeline: s.Timeline, LSN: s.LSN,
+	})
+}
+
+// table returns the service's table in line with the state.
+func (r *TableRouter) table(now time.Time, state *agreed.State, service string) *route.Table {
+	s, ok := r.services[service]
+	if !ok {
+		s = &serviceTable{table: route.NewTable(r.cfg, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
+		r.services[service] = s
+	}
+	if !ok || s.revision != state.Revision {
+		s.revision = state.Revision
+		s.table.SetView(now, routeView(state, service))
+		for _, id := range state.Groups[service].Members {
+			r.owners[id] = service
+		}
+	}
+	return s.table
+}
+
+func routeView(state *agreed.State, service string) route.View {
+	group := state.Groups[service]
+	svc := state.Catalog.Services[service]
+	v := route.View{
+		Service: service, Term: group.Term, Timeline: group.Timeline, Primary: group.Primary,
+		Active: group.Phase == agreed.PhaseActive, Leaving: svc.Leaving, Reason: group.Reason,
+	}
+	for _, id := range group.Members {
+		domain := state.Endpoints[id].Domain
+		v.Members = append(v.Members, route.Member{
+			Endpoint: id, Domain: domain, Out: state.Catalog.Domains[domain].Out, Slots: svc.Slots,
+		})
+	}
+	return v
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -40,6 +40,7 @@
 	}
 	r := &relay{s: s, l: l, u: u, p: p, plan: plan, within: l.transaction, fresh: s.conn.Queued() == 0}
 	timing.sent = time.Now()
+	r.sent = timing.sent
 	if s.param.deadline > 0 && !l.transaction {
 		s.limit(l, timing.started.Add(s.param.deadline))
 	}
@@ -48,6 +49,9 @@
 	}
 	again, err := r.run()
 	timing.answered = time.Now()
+	if l.latency == 0 {
+		l.latency = timing.answered.Sub(timing.sent)
+	}
 	return again, err
 }
 
@@ -84,6 +88,7 @@
 	if err := s.stopReason(); err != nil && result.CodeOf(err) != result.ShuttingDown {
 		return doneHere, err
 	}
+	r.l.lost = true
 	untouched := r.fresh && r.flushed == 0
 	harmless := unsent || r.l.readOnly || r.p.kind == kindRead && !r.l.primary
 	if untouched && harmless && !r.within && r.u.sync {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
+	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pgback"
 	"github.com/galenabridge/galenabridge/internal/pgfront"
 )
@@ -63,10 +64,14 @@
 	}
 	limit := opts.Connections
 	if limit == nil {
-		limit = evenShare(opts.View)
+		limit = evenShare(opts.View, func(svc note.Service) int { return svc.Connections })
 	}
-	s.backends = newBackends(opts.View, limit, opts.Observers)
 	s.setPorts()
+	observers := opts.Observers
+	if o, ok := s.router.(Observer); ok {
+		observers = append(observers[:len(observers):len(observers)], o)
+	}
+	s.backends = newBackends(opts.View, limit, observers)
 	s.listener, err = net.Listen("tcp", opts.Settings.Entry.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
@@ -74,7 +79,7 @@
 	return s, nil
 }
 
-// setPorts fills in the simple implementations for ports that are not given.
+// setPorts fills in ports that are not given.
 func (s *Server) setPorts() {
 	s.limiter, s.gate, s.router = s.opts.Limiter, s.opts.Gate, s.opts.Router
 	s.positions, s.durability = s.opts.Positions, s.opts.Durability
@@ -82,16 +87,16 @@
 		s.limiter = Unlimited{}
 	}
 	if s.gate == nil {
-		s.gate = NewFIFOGate(s.opts.View)
-	}
-	if s.positions == nil && s.router == nil {
-		s.positions = NoPositions{}
+		s.gate = NewGate(s.opts.gatePolicy(), s.opts.slots())
 	}
 	if s.positions == nil {
 		s.positions = &PrimaryPositions{view: s.opts.View, current: s.PrimaryStatus}
 	}
 	if s.router == nil {
-		s.router = NewPrimaryRouter(s.opts.View)
+		s.router = NewTableRouter(s.opts.View, s.opts.Settings.Domain)
+	}
+	if s.opts.Baseline {
+		s.router, s.positions = NewPrimaryRouter(s.opts.View), NoPositions{}
 	}
 	if s.durability == nil {
 		s.durability = &majorityWait{view: s.opts.View, read: s.PrimaryStatus}
--- a/internal/entry/simple.go
+++ b/internal/entry/simple.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
@@ -17,79 +16,6 @@
 // Acquire implements Limiter.
 func (Unlimited) Acquire(context.Context, string) error { return nil }
 
-// FIFOGate is a Gate that admits requests to an endpoint's slots in order of
-// arrival, whatever their workspace and class.
-type FIFOGate struct {
-	view view.Source
-
-	mu    sync.Mutex
-	slots map[string]*slots
-}
-
-type slots struct {
-	taken int
-	queue []chan struct{}
-}
-
-// NewFIFOGate returns a gate with the slots that the agreed state gives.
-func NewFIFOGate(src view.Source) *FIFOGate {
-	return &FIFOGate{view: src, slots: make(map[string]*slots)}
-}
-
-// Enter implements Gate.
-func (g *FIFOGate) Enter(ctx context.Context, a Admission) (func(), error) {
-	limit := 1
-	if state := g.view.Current().State; state != nil {
-		limit = max(state.Catalog.Services[a.Service].Slots, 1)
-	}
-	g.mu.Lock()
-	s, ok := g.slots[a.Endpoint]
-	if !ok {
-		s = &slots{}
-		g.slots[a.Endpoint] = s
-	}
-	if s.taken < limit && len(s.queue) == 0 {
-		s.taken++
-		g.mu.Unlock()
-		return func() { g.leave(s) }, nil
-	}
-	turn := make(chan struct{})
-	s.queue = append(s.queue, turn)
-	g.mu.Unlock()
-	select {
-	case <-turn:
-		return func() { g.leave(s) }, nil
-	case <-ctx.Done():
-		g.abandon(s, turn)
-		return nil, result.New(result.DeadlineInQueue, "waiting for a slot of endpoint %s", a.Endpoint)
-	}
-}
-
-// leave passes the slot to the first in the queue.
-func (g *FIFOGate) leave(s *slots) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(s.queue) > 0 {
-		close(s.queue[0])
-		s.queue = s.queue[1:]
-		return
-	}
-	s.taken--
-}
-
-func (g *FIFOGate) abandon(s *slots, turn chan struct{}) {
-	g.mu.Lock()
-	for i, other := range s.queue {
-		if other == turn {
-			s.queue = append(s.queue[:i], s.queue[i+1:]...)
-			g.mu.Unlock()
-			return
-		}
-	}
-	g.mu.Unlock()
-	g.leave(s) // the slot was passed on meanwhile
-}
-
 // PrimaryRouter is a Router that sends every request to the primary.
 type PrimaryRouter struct{ view view.Source }
 
@@ -113,10 +39,10 @@
 }
 
 // Begin implements Router.
-func (r *PrimaryRouter) Begin(string) {}
+func (*PrimaryRouter) Begin(string) {}
 
 // End implements Router.
-func (r *PrimaryRouter) End(Report) {}
+func (*PrimaryRouter) End(Report) {}
 
 // NoPositions is a Positions for routers that read from the primary only.
 type NoPositions struct{}
