--- /dev/null
+++ b/internal/store/restart_test.go
@@ -0,0 +1,62 @@
+package store
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/galenabridge/galenabridge/internal/consensus"
+)
+
+// changeBytes is the size of a change of the agreed state in the benchmark.
+const changeBytes = 512
+
+// BenchmarkSave measures one synced change.
+func BenchmarkSave(b *testing.B) {
+	s := mustOpen(b, b.TempDir())
+	data := bytes.Repeat([]byte("x"), changeBytes)
+	index := uint64(0)
+	for b.Loop() {
+		index++
+		mustSave(b, s, consensus.Durable{Entries: []consensus.Entry{{Index: index, Term: 1, Data: data}}})
+	}
+}
+
+// BenchmarkRestart measures opening, checking and loading a data folder after a
+// number of changes without a snapshot.
+func BenchmarkRestart(b *testing.B) {
+	for _, changes := range []uint64{1000, 10000} {
+		b.Run(fmt.Sprint(changes), func(b *testing.B) {
+			dir := b.TempDir()
+			s := mustOpen(b, dir)
+			data := bytes.Repeat([]byte("x"), changeBytes)
+			for i := uint64(1); i <= changes; i++ {
+				mustSave(b, s, consensus.Durable{Entries: []consensus.Entry{{Index: i, Term: 1, Data: data}}})
+			}
+			size, err := s.Size()
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := s.Close(); err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				restart(b, dir, changes)
+			}
+			b.ReportMetric(float64(size), "file_bytes")
+		})
+	}
+}
+
+func restart(b *testing.B, dir string, changes uint64) {
+	s, err := Open(dir, Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	if st := mustLoad(b, s); uint64(len(st.Entries)) != changes {
+		b.Fatalf("%d entries after %d changes", len(st.Entries), changes)
+	}
+	if err := s.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
