--- a/internal/agreed/apply.go
+++ b/internal/agreed/apply.go
@@ -42,7 +42,7 @@
 	case c.RegisterHost != nil:
 		return registerHost(s, index, c.RegisterHost.Host)
 	case c.RemoveHost != nil:
-		return removeHost(s, c.RemoveHost)
+		return removeHost(s, index, c.RemoveHost)
 	case c.PutEndpoint != nil:
 		return putEndpoint(s, index, c.PutEndpoint.Endpoint)
 	case c.RemoveEndpoint != nil:
--- a/internal/agreed/apply_host.go
+++ b/internal/agreed/apply_host.go
@@ -26,11 +26,14 @@
 	next := copyOf(s)
 	next.Hosts = maps.Clone(s.Hosts)
 	next.Hosts[h.ID] = h
+	if known.Entry && known.Incarnation != h.Incarnation {
+		next.Departed = index
+	}
 	return next, Outcome{}
 }
 
 // removeHost removes a host unless a newer incarnation has registered.
-func removeHost(s *State, c *RemoveHost) (*State, Outcome) {
+func removeHost(s *State, index uint64, c *RemoveHost) (*State, Outcome) {
 	known, ok := s.Hosts[c.ID]
 	if !ok || known.Incarnation != c.Incarnation {
 		return nil, Outcome{}
@@ -38,5 +41,8 @@
 	next := copyOf(s)
 	next.Hosts = maps.Clone(s.Hosts)
 	delete(next.Hosts, c.ID)
+	if known.Entry {
+		next.Departed = index
+	}
 	return next, Outcome{}
 }
--- a/internal/agreed/delta.go
+++ b/internal/agreed/delta.go
@@ -29,6 +29,8 @@
 	Hosts      *Changes[Host]           `cbor:"9,keyasint,omitempty"`
 	Endpoints  *Changes[Endpoint]       `cbor:"10,keyasint,omitempty"`
 	Groups     *Changes[Group]          `cbor:"11,keyasint,omitempty"`
+	// Departed is the field of the state after the change.
+	Departed uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // ErrGap is returned by Patch when the delta does not start at the state.
@@ -47,6 +49,7 @@
 		Hosts:      diffMap(from.Hosts, to.Hosts),
 		Endpoints:  diffMap(from.Endpoints, to.Endpoints),
 		Groups:     diffMap(from.Groups, to.Groups),
+		Departed:   to.Departed,
 	}
 	for _, stamp := range to.History {
 		if stamp.Number > from.Catalog.Stamp.Number {
@@ -87,6 +90,7 @@
 	next := copyOf(s)
 	next.Revision = d.To
 	next.Fleet = d.Fleet
+	next.Departed = d.Departed
 	if len(d.Stamps) > 0 {
 		next.History = appendHistory(s.History, d.Stamps...)
 		next.Catalog.Stamp = d.Stamps[len(d.Stamps)-1]
--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -74,4 +74,7 @@
 	Hosts     map[string]Host     `json:"hosts" cbor:"5,keyasint"`
 	Endpoints map[string]Endpoint `json:"endpoints" cbor:"6,keyasint"`
 	Groups    map[string]Group    `json:"groups" cbor:"7,keyasint"`
+	// Departed is the revision at which an entry host's process was last
+	// removed or replaced. What only that process knew is lost.
+	Departed uint64 `json:"departed,omitempty" cbor:"8,keyasint,omitempty"`
 }
