Add request outcomes, retry budget, back-off and marker rules

Cause: a request without a good answer may be run again only when it provably had no effect, and retries must not add to an overload.

Conclusion: the budget bound holds over any history from the start of a name (property test); the entry path still has to consult it.

--- /dev/null
+++ b/internal/retry/marker.go
@@ -0,0 +1,60 @@
+package retry
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// MarkerTTL is how long the marker of a request id is kept. A resend after
+// that runs as a new request.
+const MarkerTTL = 24 * time.Hour
+
+// Digest identifies the statement and parameters of a request.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a request's parts, such as its statement and
+// its parameters. Each part is preceded by its length, so that no two lists of
+// parts collide by concatenation.
+func DigestOf(parts ...[]byte) Digest {
+	h := sha256.New()
+	var length [8]byte
+	for _, part := range parts {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		h.Write(length[:])
+		h.Write(part)
+	}
+	return Digest(h.Sum(nil))
+}
+
+// Marker is the row that a request with an id writes in its own transaction.
+type Marker struct {
+	Workspace string
+	RequestID string
+	Digest    Digest
+	// Written is the time of the database's clock when the row was written.
+	Written time.Time
+}
+
+// Expired reports whether the marker may be deleted.
+func (m Marker) Expired(now time.Time) bool {
+	return now.Sub(m.Written) >= MarkerTTL
+}
+
+// CheckMarker tells what a request with an id may do, given the marker found
+// for its workspace and id, or nil. It returns nil when the request may run,
+// and a result.Error with code RequestAlreadyDone or RequestIDReused when it
+// must not. The marker must have been read on the primary, in the transaction
+// that then runs the request.
+func CheckMarker(found *Marker, digest Digest, now time.Time) error {
+	switch {
+	case found == nil || found.Expired(now):
+		return nil
+	case found.Digest == digest:
+		return result.New(result.RequestAlreadyDone, "request %q has run at %s", found.RequestID, found.Written.UTC().Format(time.RFC3339))
+	default:
+		return result.New(result.RequestIDReused, "request %q has run with another statement", found.RequestID)
+	}
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,166 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+var start = time.Unix(0, 0)
+
+func TestWhatMayFollow(t *testing.T) {
+	cases := map[string]struct {
+		request Request
+		events  []Event
+		action  Action
+		code    result.Code
+	}{
+		"new":                               {Request{}, nil, Proceed, result.NoEndpoint},
+		"connection failed before sending":  {Request{}, []Event{Lost}, RetryElsewhere, result.NoEndpoint},
+		"the same inside a transaction":     {Request{InTransaction: true}, []Event{Lost}, Report, result.EndpointLost},
+		"sent":                              {Request{}, []Event{Wrote}, Proceed, result.OutcomeUnknown},
+		"answered":                          {Request{}, []Event{Wrote, GotAnswer}, Pass, 0},
+		"write lost":                        {Request{}, []Event{Wrote, Lost}, Report, result.OutcomeUnknown},
+		"write lost, late answer":           {Request{}, []Event{Wrote, Lost, GotAnswer}, Report, result.OutcomeUnknown},
+		"write with id lost":                {Request{HasID: true}, []Event{Wrote, Lost}, ConsultMarker, result.OutcomeUnknown},
+		"write with id lost in transaction": {Request{HasID: true, InTransaction: true}, []Event{Wrote, Lost}, Report, result.OutcomeUnknown},
+		"read lost":                         {Request{ReadOnly: true}, []Event{Wrote, Lost}, RetryElsewhere, result.EndpointLost},
+		"read lost within its answer":       {Request{ReadOnly: true, Streamed: true}, []Event{Wrote, Lost}, Report, result.EndpointLost},
+		"refused as not read-only":          {Request{}, []Event{Wrote, RefusedReadOnly}, RetryOnPrimary, result.NoEndpoint},
+		"refused in a transaction":          {Request{InTransaction: true}, []Event{Wrote, RefusedReadOnly}, Report, result.EndpointLost},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := c.request
+			for _, ev := range c.events {
+				r.Apply(ev)
+			}
+			if r.Next() != c.action || r.Code() != c.code {
+				t.Fatalf("action %d code %d, want %d and %d", r.Next(), r.Code(), c.action, c.code)
+			}
+		})
+	}
+}
+
+// A write without an id is sent again only when it provably had no effect, and
+// a code that says "not run" is given only then.
+func TestWritesRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Request{InTransaction: rapid.Bool().Draw(t, "tx"), HasID: rapid.Bool().Draw(t, "id"), Streamed: rapid.Bool().Draw(t, "streamed")}
+		mayHaveRun := false
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			ev := rapid.SampledFrom([]Event{Wrote, GotAnswer, RefusedReadOnly, Lost}).Draw(t, "event")
+			sent := r.Outcome() == Sent
+			r.Apply(ev)
+			switch {
+			case r.Outcome() == Sent:
+				mayHaveRun = true
+			case sent && ev == RefusedReadOnly:
+				mayHaveRun = false
+			}
+			action := r.Next()
+			if mayHaveRun && (action == RetryElsewhere || action == RetryOnPrimary) {
+				t.Fatalf("a write that may have run is sent again: %+v", r)
+			}
+			if mayHaveRun && r.Outcome() != Answered && result.Lookup(r.Code()).NotRun {
+				t.Fatalf("code %d claims that a write was not run: %+v", r.Code(), r)
+			}
+			if action == RetryElsewhere || action == RetryOnPrimary {
+				r.Resend()
+			}
+		}
+	})
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultBudgetConfig()
+		b := NewBudgets(cfg)
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		failing := rapid.Float64Range(0, 1).Draw(t, "failing")
+		now, requests, retries := start, 0.0, 0.0
+		for range 2000 {
+			now = now.Add(time.Duration(rnd.Int64N(int64(20 * time.Millisecond))))
+			b.First(now, "w", "e")
+			requests++
+			for rnd.Float64() < failing && b.Allow(now, "w", "e") {
+				retries++
+			}
+			allowed := 1 + cfg.Ratio*requests + cfg.Reserve*now.Sub(start).Seconds()
+			if retries > allowed+1e-6 {
+				t.Fatalf("%v retries of %v requests in %v", retries, requests, now.Sub(start))
+			}
+		}
+	})
+}
+
+func TestRetryNeedsBothBudgets(t *testing.T) {
+	b := NewBudgets(DefaultBudgetConfig())
+	if !b.Allow(start, "w", "e") || b.Allow(start, "w", "other") || b.Allow(start, "other", "e") {
+		t.Fatal("a spent budget allowed a retry, or a full one did not")
+	}
+	later := start.Add(time.Minute)
+	if !b.Allow(later, "w", "e") {
+		t.Fatal("the reserve did not refill the budget")
+	}
+}
+
+func TestIdleBudgetsAreForgotten(t *testing.T) {
+	b := NewBudget(DefaultBudgetConfig())
+	b.Earn(start, "w")
+	b.Earn(start.Add(time.Hour), "v")
+	if len(b.buckets) != 1 {
+		t.Fatalf("%d budgets are kept", len(b.buckets))
+	}
+}
+
+func TestBackoffStaysWithinItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		b := Backoff{Base: DefaultBackoffBase, Cap: DefaultBackoffCap}
+		last := b.Base
+		for range 50 {
+			wait := b.Next(rnd)
+			if wait < b.Base || wait > b.Cap || wait > 3*last {
+				t.Fatalf("wait %s after %s", wait, last)
+			}
+			last = wait
+		}
+	})
+}
+
+func TestMarkerRules(t *testing.T) {
+	digest := DigestOf([]byte("insert"), []byte("1"))
+	marker := &Marker{Workspace: "w", RequestID: "r", Digest: digest, Written: start}
+	cases := map[string]struct {
+		found  *Marker
+		digest Digest
+		at     time.Time
+		want   result.Code
+	}{
+		"first run":          {nil, digest, start, 0},
+		"resend":             {marker, digest, start.Add(time.Hour), result.RequestAlreadyDone},
+		"another statement":  {marker, DigestOf([]byte("insert"), []byte("2")), start, result.RequestIDReused},
+		"parts are separate": {marker, DigestOf([]byte("insert1")), start, result.RequestIDReused},
+		"just not expired":   {marker, digest, start.Add(MarkerTTL - 1), result.RequestAlreadyDone},
+		"expired":            {marker, digest, start.Add(MarkerTTL), 0},
+	}
+	for name, c := range cases {
+		if got := result.CodeOf(CheckMarker(c.found, c.digest, c.at)); got != c.want {
+			t.Errorf("%s: code %d, want %d", name, got, c.want)
+		}
+	}
+}
+
+func BenchmarkFirstAndAllow(b *testing.B) {
+	budgets := NewBudgets(DefaultBudgetConfig())
+	b.ReportAllocs()
+	for b.Loop() {
+		budgets.First(start, "w", "e")
+		budgets.Allow(start, "w", "e")
+	}
+}
