Draft integration tests with real processes and a fault-injecting network

Change: test/integration starts hosts and stand-in endpoints from the built program. Scenarios for the promises and failures are behind the build tag fleet until the daemon can run them. The stand-in answers SHOW cluster_name with its identity and reports running sleeps.

Conclusion: the tag goes away with the first run of the scenarios.

--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -29,6 +29,8 @@
 	Timeline uint32 `json:"timeline"`
 	Flushed  string `json:"flushed"`
 	Replayed string `json:"replayed"`
+	// Sleeping counts the running calls of pg_sleep.
+	Sleeping int64 `json:"sleeping"`
 }
 
 const controlHeaderTimeout = 5 * time.Second
@@ -94,6 +96,6 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Status{ // the client may have gone
 		ID: s.opts.ID, Addr: s.Addr(), Role: role, Timeline: number,
-		Flushed: flushed.String(), Replayed: replayed.String(),
+		Flushed: flushed.String(), Replayed: replayed.String(), Sleeping: s.sleeping.Load(),
 	})
 }
--- a/internal/standin/functions.go
+++ b/internal/standin/functions.go
@@ -110,6 +110,8 @@
 	if err != nil {
 		return "", true, errState(stateBadText, "pg_sleep: %v", err)
 	}
+	f.s.srv.sleeping.Add(1)
+	defer f.s.srv.sleeping.Add(-1)
 	return "''", true, sleep(f.ctx, time.Duration(seconds*float64(time.Second)))
 }
 
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -30,7 +30,8 @@
 // Options configure one endpoint. Zero values take the defaults; to have no
 // delay at all, set a negative one.
 type Options struct {
-	// Service names the database group, ID the endpoint in the group.
+	// Service names the database group, ID the endpoint in the group. SHOW
+	// cluster_name answers with ID.
 	Service string
 	ID      string
 	// Domain is the failure domain that the endpoint announces.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -21,6 +21,8 @@
 	wal    *wal
 	lag    atomic.Int64 // replay lag in nanoseconds
 	delay  atomic.Int64 // replication delay in nanoseconds
+	// sleeping counts the running calls of pg_sleep.
+	sleeping atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/standin/sessioncmd.go
+++ b/internal/standin/sessioncmd.go
@@ -106,6 +106,8 @@
 	switch name {
 	case settingTxReadOnly:
 		return onOff(s.tx.mode.readOnly || !s.srv.isPrimary()), true
+	case "cluster_name":
+		return s.srv.opts.ID, true
 	case "in_hot_standby":
 		return onOff(!s.srv.isPrimary()), true
 	case "transaction_isolation":
--- /dev/null
+++ b/test/integration/callers_test.go
@@ -0,0 +1,356 @@
+//go:build fleet
+
+package integration
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenabridge/galenabridge/internal/history"
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/standin"
+)
+
+// replayLag is the lag of replicas in tests of freshness.
+const replayLag = 500 * time.Millisecond
+
+// TestHealthyFleet holds the promises that need no fault; its parts share one
+// fleet.
+func TestHealthyFleet(t *testing.T) {
+	f := startFleet(t, fleetOptions{lag: replayLag, watch: true, note: func(n *note.Note) {
+		n.Added.Workspaces = append(n.Added.Workspaces,
+			note.Workspace{Name: "metered", Rate: meteredRate, Burst: meteredBurst, Class: note.ClassInteractive},
+			note.Workspace{Name: "visitors", Rate: 1000, Burst: 1000, Class: note.ClassBulk, Open: true},
+			note.Workspace{Name: "narrow", Rate: 1000, Burst: 1000, Class: note.ClassBulk, Services: services[:1]})
+	}})
+	for _, part := range []struct {
+		name string
+		test func(*testing.T, *fleet)
+	}{
+		{"ReadYourWritesOverAnyHost", testReadYourWrites},
+		{"TransactionsNeverMix", testTransactionsNeverMix},
+		{"OnlyTheKeysOwnWorkspace", testOnlyOwnWorkspace},
+		{"NoDatabaseSeesAKey", testNoDatabaseSeesAKey},
+		{"RateHoldsOverTheFleet", testRateHoldsOverTheFleet},
+		{"WholeOwnAnswers", testWholeOwnAnswers},
+		{"WithdrawnKeyStopsConnection", testWithdrawnKey},
+	} {
+		t.Run(part.name, func(t *testing.T) {
+			g := *f
+			g.t = t
+			part.test(t, &g)
+			f.last = g.last
+		})
+	}
+}
+
+// testReadYourWrites reads each entry on the next request: over the same
+// connection, over one opened before, and through another host.
+func testReadYourWrites(t *testing.T, f *fleet) {
+	rounds := 100
+	if *long {
+		rounds = 1000
+	}
+	service := services[0]
+	conns := make([]*pgx.Conn, len(f.hosts))
+	for i, h := range f.hosts {
+		conns[i] = f.connect(h, crew, service)
+	}
+	ctx := f.context()
+	missing := 0
+	for i := range rounds {
+		id := fmt.Sprintf("own-%d", i)
+		writer := conns[i%len(conns)]
+		if _, err := writer.Exec(ctx, "insert into records (id, workspace) values ($1, $2)", id, crew); err != nil {
+			t.Fatal(err)
+		}
+		for _, reader := range []*pgx.Conn{writer, conns[(i+1)%len(conns)], conns[(i*7+3)%len(conns)]} {
+			var n int64
+			if err := reader.QueryRow(ctx, "select count(*) from records where id = $1", id).Scan(&n); err != nil {
+				t.Fatal(err)
+			}
+			if n != 1 {
+				missing++
+			}
+		}
+	}
+	if missing > 0 {
+		t.Errorf("%d of %d reads missed an acknowledged entry", missing, 3*rounds)
+	}
+}
+
+// testTransactionsNeverMix runs transactions of three rows from many callers
+// over few endpoint connections, half of them rolled back.
+func testTransactionsNeverMix(t *testing.T, f *fleet) {
+	const callers, rounds = 36, 5
+	service := services[1]
+	setup := f.connect(f.hosts[0], crew, service)
+	if _, err := setup.Exec(f.context(), "create table parts (token text, part int4)"); err != nil {
+		t.Fatal(err)
+	}
+	ctx := f.context()
+	var work errgroup.Group
+	for c := range callers {
+		conn := f.connect(f.hosts[c%len(f.hosts)], crew, service)
+		work.Go(func() error {
+			for round := range rounds {
+				if err := threeParts(f, conn, fmt.Sprintf("%d-%d", c, round), round%2 == 0); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	if err := work.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := setup.Query(ctx, "select token, count(*) from parts group by token")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tokens := 0
+	for rows.Next() {
+		var token string
+		var n int64
+		if err := rows.Scan(&token, &n); err != nil {
+			t.Fatal(err)
+		}
+		tokens++
+		if n != 3 || strings.HasSuffix(token, "-1") || strings.HasSuffix(token, "-3") {
+			t.Errorf("token %s has %d parts", token, n)
+		}
+	}
+	if want := callers * 3; tokens != want {
+		t.Errorf("%d committed transactions, want %d", tokens, want)
+	}
+}
+
+func threeParts(f *fleet, conn *pgx.Conn, token string, commit bool) error {
+	ctx := f.context()
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		return err
+	}
+	for part := range 3 {
+		if _, err := tx.Exec(ctx, "insert into parts (token, part) values ($1, $2)", token, part); err != nil {
+			return err
+		}
+	}
+	var n int64
+	if err := tx.QueryRow(ctx, "select count(*) from parts where token = $1", token).Scan(&n); err != nil {
+		return err
+	}
+	if n != 3 {
+		return fmt.Errorf("transaction %s sees %d of its parts", token, n)
+	}
+	if commit {
+		return tx.Commit(ctx)
+	}
+	return tx.Rollback(ctx)
+}
+
+func testOnlyOwnWorkspace(t *testing.T, f *fleet) {
+	h := f.hosts[1]
+	cases := []struct {
+		name, url string
+		want      result.Code
+	}{
+		{"wrong key", callerURL(h, crew, "no key of anybody", services[0]), result.BadKey},
+		{"key of another workspace", callerURL(h, crew, f.keys[editors+"-1"], services[0]), result.BadKey},
+		{"unknown workspace", callerURL(h, "nobody", f.keys[crew+"-1"], services[0]), result.UnknownWorkspace},
+		{"unknown service", callerURL(h, crew, f.keys[crew+"-1"], "nothing"), result.UnknownService},
+	}
+	for _, c := range cases {
+		conn, err := pgx.Connect(f.context(), c.url)
+		if err == nil {
+			closeConn(conn)
+		}
+		if got := codeOf(err); got != c.want {
+			t.Errorf("%s: code %d (%v), want %d", c.name, got, err, c.want)
+		}
+	}
+	open, err := pgx.Connect(f.context(), callerURL(h, "visitors", "", services[0]))
+	if err != nil {
+		t.Fatalf("open route: %v", err)
+	}
+	defer closeConn(open)
+	if _, err := open.Exec(f.context(), "select count(*) from records"); err != nil {
+		t.Errorf("read over an open route: %v", err)
+	}
+	if _, err := open.Exec(f.context(), "insert into records (id) values ('by a visitor')"); err == nil {
+		t.Error("an open route took a write")
+	}
+}
+
+// testNoDatabaseSeesAKey looks at all bytes that have reached the endpoints.
+func testNoDatabaseSeesAKey(t *testing.T, f *fleet) {
+	const mark = "mark of a caller"
+	for _, h := range f.hosts {
+		for _, service := range services {
+			conn := f.connect(h, editors, service)
+			if _, err := conn.Exec(f.context(), "insert into records (id, body) values ($1, $2)", mark+h.name, mark); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	marks := 0
+	for _, e := range f.endpoints {
+		sent := f.net.sentTo(e.id)
+		marks += strings.Count(sent, mark)
+		for id, key := range f.keys {
+			if strings.Contains(sent, key) {
+				t.Errorf("endpoint %s was sent the key %s", e.id, id)
+			}
+		}
+	}
+	if marks == 0 {
+		t.Error("the callers' statements were not among the bytes looked at")
+	}
+}
+
+const (
+	meteredRate  = 40
+	meteredBurst = 20
+)
+
+// testRateHoldsOverTheFleet sends several times the rate through all hosts.
+func testRateHoldsOverTheFleet(t *testing.T, f *fleet) {
+	f.apply(func(n *note.Note) { n.Added.Keys = []note.Key{f.newKey("metered-1", "metered")} })
+	ctx := f.context()
+	start := time.Now()
+	spans := make([][]history.Span, len(f.hosts))
+	var work errgroup.Group
+	for i, h := range f.hosts {
+		var conn *pgx.Conn
+		eventually(t, "key accepted by "+h.name, func() bool {
+			var err error
+			conn, err = f.dial(h, "metered", services[0])
+			return err == nil
+		})
+		defer closeConn(conn)
+		work.Go(func() error {
+			for time.Since(start) < 5*time.Second {
+				invoke := time.Since(start)
+				_, err := conn.Exec(ctx, "insert into records (id) values (gen_random_uuid()::text)")
+				if err == nil {
+					spans[i] = append(spans[i], history.Span{Invoke: invoke, Return: time.Since(start)})
+				} else if codeOf(err) != result.RateExceeded {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	if err := work.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	var all []history.Span
+	for _, s := range spans {
+		all = append(all, s...)
+	}
+	for _, v := range history.Rate(all, meteredRate, meteredBurst) {
+		t.Error(v)
+	}
+	if len(all) == 0 {
+		t.Error("nothing was served within the rate")
+	}
+	t.Logf("%d requests served in %s at a rate of %d and a burst of %d", len(all), time.Since(start), meteredRate, meteredBurst)
+}
+
+// testWholeOwnAnswers lets callers give up while answers are late: no other
+// caller may get the rest of such an answer.
+func testWholeOwnAnswers(t *testing.T, f *fleet) {
+	late := 50
+	for _, e := range f.endpoints {
+		e.faults(t, standin.FaultRequest{LateMS: &late})
+	}
+	r := newRecorder()
+	var work errgroup.Group
+	for c := range 27 {
+		h := f.hosts[c%len(f.hosts)]
+		work.Go(func() error { return f.askWithMarks(r, h, c) })
+	}
+	if err := work.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range f.endpoints {
+		e.faults(t, standin.FaultRequest{Clear: true})
+	}
+	r.check(t, nil)
+	if len(r.answers) == 0 {
+		t.Error("no answers")
+	}
+}
+
+func (f *fleet) askWithMarks(r *recorder, h *host, caller int) error {
+	for i := range 10 {
+		conn, err := f.dial(h, crew, services[0])
+		if err != nil {
+			return err
+		}
+		mark := fmt.Sprintf("%d/%d", caller, i)
+		if i%3 == 1 {
+			// Ask and leave without waiting for the answer.
+			sent := conn.PgConn().Conn()
+			conn.PgConn().Frontend().SendQuery(&pgproto3.Query{String: "select 'abandoned " + mark + "'"})
+			_ = conn.PgConn().Frontend().Flush() // the connection is abandoned
+			sent.Close()
+			continue
+		}
+		var got string
+		err = conn.QueryRow(f.context(), "select $1::text", mark).Scan(&got)
+		closeConn(conn)
+		if err != nil {
+			return err
+		}
+		r.answer(mark, got)
+	}
+	return nil
+}
+
+// testWithdrawnKey withdraws one key of a workspace that is connected everywhere
+// with two.
+func testWithdrawnKey(t *testing.T, f *fleet) {
+	f.apply(func(n *note.Note) { n.Added.Keys = []note.Key{f.newKey(crew+"-2", crew)} })
+	var withdrawn, kept []*pgx.Conn
+	for _, h := range f.hosts {
+		var conn *pgx.Conn
+		eventually(t, "second key accepted by "+h.name, func() bool {
+			var err error
+			conn, err = pgx.Connect(f.context(), callerURL(h, crew, f.keys[crew+"-2"], services[0]))
+			return err == nil
+		})
+		defer closeConn(conn)
+		withdrawn = append(withdrawn, conn)
+		kept = append(kept, f.connect(h, crew, services[0]))
+	}
+	f.apply(func(n *note.Note) { n.Withdrawn.Keys = []string{crew + "-2"} })
+	start := time.Now()
+	for i, conn := range withdrawn {
+		var last error
+		eventually(t, "withdrawn key refused by "+f.hosts[i].name, func() bool {
+			_, last = conn.Exec(f.context(), "select 1")
+			return last != nil
+		})
+		if code := codeOf(last); code != result.KeyWithdrawn {
+			t.Errorf("%s: code %d (%v)", f.hosts[i].name, code, last)
+		}
+		_, err := pgx.Connect(f.context(), callerURL(f.hosts[i], crew, f.keys[crew+"-2"], services[0]))
+		if codeOf(err) != result.BadKey {
+			t.Errorf("%s: new connection with the withdrawn key: %v", f.hosts[i].name, err)
+		}
+	}
+	t.Logf("withdrawn key refused everywhere after %s", time.Since(start))
+	for i, conn := range kept {
+		if _, err := conn.Exec(f.context(), "select 1"); err != nil {
+			t.Errorf("%s: the other key: %v", f.hosts[i].name, err)
+		}
+	}
+}
--- /dev/null
+++ b/test/integration/failures_test.go
@@ -0,0 +1,402 @@
+//go:build fleet
+
+package integration
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/galenabridge/galenabridge/internal/history"
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/standin"
+)
+
+// awaitNewPrimary waits until another endpoint than old is the primary.
+func (f *fleet) awaitNewPrimary(service string, old *endpoint) *endpoint {
+	f.t.Helper()
+	var found *endpoint
+	eventually(f.t, "another primary of "+service, func() bool {
+		found = f.primary(service)
+		return found != old
+	})
+	return found
+}
+
+// directly connects to an endpoint without the fleet and its network.
+func (f *fleet) directly(e *endpoint) *pgx.Conn {
+	f.t.Helper()
+	url := fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", serviceUser, servicePassword, e.listen, database)
+	conn, err := pgx.Connect(f.context(), url)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { closeConn(conn) })
+	return conn
+}
+
+// awaitAcks waits for n more acknowledged writes.
+func awaitAcks(t *testing.T, r *recorder, n int) {
+	t.Helper()
+	before := r.count(history.Acked)
+	eventually(t, fmt.Sprintf("%d acknowledged writes", n), func() bool {
+		return r.count(history.Acked) >= before+n
+	})
+}
+
+// awaitMember waits until the endpoint follows the primary of its service.
+func (f *fleet) awaitMember(e *endpoint) {
+	f.t.Helper()
+	eventually(f.t, e.id+" follows", func() bool {
+		s, err := e.status()
+		if err != nil || s.Role != standin.RoleReplica {
+			return false
+		}
+		p, err := f.primary(e.service).status()
+		return err == nil && p.Timeline == s.Timeline && p.Flushed == s.Flushed
+	})
+}
+
+// TestIsolatedPrimaryAcknowledgesNothing cuts a primary off while callers
+// write. It goes on taking writes for itself, and loses them.
+func TestIsolatedPrimaryAcknowledgesNothing(t *testing.T) {
+	f := startFleet(t, fleetOptions{})
+	service := services[0]
+	r := newRecorder()
+	w := f.startWriters(r, len(f.hosts), service)
+	awaitAcks(t, r, 100)
+
+	old := f.primary(service)
+	f.net.isolate(old.id, true)
+	cutAt := time.Now()
+	next := f.awaitNewPrimary(service, old)
+	promoted := time.Since(cutAt)
+	awaitAcks(t, r, 100)
+	t.Logf("%s replaced %s after %s; 100 more writes acknowledged after %s", next.id, old.id, promoted, time.Since(cutAt))
+
+	if s, err := old.status(); err != nil || s.Role != standin.RolePrimary {
+		t.Fatalf("the isolated endpoint does not take itself for the primary: %+v, %v", s, err)
+	}
+	if _, err := f.directly(old).Exec(f.context(), "insert into records (id) values ('orphan')"); err != nil {
+		t.Fatalf("the isolated primary refuses writes, so the test shows nothing: %v", err)
+	}
+	f.net.heal()
+	f.awaitMemberAfter(w, old)
+	stored := f.storedIDs(service, "records")
+	if stored["orphan"] != 0 {
+		t.Error("a write of the replaced primary came back")
+	}
+	r.check(t, stored)
+}
+
+// awaitMemberAfter stops the writers and waits until the endpoint follows.
+func (f *fleet) awaitMemberAfter(w *writers, e *endpoint) {
+	f.t.Helper()
+	w.stop()
+	f.awaitMember(e)
+}
+
+// TestKilledPrimaryIsReplaced kills the primary and later one more endpoint's
+// worth of luck: the killed one comes back empty handed as a replica.
+func TestKilledPrimaryIsReplaced(t *testing.T) {
+	f := startFleet(t, fleetOptions{hosts: controlCount})
+	service := services[0]
+	r := newRecorder()
+	w := f.startWriters(r, 6, service)
+	awaitAcks(t, r, 100)
+	old := f.primary(service)
+	old.proc.kill()
+	f.awaitNewPrimary(service, old)
+	awaitAcks(t, r, 100)
+	f.startEndpoint(old, standin.RoleReplica, "", 0)
+	f.awaitMemberAfter(w, old)
+	r.check(t, f.storedIDs(service, "records"))
+}
+
+// TestNotRunIsTrueWhileThePrimaryStalls lets requests run into their deadlines
+// while answers and commits are held up and dropped.
+func TestNotRunIsTrueWhileThePrimaryStalls(t *testing.T) {
+	f := startFleet(t, fleetOptions{hosts: controlCount})
+	service := services[0]
+	r := newRecorder()
+	w := f.startWriters(r, 12, service)
+	awaitAcks(t, r, 50)
+	primary := f.primary(service)
+	stall, drops := true, 5
+	for range 3 {
+		primary.faults(t, standin.FaultRequest{DropAfterCommit: &drops})
+		awaitAcks(t, r, 50)
+		primary.faults(t, standin.FaultRequest{Stall: &stall})
+		time.Sleep(500 * time.Millisecond)
+		primary.faults(t, standin.FaultRequest{Clear: true})
+		awaitAcks(t, r, 50)
+	}
+	w.stop()
+	if r.count(history.Unknown) == 0 {
+		t.Error("no request was left without an answer, so the test shows nothing")
+	}
+	r.check(t, f.storedIDs(service, "records"))
+}
+
+// TestCorrectionRunsOnce drops the answer to a commit and sends the request
+// again under the same id, over another host.
+func TestCorrectionRunsOnce(t *testing.T) {
+	f := startFleet(t, fleetOptions{hosts: controlCount})
+	service := services[1]
+	setup := f.connect(f.hosts[0], editors, service)
+	if _, err := setup.Exec(f.context(), "create table corrections (id text, body text)"); err != nil {
+		t.Fatal(err)
+	}
+	const rounds = 10
+	one := 1
+	for i := range rounds {
+		id := fmt.Sprintf("correction-%d", i)
+		f.primary(service).faults(t, standin.FaultRequest{DropAfterCommit: &one})
+		err := f.correct(f.hosts[i%len(f.hosts)], service, id)
+		for attempt := 1; err != nil && codeOf(err) != result.RequestAlreadyDone; attempt++ {
+			if attempt > 20 {
+				t.Fatalf("%s: %v", id, err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			err = f.correct(f.hosts[(i+attempt)%len(f.hosts)], service, id)
+		}
+	}
+	f.primary(service).faults(t, standin.FaultRequest{Clear: true})
+	stored := f.storedIDs(service, "corrections")
+	for i := range rounds {
+		if n := stored[fmt.Sprintf("correction-%d", i)]; n != 1 {
+			t.Errorf("correction-%d is stored %d times", i, n)
+		}
+	}
+}
+
+// correct files a correction under a request id.
+func (f *fleet) correct(h *host, service, id string) error {
+	conn, err := f.dial(h, editors, service)
+	if err != nil {
+		return err
+	}
+	defer closeConn(conn)
+	if _, err := conn.Exec(f.context(), "set galenabridge.request_id = '"+id+"'"); err != nil {
+		return err
+	}
+	_, err = conn.Exec(f.context(), "insert into corrections (id, body) values ($1, 'once')", id)
+	return err
+}
+
+// TestHostDiesInTransaction kills a host while transactions through it are
+// open: they leave nothing behind and hold nothing up.
+func TestHostDiesInTransaction(t *testing.T) {
+	f := startFleet(t, fleetOptions{})
+	service := services[0]
+	victim := f.hosts[len(f.hosts)-1]
+	conn := f.connect(victim, crew, service)
+	tx, err := conn.Begin(f.context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(f.context(), "insert into records (id) values ('unfinished')"); err != nil {
+		t.Fatal(err)
+	}
+	victim.proc.kill()
+	if err := tx.Commit(f.context()); err == nil {
+		t.Error("a transaction was committed through a dead host")
+	}
+	other := f.connect(f.hosts[0], crew, service)
+	if _, err := other.Exec(f.context(), "insert into records (id) values ('finished')"); err != nil {
+		t.Fatalf("the dead host's transaction holds up others: %v", err)
+	}
+	stored := f.storedIDs(service, "records")
+	if stored["unfinished"] != 0 || stored["finished"] != 1 {
+		t.Errorf("stored %v", stored)
+	}
+}
+
+// TestReplicasFallBehind reads while replicas lag and while they do not replay
+// at all: fresh reads stay fresh, reads that accept old data may go there.
+func TestReplicasFallBehind(t *testing.T) {
+	f := startFleet(t, fleetOptions{hosts: controlCount})
+	service := services[0]
+	lag := int((10 * time.Minute).Milliseconds())
+	for _, e := range f.endpoints {
+		e.faults(t, standin.FaultRequest{ReplayLagMS: &lag})
+	}
+	r := newRecorder()
+	conns := make([]*pgx.Conn, len(f.hosts))
+	for i, h := range f.hosts {
+		conns[i] = f.connect(h, crew, service)
+	}
+	if _, err := conns[0].Exec(f.context(), "insert into records (id, body) values ('r', '')"); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 60 {
+		f.writeAndRead(r, conns[i%len(conns)], conns[(i+1)%len(conns)], i)
+	}
+	r.check(t, nil)
+}
+
+func (f *fleet) writeAndRead(r *recorder, writer, reader *pgx.Conn, i int) {
+	f.t.Helper()
+	value := fmt.Sprintf("v%d", i)
+	invoke := time.Now()
+	_, err := writer.Exec(f.context(), "update records set body = $1 where id = 'r'", value)
+	r.op(history.Operation{Client: 1, Record: "r", Kind: history.OpWrite, Value: value}, invoke, err)
+	for _, strong := range []bool{false, true} {
+		text, kind := "select body from records where id = 'r'", history.OpRead
+		if strong {
+			text, kind = "update records set body = body where id = 'r' returning body", history.OpStrongRead
+		}
+		var got string
+		invoke = time.Now()
+		err := reader.QueryRow(f.context(), text).Scan(&got)
+		r.op(history.Operation{Client: 2, Record: "r", Kind: kind, Value: got}, invoke, err)
+		if err != nil {
+			f.t.Errorf("read: %v", err)
+		}
+	}
+}
+
+// servedBy returns the endpoint that answers a plain read.
+func servedBy(f *fleet, conn *pgx.Conn) (string, error) {
+	var id string
+	err := conn.QueryRow(f.context(), "select current_setting('cluster_name')").Scan(&id)
+	return id, err
+}
+
+func (f *fleet) domainOf(id string) string {
+	for _, e := range f.endpoints {
+		if e.id == id {
+			return e.domain
+		}
+	}
+	return ""
+}
+
+// TestDomainOutGetsNoNewWork takes the primary's failure domain out of use
+// under traffic and in again.
+func TestDomainOutGetsNoNewWork(t *testing.T) {
+	f := startFleet(t, fleetOptions{})
+	service := services[0]
+	r := newRecorder()
+	w := f.startWriters(r, len(f.hosts), service)
+	awaitAcks(t, r, 50)
+	old := f.primary(service)
+	change := func(out bool) {
+		f.apply(func(n *note.Note) {
+			n.Changed.Domains = []note.Domain{{Name: old.domain, Region: "kr-central", Out: out}}
+		})
+	}
+	change(true)
+	conns := make([]*pgx.Conn, len(f.hosts))
+	for i, h := range f.hosts {
+		conns[i] = f.connect(h, crew, service)
+	}
+	inDomain := func(reads int) bool {
+		for i := range reads {
+			id, err := servedBy(f, conns[i%len(conns)])
+			if err != nil || f.domainOf(id) == old.domain {
+				return true
+			}
+		}
+		return false
+	}
+	f.awaitNewPrimary(service, old)
+	eventually(t, "no work in the domain that is out", func() bool { return !inDomain(100) })
+	if inDomain(500) {
+		t.Error("the domain that is out got work again")
+	}
+	change(false)
+	eventually(t, "work in the domain that is back", func() bool { return inDomain(50) })
+	w.stop()
+	r.check(t, f.storedIDs(service, "records"))
+	if n := r.count(history.Unknown); n > 0 {
+		t.Errorf("%d requests had no answer while a domain left and came back", n)
+	}
+}
+
+// TestLeavingServiceGetsNoNewWork takes a service out of use.
+func TestLeavingServiceGetsNoNewWork(t *testing.T) {
+	f := startFleet(t, fleetOptions{hosts: controlCount})
+	leaving := services[1]
+	conns := make([]*pgx.Conn, len(f.hosts))
+	for i, h := range f.hosts {
+		conns[i] = f.connect(h, crew, leaving)
+	}
+	f.apply(func(n *note.Note) {
+		n.Changed.Services = []note.Service{{
+			Name: leaving, Endpoints: endpointCount, Slots: 5, Connections: 50,
+			Database: database, User: serviceUser, Password: servicePassword, Leaving: true,
+		}}
+	})
+	for i, conn := range conns {
+		var last error
+		eventually(t, f.hosts[i].name+" refuses work for the leaving service", func() bool {
+			_, last = conn.Exec(f.context(), "insert into records (id) values (gen_random_uuid()::text)")
+			return last != nil
+		})
+		if outcomeOf(last) != history.NotRun {
+			t.Errorf("%s: %v", f.hosts[i].name, last)
+		}
+		if _, err := f.connect(f.hosts[i], crew, services[0]).Exec(f.context(), "select 1"); err != nil {
+			t.Errorf("%s: the other service: %v", f.hosts[i].name, err)
+		}
+	}
+}
+
+// TestGracefulShutdownCutsNoRequest shuts a host down while a statement and a
+// transaction are in progress.
+func TestGracefulShutdownCutsNoRequest(t *testing.T) {
+	f := startFleet(t, fleetOptions{hosts: controlCount + 1})
+	service := services[0]
+	leaving := f.hosts[len(f.hosts)-1]
+	running, open, idle := f.connect(leaving, crew, service), f.connect(leaving, crew, service), f.connect(leaving, crew, service)
+	tx, err := open.Begin(f.context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(f.context(), "insert into records (id) values ('in transaction')"); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := running.Exec(f.context(), "select pg_sleep(2)")
+		done <- err
+	}()
+	eventually(t, "the statement runs", func() bool { return f.sleeping(service) })
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		leaving.proc.stop(t)
+	}()
+	eventually(t, "the host drains", func() bool { return strings.Contains(leaving.proc.out.String(), "drain") })
+	if err := tx.Commit(f.context()); err != nil {
+		t.Errorf("the open transaction was cut: %v", err)
+	}
+	if err := <-done; err != nil {
+		t.Errorf("the running statement was cut: %v", err)
+	}
+	<-stopped
+	if _, err := idle.Exec(f.context(), "select 1"); err == nil {
+		t.Error("the host serves after its shutdown")
+	}
+	if f.storedIDs(service, "records")["in transaction"] != 1 {
+		t.Error("the committed transaction is not stored")
+	}
+}
+
+// sleeping reports whether an endpoint of the service runs a pg_sleep.
+func (f *fleet) sleeping(service string) bool {
+	for _, e := range f.endpoints {
+		if e.service != service {
+			continue
+		}
+		if s, err := e.status(); err == nil && s.Sleeping > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/test/integration/owner_test.go
@@ -0,0 +1,76 @@
+//go:build fleet
+
+package integration
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// owner returns the node whose process dialed the connection.
+func (n *network) owner(conn net.Conn) string {
+	remote, ok := conn.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return "unknown"
+	}
+	local := conn.LocalAddr().(*net.TCPAddr)
+	inode := socketInode(remote.Port, local.Port)
+	n.mu.Lock()
+	pids := make(map[int]string, len(n.pids))
+	for pid, node := range n.pids {
+		pids[pid] = node
+	}
+	n.mu.Unlock()
+	for pid, node := range pids {
+		if inode != "" && holdsSocket(pid, inode) {
+			return node
+		}
+	}
+	return "unknown"
+}
+
+// Columns of /proc/net/tcp.
+const (
+	columnLocal  = 1
+	columnRemote = 2
+	columnInode  = 9
+)
+
+// socketInode finds the inode of the socket that dialed from one port to
+// another on loopback.
+func socketInode(from, to int) string {
+	data, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	local, remote := fmt.Sprintf(":%04X", from), fmt.Sprintf(":%04X", to)
+	for line := range strings.Lines(string(data)) {
+		fields := strings.Fields(line)
+		if len(fields) <= columnInode {
+			continue
+		}
+		if strings.HasSuffix(fields[columnLocal], local) && strings.HasSuffix(fields[columnRemote], remote) {
+			return fields[columnInode]
+		}
+	}
+	return ""
+}
+
+func holdsSocket(pid int, inode string) bool {
+	dir := filepath.Join("/proc", strconv.Itoa(pid), "fd")
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return false
+	}
+	for _, entry := range entries {
+		target, err := os.Readlink(filepath.Join(dir, entry.Name()))
+		if err == nil && target == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/test/integration/recorder_test.go
@@ -0,0 +1,214 @@
+//go:build fleet
+
+package integration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"regexp"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/galenabridge/galenabridge/internal/history"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+var resultCode = regexp.MustCompile(`GB(\d{4})\b`)
+
+// codeOf returns the result code that an error carries, or zero.
+func codeOf(err error) result.Code {
+	var pg *pgconn.PgError
+	if !errors.As(err, &pg) {
+		return 0
+	}
+	match := resultCode.FindStringSubmatch(pg.Message)
+	if match == nil {
+		return 0
+	}
+	n, _ := strconv.Atoi(match[1])
+	return result.Code(n)
+}
+
+// outcomeOf returns what a caller may conclude from an error.
+func outcomeOf(err error) history.Outcome {
+	if err == nil {
+		return history.Acked
+	}
+	if code := codeOf(err); code != 0 && result.Lookup(code).NotRun {
+		return history.NotRun
+	}
+	return history.Unknown
+}
+
+// recorder keeps what callers sent and learned. It is safe for concurrent use.
+type recorder struct {
+	start time.Time
+
+	mu      sync.Mutex
+	writes  []history.Write
+	answers []history.Answer
+	ops     []history.Operation
+	causes  map[string]int
+}
+
+func newRecorder() *recorder {
+	return &recorder{start: time.Now(), causes: make(map[string]int)}
+}
+
+func (r *recorder) write(id, workspace string, err error) history.Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	outcome := outcomeOf(err)
+	r.writes = append(r.writes, history.Write{ID: id, Workspace: workspace, Outcome: outcome})
+	if err != nil {
+		r.causes[cause(err)]++
+	}
+	return outcome
+}
+
+func cause(err error) string {
+	if code := codeOf(err); code != 0 {
+		return result.Lookup(code).Name
+	}
+	var pg *pgconn.PgError
+	if errors.As(err, &pg) {
+		return pg.Code
+	}
+	return "connection"
+}
+
+func (r *recorder) answer(sent, received string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers = append(r.answers, history.Answer{Sent: sent, Received: received})
+}
+
+func (r *recorder) op(o history.Operation, invoke time.Time, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o.Span = history.Span{Invoke: invoke.Sub(r.start), Return: time.Since(r.start)}
+	o.Outcome = outcomeOf(err)
+	r.ops = append(r.ops, o)
+}
+
+// count returns how many writes have the outcome.
+func (r *recorder) count(outcome history.Outcome) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, w := range r.writes {
+		if w.Outcome == outcome {
+			n++
+		}
+	}
+	return n
+}
+
+// check reports violations of the promises on writes and answers.
+func (r *recorder) check(t *testing.T, stored map[string]int) {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []history.Violation
+	found = append(found, history.Stored(r.writes, stored)...)
+	found = append(found, history.Foreign(r.answers)...)
+	found = append(found, history.Linearizable(r.ops)...)
+	found = append(found, history.Fresh(r.ops)...)
+	for i, v := range found {
+		if i == 20 {
+			t.Errorf("and %d more", len(found)-i)
+			break
+		}
+		t.Error(v)
+	}
+	t.Logf("%d writes, %d operations, %d answers; causes of failure: %v", len(r.writes), len(r.ops), len(r.answers), r.causes)
+}
+
+// storedIDs reads the ids of a table at the service's primary, without the
+// hosts.
+func (f *fleet) storedIDs(service, table string) map[string]int {
+	f.t.Helper()
+	url := fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", serviceUser, servicePassword,
+		f.primary(service).listen, database)
+	conn, err := pgx.Connect(f.context(), url)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer closeConn(conn)
+	rows, err := conn.Query(f.context(), "select id from "+table)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ids, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	stored := make(map[string]int)
+	for _, id := range ids {
+		stored[id]++
+	}
+	return stored
+}
+
+// writers file records through all hosts until stopped.
+type writers struct {
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+func (w *writers) stop() {
+	w.cancel()
+	w.wg.Wait()
+}
+
+// requestTimeout bounds one request of a writer.
+const requestTimeout = 20 * time.Second
+
+// startWriters runs callers that file one record after another, each through
+// its own host.
+func (f *fleet) startWriters(r *recorder, count int, service string) *writers {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &writers{cancel: cancel}
+	for i := range count {
+		h := f.hosts[i%len(f.hosts)]
+		name := fmt.Sprintf("%s-%d", service, i)
+		w.wg.Go(func() { f.fileRecords(ctx, r, h, service, name) })
+	}
+	f.t.Cleanup(w.stop)
+	return w
+}
+
+func (f *fleet) fileRecords(ctx context.Context, r *recorder, h *host, service, name string) {
+	var conn *pgx.Conn
+	for i := 0; ctx.Err() == nil; i++ {
+		if conn == nil || conn.IsClosed() {
+			dialed, err := f.dial(h, crew, service)
+			if err != nil {
+				sleepContext(ctx, 20*time.Millisecond)
+				continue
+			}
+			conn = dialed
+		}
+		id := fmt.Sprintf("%s-%d", name, i)
+		reqCtx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+		_, err := conn.Exec(reqCtx, "insert into records (id, workspace, body) values ($1, $2, $3)", id, crew, name)
+		cancel()
+		r.write(id, crew, err)
+	}
+	if conn != nil {
+		closeConn(conn)
+	}
+}
+
+func sleepContext(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
