Gather session positions from the other entry hosts

Cause: a read waited until a replica had all that the primary had, so that writes of other workspaces sent it to the primary.

Change: the entry keeps the positions of the writes that it acknowledged and gathers those of the other hosts before a read (internal/session), over messages between hosts; the same link forwards cancel requests. Hosts' numbers in cancel keys come from a hash of their identity. A read without the answers of all hosts waits for the primary's position.

Before: with replicas that lag, reads went to the primary after any write. After: `go test -race ./internal/entry` reads own writes through another host with 150 ms replay lag, with and without the answers of the host that was written through, and serves reads on replicas while another caller's writes are not replayed; all pass.

--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -21,28 +21,26 @@
 // forwardTimeout bounds the forwarding of a cancel request.
 const forwardTimeout = 2 * time.Second
 
-// Cancel cancels the request of a session of this host. It does nothing when
-// the key does not match.
-func (s *Server) Cancel(c pgfront.Cancel) {
+// Cancel cancels the request of a session of this host. It reports whether the
+// key matches one.
+func (s *Server) Cancel(c pgfront.Cancel) bool {
 	s.mu.Lock()
 	session := s.sessions[c.ProcessID&sessionMask]
 	s.mu.Unlock()
 	if session == nil || session.pid != c.ProcessID {
-		return
+		return false
 	}
-	if subtle.ConstantTimeCompare(session.key, c.Secret) == 1 {
-		session.cancel()
+	if subtle.ConstantTimeCompare(session.key, c.Secret) != 1 {
+		return false
 	}
+	session.cancel()
+	return true
 }
 
 // routeCancel handles a caller's cancel request for any host.
 func (s *Server) routeCancel(c pgfront.Cancel) {
 	host := c.ProcessID >> sessionBits
-	if host == s.opts.HostNumber {
-		s.Cancel(c)
-		return
-	}
-	if s.opts.Cancels == nil {
+	if host == s.number && s.Cancel(c) || s.opts.Cancels == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
@@ -71,7 +69,7 @@
 			break
 		}
 	}
-	ses.pid = s.opts.HostNumber<<sessionBits | s.serial
+	ses.pid = s.number<<sessionBits | s.serial
 	s.sessions[s.serial] = ses
 }
 
--- /dev/null
+++ b/internal/entry/fleet_test.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/standin"
+)
+
+// fleet is two entry hosts before one group.
+type fleet struct {
+	*fixture
+	other *Server
+	nodes []*peer.Node
+	// stops end the nodes.
+	stops []func()
+}
+
+func newFleet(t *testing.T, lag time.Duration) *fleet {
+	t.Helper()
+	f := &fleet{}
+	hosts := []string{"entry-1", "entry-2"}
+	for _, host := range hosts {
+		node := peer.NewNode(peer.Options{
+			Host: host, Fleet: "test", Secret: "secret of the fleet", Incarnation: 1, Listen: "127.0.0.1:0",
+		})
+		if err := node.Listen(); err != nil {
+			t.Fatal(err)
+		}
+		f.nodes = append(f.nodes, node)
+	}
+	f.fixture = newFixture(t, fixtureConfig{
+		standin: func(o *standin.Options) { o.ReplayLag = lag },
+		options: f.link(0),
+	})
+	f.publish(func(s *agreed.State) {
+		s.Hosts = make(map[string]agreed.Host)
+		for i, host := range hosts {
+			s.Hosts[host] = agreed.Host{ID: host, Entry: true, Incarnation: 1, PeerAddr: f.nodes[i].Addr()}
+		}
+		s.Departed = s.Revision
+	})
+	f.other = f.startHost("entry-2", f.link(1))
+	f.server.ServePeers(f.nodes[0])
+	f.other.ServePeers(f.nodes[1])
+	for _, node := range f.nodes {
+		f.stops = append(f.stops, f.background(node.Run))
+	}
+	return f
+}
+
+func (f *fleet) link(i int) func(*Options) {
+	return func(o *Options) {
+		l := NewPeerLink(f.nodes[i], o.View)
+		o.Peers, o.Cancels = l, l
+	}
+}
+
+func TestOwnWritesAreReadThroughAnotherHost(t *testing.T) {
+	f := newFleet(t, 150*time.Millisecond)
+	writers := []*pgx.Conn{f.connect(""), f.connectTo(f.other, "")}
+	mustExec(t, writers[0], "create table entries (id int primary key)")
+	for i := range 30 {
+		mustExec(t, writers[i%2], "insert into entries values ($1)", i)
+		if n := queryInt(t, writers[(i+1)%2], "select count(*) from entries"); n != i+1 {
+			t.Fatalf("%d entries are read after %d were acknowledged", n, i+1)
+		}
+	}
+	f.waitReplicas(writers[0])
+}
+
+func TestReadsStaySafeWhenAHostDoesNotAnswer(t *testing.T) {
+	f := newFleet(t, 150*time.Millisecond)
+	writer, reader := f.connectTo(f.other, ""), f.connect("")
+	mustExec(t, writer, "create table entries (id int primary key)")
+	f.waitReplicas(reader)
+	f.stops[1]()
+	for i := range 10 {
+		mustExec(t, writer, "insert into entries values ($1)", i)
+		if n := queryInt(t, reader, "select count(*) from entries"); n != i+1 {
+			t.Fatalf("%d entries are read after %d were acknowledged", n, i+1)
+		}
+	}
+}
+
+func TestWritesOfAnotherWorkspaceDoNotHoldReadsBack(t *testing.T) {
+	f := newFleet(t, 0)
+	conn := f.connect("")
+	f.waitReplicas(conn)
+	for _, s := range f.group.Servers {
+		s.SetReplayLag(time.Hour)
+	}
+	direct := f.direct(0)
+	before := f.reads("primary")
+	for i := range 10 {
+		mustExec(t, direct, "insert into records (id) values ($1)", fmt.Sprint(i))
+		queryInt(t, conn, "select count(*) from records")
+	}
+	if after := f.reads("primary"); after != before {
+		t.Errorf("%d reads went to the primary", after-before)
+	}
+}
+
+func TestCancelThroughAnotherHost(t *testing.T) {
+	f := newFleet(t, 0)
+	conn := f.connect("")
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "select pg_sleep(100)")
+		done <- err
+	}()
+	f.waitHeld()
+	pg := conn.PgConn()
+	request := pgproto3.CancelRequest{ProcessID: pg.PID(), SecretKey: pg.SecretKey()}
+	encoded, err := request.Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc, err := net.Dial("tcp", f.other.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	if _, err := nc.Write(encoded); err != nil {
+		t.Fatal(err)
+	}
+	var pgErr *pgconn.PgError
+	if err := <-done; !errors.As(err, &pgErr) || pgErr.Code != "57014" {
+		t.Fatalf("%v", err)
+	}
+}
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -132,42 +132,58 @@
 }
 
 func (f *fixture) start(cfg fixtureConfig) {
+	f.t.Helper()
+	f.server = f.startHost("entry-1", func(o *Options) {
+		o.Registerer = f.registry
+		if cfg.options != nil {
+			cfg.options(o)
+		}
+	})
+}
+
+// startHost runs an entry server of its own.
+func (f *fixture) startHost(host string, change func(*Options)) *Server {
 	f.t.Helper()
 	opts := Options{
-		Settings: &config.Settings{Host: "entry-1", Entry: &config.Entry{
+		Settings: &config.Settings{Host: host, Entry: &config.Entry{
 			Listen: "127.0.0.1:0", MaxMessage: 1 << 20, DefaultDeadline: config.Duration(patience),
 		}},
-		View: f.box, Registerer: f.registry,
-	}
-	if cfg.options != nil {
-		cfg.options(&opts)
+		View: f.box,
 	}
+	change(&opts)
 	server, err := NewServer(opts)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.server = server
 	f.background(server.Run)
+	return server
 }
 
-// background runs a task until the test ends.
-func (f *fixture) background(task func(context.Context) error) {
+// background runs a task until the test ends or the function that it returns
+// is called.
+func (f *fixture) background(task func(context.Context) error) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		_ = task(ctx)
 	}()
-	f.t.Cleanup(func() {
+	stop = func() {
 		cancel()
 		<-done
-	})
+	}
+	f.t.Cleanup(stop)
+	return stop
 }
 
 // url is the address for a workspace; params are added to it.
 func (f *fixture) url(workspace, key, params string) string {
+	return urlOf(f.server, workspace, key, params)
+}
+
+func urlOf(s *Server, workspace, key, params string) string {
 	u := url.URL{
-		Scheme: "postgres", User: url.UserPassword(workspace, key), Host: f.server.Addr().String(),
+		Scheme: "postgres", User: url.UserPassword(workspace, key), Host: s.Addr().String(),
 		Path: testService, RawQuery: "sslmode=disable&" + params,
 	}
 	return u.String()
@@ -175,7 +191,12 @@
 
 func (f *fixture) connect(params string) *pgx.Conn {
 	f.t.Helper()
-	conn, err := pgx.Connect(testContext(f.t), f.url("crew", callerKey, params))
+	return f.connectTo(f.server, params)
+}
+
+func (f *fixture) connectTo(s *Server, params string) *pgx.Conn {
+	f.t.Helper()
+	conn, err := pgx.Connect(testContext(f.t), urlOf(s, "crew", callerKey, params))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -44,17 +44,16 @@
 // Options configure a Server. Settings and View are required; other ports that
 // are nil get the implementations of this package.
 type Options struct {
-	Settings *config.Settings
-	View     view.Source
-	// HostNumber tells the hosts of a fleet apart in cancel keys. It is less
-	// than MaxHosts.
-	HostNumber uint32
-
+	Settings   *config.Settings
+	View       view.Source
 	Limiter    Limiter
 	Gate       Gate
 	Router     Router
 	Positions  Positions
 	Durability Durability
+	// Peers asks the other entry hosts for session positions; nil makes reads
+	// wait for the primary's position when there are other hosts.
+	Peers Peers
 	// Cancels forwards cancel requests for other hosts; nil drops them.
 	Cancels CancelForwarder
 	// Baseline serves requests in order of arrival and on the primary only, as
--- /dev/null
+++ b/internal/entry/position_task.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/pgback"
+	"github.com/galenabridge/galenabridge/internal/result"
+	pos "github.com/galenabridge/galenabridge/internal/session"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+const (
+	// positionInbox is the number of messages that wait for a service's task.
+	positionInbox = 256
+	// gatherLimit bounds one question to another host. An answer after the
+	// round's time-out still shows that the host lives.
+	gatherLimit = time.Second
+)
+
+// positionMessage is a message to a service's task.
+type positionMessage interface{ isPositionMessage() }
+
+type readMessage struct {
+	read  pos.Read
+	reply chan readResult
+}
+
+type readResult struct {
+	position pos.Position
+	err      error
+}
+
+type eventMessage struct{ event pos.Event }
+
+type statusMessage struct{ status pgback.Status }
+
+type snapshotMessage struct{ reply chan pos.Table }
+
+func (readMessage) isPositionMessage()     {}
+func (eventMessage) isPositionMessage()    {}
+func (statusMessage) isPositionMessage()   {}
+func (snapshotMessage) isPositionMessage() {}
+
+// errStopped reports that the server has ended.
+var errStopped = errors.New("the server has ended")
+
+// positionTask owns the positions of one service.
+type positionTask struct {
+	shared  *SharedPositions
+	service string
+	inbox   chan positionMessage
+	done    chan struct{}
+
+	machine *pos.Service
+	reads   map[uint64]chan readResult
+	// replicas holds the last status of each endpoint.
+	replicas map[string]pgback.Status
+	// seen identifies the view that the machine knows.
+	seen struct{ revision, settled uint64 }
+	term uint64
+	// floor is the replayed position that the machine knows.
+	floor pos.Position
+}
+
+func newPositionTask(p *SharedPositions, service string) *positionTask {
+	return &positionTask{
+		shared: p, service: service,
+		inbox:    make(chan positionMessage, positionInbox),
+		done:     make(chan struct{}),
+		machine:  pos.NewService(pos.DefaultConfig()),
+		reads:    make(map[uint64]chan readResult),
+		replicas: make(map[string]pgback.Status),
+	}
+}
+
+// post passes a message to the task in order.
+func (t *positionTask) post(ctx context.Context, m positionMessage) error {
+	select {
+	case t.inbox <- m:
+		return nil
+	case <-t.done:
+		return errStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (t *positionTask) run(ctx context.Context) {
+	defer close(t.done)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case m := <-t.inbox:
+			t.refresh(ctx)
+			t.handle(ctx, m)
+		case <-timer.C:
+			t.step(ctx, pos.Tick{})
+		case <-ctx.Done():
+			t.failAll()
+			return
+		}
+		if next, ok := t.machine.NextDeadline(); ok {
+			timer.Reset(time.Until(next))
+		} else {
+			timer.Stop()
+		}
+	}
+}
+
+func (t *positionTask) handle(ctx context.Context, m positionMessage) {
+	switch m := m.(type) {
+	case readMessage:
+		t.reads[m.read.ID] = m.reply
+		t.step(ctx, m.read)
+	case eventMessage:
+		if c, ok := m.event.(pos.Cancel); ok {
+			delete(t.reads, c.ID)
+		}
+		t.step(ctx, m.event)
+	case statusMessage:
+		t.observe(ctx, m.status)
+	case snapshotMessage:
+		m.reply <- t.machine.Snapshot()
+	}
+}
+
+// refresh passes a changed view on.
+func (t *positionTask) refresh(ctx context.Context) {
+	v := t.shared.view.Current()
+	if v.State == nil || t.seen.revision == v.State.Revision && t.seen.settled == v.Settled {
+		return
+	}
+	t.seen.revision, t.seen.settled = v.State.Revision, v.Settled
+	t.step(ctx, t.sessionView(v))
+}
+
+func (t *positionTask) sessionView(v view.View) pos.View {
+	group := v.State.Groups[t.service]
+	if group.Phase == agreed.PhaseActive {
+		t.term = group.Term
+	}
+	out := pos.View{Departed: v.State.Departed, Settled: v.Settled, Term: t.term}
+	for id, host := range v.State.Hosts {
+		if host.Entry && id != t.shared.self {
+			out.Peers = append(out.Peers, pos.Peer{Host: id, Incarnation: host.Incarnation})
+		}
+	}
+	return out
+}
+
+func (t *positionTask) step(ctx context.Context, event pos.Event) {
+	for _, effect := range t.machine.Step(time.Now(), event) {
+		switch effect := effect.(type) {
+		case pos.Resolve:
+			t.resolve(effect.ID, readResult{position: effect.Position})
+		case pos.Fail:
+			err := result.New(effect.Code, "the position of service %s cannot be read", t.service)
+			t.resolve(effect.ID, readResult{err: err})
+		case pos.Ask:
+			for _, host := range effect.Hosts {
+				go t.ask(ctx, effect.Round, host)
+			}
+		case pos.AskPrimary:
+			go t.askPrimary(ctx, effect.Round)
+		}
+	}
+}
+
+func (t *positionTask) resolve(id uint64, r readResult) {
+	if reply, ok := t.reads[id]; ok {
+		delete(t.reads, id)
+		reply <- r
+	}
+}
+
+func (t *positionTask) failAll() {
+	for id := range t.reads {
+		t.resolve(id, readResult{err: result.New(result.ShuttingDown, "%v", errStopped)})
+	}
+}
+
+// ask asks one host; no answer is as good as a late one.
+func (t *positionTask) ask(ctx context.Context, round uint64, host string) {
+	if t.shared.peers == nil {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, gatherLimit)
+	defer cancel()
+	answer, err := t.shared.peers.Gather(limited, host, t.service)
+	if err != nil {
+		return
+	}
+	reply := pos.Reply{Round: round, Host: host, Incarnation: answer.Incarnation, Table: answer.Table}
+	_ = t.post(ctx, eventMessage{reply})
+}
+
+// askPrimary reads the position of the primary. It counts only if the host may
+// act on the same term when the answer arrives.
+func (t *positionTask) askPrimary(ctx context.Context, round uint64) {
+	answer := pos.PrimaryPosition{Round: round}
+	if state := t.shared.view.Current().State; state != nil {
+		group := state.Groups[t.service]
+		l := &lease{service: t.service, endpoint: group.Primary, term: group.Term}
+		status, err := t.shared.current(ctx, group.Primary)
+		if err == nil && termHolds(t.shared.view.Current(), l, time.Now()) {
+			answer.OK = true
+			answer.Position = pos.Position{Term: group.Term, LSN: status.LSN}
+		}
+	}
+	_ = t.post(ctx, eventMessage{answer})
+}
+
+// observe tells the machine what all replicas have replayed.
+func (t *positionTask) observe(ctx context.Context, s pgback.Status) {
+	t.replicas[s.Endpoint] = s
+	v := t.shared.view.Current()
+	if v.State == nil {
+		return
+	}
+	group := v.State.Groups[t.service]
+	replayed := pos.Position{Term: group.Term}
+	count := 0
+	for _, id := range group.Members {
+		if id == group.Primary {
+			continue
+		}
+		r, ok := t.replicas[id]
+		if !ok || r.Err != nil || !r.InRecovery || r.Timeline != group.Timeline {
+			return
+		}
+		if count == 0 || r.LSN < replayed.LSN {
+			replayed.LSN = r.LSN
+		}
+		count++
+	}
+	if count > 0 && t.floor.Before(replayed) {
+		t.floor = replayed
+		t.step(ctx, pos.Replayed{Position: replayed})
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,6 +30,10 @@
 	router     Router
 	positions  Positions
 	durability Durability
+	// shared is the default implementation of positions, or nil.
+	shared *SharedPositions
+	// number is the host's number in cancel keys.
+	number uint32
 
 	listener   net.Listener
 	handshakes chan struct{}
@@ -46,9 +50,6 @@
 	if opts.Settings == nil || opts.Settings.Entry == nil || opts.View == nil {
 		return nil, errors.New("entry: settings and view are required")
 	}
-	if opts.HostNumber >= MaxHosts {
-		return nil, errors.Errorf("entry: host number %d is not less than %d", opts.HostNumber, MaxHosts)
-	}
 	front, err := opts.frontConfig()
 	if err != nil {
 		return nil, err
@@ -58,6 +59,7 @@
 		metrics:    newMetrics(opts.Registerer),
 		handshakes: make(chan struct{}, maxHandshakes),
 		sessions:   make(map[uint32]*session),
+		number:     HostNumber(opts.Settings.Host),
 	}
 	if s.log == nil {
 		s.log = log.New(io.Discard)
@@ -68,8 +70,10 @@
 	}
 	s.setPorts()
 	observers := opts.Observers
-	if o, ok := s.router.(Observer); ok {
-		observers = append(observers[:len(observers):len(observers)], o)
+	for _, port := range []any{s.router, s.positions} {
+		if o, ok := port.(Observer); ok {
+			observers = append(observers[:len(observers):len(observers)], o)
+		}
 	}
 	s.backends = newBackends(opts.View, limit, observers)
 	s.listener, err = net.Listen("tcp", opts.Settings.Entry.Listen)
@@ -90,7 +94,8 @@
 		s.gate = NewGate(s.opts.gatePolicy(), s.opts.slots())
 	}
 	if s.positions == nil {
-		s.positions = &PrimaryPositions{view: s.opts.View, current: s.PrimaryStatus}
+		s.shared = newSharedPositions(s.opts.View, s.opts.Settings.Host, s.opts.Peers, s.PrimaryStatus)
+		s.positions = s.shared
 	}
 	if s.router == nil {
 		s.router = NewTableRouter(s.opts.View, s.opts.Settings.Domain)
@@ -125,6 +130,9 @@
 	defer stop()
 	s.spawn(func() { s.backends.run(ctx) })
 	s.spawn(func() { s.watch(ctx) })
+	if s.shared != nil {
+		s.spawn(func() { s.shared.run(ctx) })
+	}
 	s.log.Info("entry_listening", "addr", s.Addr())
 	err := s.accept(ctx)
 	if s.draining.Load() {
--- a/internal/entry/simple.go
+++ b/internal/entry/simple.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
-	"github.com/galenabridge/galenabridge/internal/pgback"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
 )
@@ -54,26 +53,3 @@
 
 // Acked implements Positions.
 func (NoPositions) Acked(string, string, Position) {}
-
-// PrimaryPositions asks the primary for its position before each read.
-type PrimaryPositions struct {
-	view    view.Source
-	current func(ctx context.Context, endpoint string) (pgback.Status, error)
-}
-
-// Required implements Positions.
-func (p *PrimaryPositions) Required(ctx context.Context, service, _ string) (Position, error) {
-	state := p.view.Current().State
-	if state == nil {
-		return Position{}, result.New(result.NoConfigLease, "no state")
-	}
-	group := state.Groups[service]
-	status, err := p.current(ctx, group.Primary)
-	if err != nil {
-		return Position{}, result.New(result.NoPrimary, "position of service %s: %v", service, err)
-	}
-	return Position{Term: group.Term, LSN: status.LSN}, nil
-}
-
-// Acked implements Positions.
-func (p *PrimaryPositions) Acked(string, string, Position) {}
