--- a/internal/agreed/apply_host.go
+++ b/internal/agreed/apply_host.go
@@ -29,6 +29,7 @@
 	if known.Entry && known.Incarnation != h.Incarnation {
 		next.Departed = index
 	}
+	next.HostsChanged = index
 	return next, Outcome{}
 }
 
@@ -44,5 +45,6 @@
 	if known.Entry {
 		next.Departed = index
 	}
+	next.HostsChanged = index
 	return next, Outcome{}
 }
--- a/internal/agreed/delta.go
+++ b/internal/agreed/delta.go
@@ -31,6 +31,8 @@
 	Groups     *Changes[Group]          `cbor:"11,keyasint,omitempty"`
 	// Departed is the field of the state after the change.
 	Departed uint64 `cbor:"12,keyasint,omitempty"`
+	// HostsChanged is the revision of the last change of the hosts.
+	HostsChanged uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // ErrGap is returned by Patch when the delta does not start at the state.
@@ -50,6 +52,8 @@
 		Endpoints:  diffMap(from.Endpoints, to.Endpoints),
 		Groups:     diffMap(from.Groups, to.Groups),
 		Departed:   to.Departed,
+
+		HostsChanged: to.HostsChanged,
 	}
 	for _, stamp := range to.History {
 		if stamp.Number > from.Catalog.Stamp.Number {
@@ -102,6 +106,7 @@
 	next.Hosts = patchMap(s.Hosts, d.Hosts)
 	next.Endpoints = patchMap(s.Endpoints, d.Endpoints)
 	next.Groups = patchMap(s.Groups, d.Groups)
+	next.HostsChanged = d.HostsChanged
 	return next, nil
 }
 
--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -77,4 +77,6 @@
 	// Departed is the revision at which an entry host's process was last
 	// removed or replaced. What only that process knew is lost.
 	Departed uint64 `json:"departed,omitempty" cbor:"8,keyasint,omitempty"`
+	// HostsChanged is the revision of the last change of Hosts.
+	HostsChanged uint64 `json:"hosts_changed,omitempty" cbor:"9,keyasint,omitempty"`
 }
--- /dev/null
+++ b/internal/lease/broker.go
@@ -0,0 +1,236 @@
+package lease
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Broker answers the requests of the subscribers of a control host. It is not
+// safe for concurrent use.
+type Broker struct {
+	cfg      Config
+	sessions map[sessionKey]*session
+	waiting  []request
+	inRound  []request
+	round    uint64 // the number of the round in flight, zero when there is none
+	rounds   uint64
+	settled  uint64
+	// assumeUntil is when leases granted by former leaders have run out.
+	assumeUntil time.Time
+}
+
+// sessionKey tells a process's own lease from those it relays.
+type sessionKey struct {
+	id    ID
+	relay bool
+}
+
+// session is what a broker knows about the leases of one subscriber.
+type session struct {
+	seq     uint64
+	applied uint64
+	holders []ID
+	// until is the end of the leases as the broker counts them.
+	until time.Time
+}
+
+// request is a Renew that waits for its answer.
+type request struct {
+	key sessionKey
+	seq uint64
+}
+
+// Round asks for one confirmation of the leader.
+type Round struct {
+	ID uint64
+	// Applied is the least revision applied by the holders.
+	Applied uint64
+	// Holders are the processes that may hold a valid lease, in order.
+	Holders []ID
+}
+
+// Answer is an answer to a subscriber.
+type Answer struct {
+	To ID
+	OK RenewOK
+}
+
+// NewBroker returns a Broker without subscribers. Its rounds are numbered above
+// seq, which must exceed all numbers that the process has used before.
+func NewBroker(cfg Config, seq uint64) *Broker {
+	return &Broker{cfg: cfg, rounds: seq, sessions: make(map[sessionKey]*session)}
+}
+
+// Receive takes a request of a subscriber. From now on the broker counts the
+// lease, answered or not. Requests that were overtaken are ignored.
+func (b *Broker) Receive(now time.Time, from ID, r Renew) {
+	key := sessionKey{id: from, relay: r.Relay}
+	s := b.sessions[key]
+	if s == nil {
+		s = &session{}
+		b.sessions[key] = s
+	}
+	if r.Seq <= s.seq {
+		return
+	}
+	s.seq = r.Seq
+	s.applied = r.Applied
+	s.holders = []ID{from}
+	if r.Relay {
+		s.holders = r.Holders
+	}
+	s.until = now.Add(b.cfg.counted())
+	b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == key })
+	b.waiting = append(b.waiting, request{key: key, seq: r.Seq})
+}
+
+// Begin starts a round when requests wait and none is in flight.
+func (b *Broker) Begin(now time.Time) (Round, bool) {
+	if b.round != 0 || len(b.waiting) == 0 {
+		return Round{}, false
+	}
+	b.expire(now)
+	b.rounds++
+	b.round = b.rounds
+	b.inRound, b.waiting = b.waiting, nil
+	return Round{ID: b.round, Applied: b.minimum(), Holders: b.holders()}, true
+}
+
+// Finish ends the round in flight with what the leader confirmed, and returns
+// the answers to the requests that arrived before it began. Other rounds are
+// ignored.
+func (b *Broker) Finish(id, revision, settled uint64) []Answer {
+	if id == 0 || id != b.round {
+		return nil
+	}
+	b.settled = max(b.settled, settled)
+	var answers []Answer
+	for _, r := range b.inRound {
+		answers = append(answers, Answer{
+			To: r.key.id,
+			OK: RenewOK{Seq: r.seq, Revision: revision, Settled: b.settled},
+		})
+	}
+	b.round, b.inRound = 0, nil
+	return answers
+}
+
+// Abort ends the round in flight without a confirmation. Its requests wait for
+// the next round, unless a later one of the same subscriber does.
+func (b *Broker) Abort() {
+	later := b.waiting
+	b.waiting = b.inRound
+	for _, r := range later {
+		b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == r.key })
+		b.waiting = append(b.waiting, r)
+	}
+	b.round, b.inRound = 0, nil
+}
+
+// Release ends the leases of a process that has stopped to act.
+func (b *Broker) Release(id ID) {
+	delete(b.sessions, sessionKey{id: id})
+}
+
+// Held reports whether the process may hold a valid lease.
+func (b *Broker) Held(now time.Time, id ID) bool {
+	if now.Before(b.assumeUntil) {
+		return true
+	}
+	b.expire(now)
+	for _, s := range b.sessions {
+		if slices.Contains(s.holders, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Lead tells the broker that its host was elected leader. Former leaders may
+// have granted leases that this broker has not seen.
+func (b *Broker) Lead(now time.Time) {
+	b.assumeUntil = now.Add(b.cfg.counted())
+}
+
+// Electorate describes the registered processes that may act.
+type Electorate struct {
+	Holders []ID
+	// Changed is the revision at which a process was last registered or removed.
+	Changed uint64
+}
+
+// Settle returns the greatest revision known to be applied by every holder of a
+// valid lease; revision is what the leader has applied. Only the leader calls
+// it. The result never falls: a lease granted later allows no older revision.
+//
+// For one lease time after an election, a process may hold a lease of a former
+// leader that this broker does not count. In that time the result grows only
+// while every registered process is among the counted holders, and only if the
+// registrations have not changed after the last settled revision: a process that
+// was replaced or removed since may still hold a lease.
+func (b *Broker) Settle(now time.Time, revision uint64, e Electorate) uint64 {
+	b.expire(now)
+	if now.Before(b.assumeUntil) && !b.allPresent(e) {
+		return b.settled
+	}
+	b.settled = max(b.settled, min(revision, b.minimum()))
+	return b.settled
+}
+
+// Learn takes a settled revision reported by the leader.
+func (b *Broker) Learn(settled uint64) { b.settled = max(b.settled, settled) }
+
+// Settled returns the last settled revision.
+func (b *Broker) Settled() uint64 { return b.settled }
+
+func (b *Broker) allPresent(e Electorate) bool {
+	if e.Changed > b.settled {
+		return false
+	}
+	present := b.holders()
+	for _, id := range e.Holders {
+		if _, ok := slices.BinarySearchFunc(present, id, compareID); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Broker) expire(now time.Time) {
+	for key, s := range b.sessions {
+		if !now.Before(s.until) {
+			delete(b.sessions, key)
+		}
+	}
+}
+
+// minimum returns the least revision that a holder has applied, or the greatest
+// number when there is no holder.
+func (b *Broker) minimum() uint64 {
+	least := uint64(math.MaxUint64)
+	for _, s := range b.sessions {
+		if len(s.holders) > 0 {
+			least = min(least, s.applied)
+		}
+	}
+	return least
+}
+
+// holders returns the processes that may hold a valid lease, in order.
+func (b *Broker) holders() []ID {
+	var ids []ID
+	for _, s := range b.sessions {
+		ids = append(ids, s.holders...)
+	}
+	slices.SortFunc(ids, compareID)
+	return slices.Compact(ids)
+}
+
+func compareID(a, b ID) int {
+	if n := cmp.Compare(a.Host, b.Host); n != 0 {
+		return n
+	}
+	return cmp.Compare(a.Incarnation, b.Incarnation)
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,115 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func drawParams(t *rapid.T) params {
+	return params{
+		seed:     rapid.Uint64().Draw(t, "seed"),
+		hosts:    rapid.IntRange(1, 4).Draw(t, "hosts"),
+		loss:     rapid.Float64Range(0, 0.4).Draw(t, "loss"),
+		maxDelay: time.Duration(rapid.IntRange(1, 400).Draw(t, "delay_ms")) * time.Millisecond,
+		change:   time.Duration(rapid.IntRange(0, 8).Draw(t, "change_s")) * time.Second,
+	}
+}
+
+// TestNobodyActsBelowTheSettledRevision runs random schedules of delay, loss,
+// drift, changes of the leader, isolated leaders and relays, restarts and
+// processes that outlive their replacement.
+func TestNobodyActsBelowTheSettledRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(drawParams(t))
+		s.run()
+		if s.violation != "" {
+			t.Fatal(s.violation)
+		}
+	})
+}
+
+// TestPlantedFaultsAreFound shows that the check above can fail.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	faults := map[string]fault{
+		"relay answers alone":  faultRelayAlone,
+		"leader answers alone": faultLeaderAlone,
+		"no wait after change": faultNoWait,
+		"wait ended for good":  faultEndWait,
+		"slow clock":           faultSlowClock,
+	}
+	const seeds = 300
+	for name, planted := range faults {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				s := newSim(params{
+					seed: seed, hosts: 3, loss: 0.1, maxDelay: 200 * time.Millisecond,
+					change: 4 * time.Second, fault: planted,
+				})
+				s.run()
+				if s.violation != "" {
+					t.Logf("seed %d: %s", seed, s.violation)
+					return
+				}
+			}
+			t.Fatalf("%d runs did not find the fault", seeds)
+		})
+	}
+}
+
+// TestLeaseIsHeldWithoutFaults checks progress: without loss every host acts
+// and the settled revision follows the committed one.
+func TestLeaseIsHeldWithoutFaults(t *testing.T) {
+	s := newSim(params{seed: 1, hosts: 3, maxDelay: 5 * time.Millisecond})
+	s.run()
+	if s.violation != "" {
+		t.Fatal(s.violation)
+	}
+	if s.acted == 0 || s.reported+20 < s.revision() {
+		t.Fatalf("acted %d times, settled %d of %d", s.acted, s.reported, s.revision())
+	}
+}
+
+func TestHolderNeedsTheGrantedRevision(t *testing.T) {
+	now := time.Unix(100, 0)
+	h := NewHolder(DefaultConfig(), 40)
+	r := h.Renew(now, 5)
+	h.Granted(RenewOK{Seq: r.Seq + 1, Revision: 1}) // never asked for
+	h.Granted(RenewOK{Seq: r.Seq, Revision: 7, Settled: 3})
+	if !h.ValidUntil(6).IsZero() {
+		t.Fatal("the lease allows an older revision")
+	}
+	if got, want := h.ValidUntil(7), now.Add(3*time.Second); !got.Equal(want) {
+		t.Fatalf("valid until %v, want %v", got, want)
+	}
+}
+
+func TestReleaseSettlesAtOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := NewBroker(DefaultConfig(), 0)
+	id := ID{"h", 1}
+	b.Receive(now, id, Renew{Seq: 1, Applied: 4})
+	if got := b.Settle(now, 9, Electorate{}); got != 4 || !b.Held(now, id) {
+		t.Fatalf("settled %d, want 4", got)
+	}
+	b.Release(id)
+	if got := b.Settle(now, 9, Electorate{}); got != 9 || b.Held(now, id) {
+		t.Fatalf("settled %d, want 9", got)
+	}
+}
+
+func TestNewLeaderEndsItsWaitEarly(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := NewBroker(DefaultConfig(), 0)
+	e := Electorate{Holders: []ID{{"h", 1}}, Changed: 2}
+	b.Learn(3)
+	b.Lead(now)
+	if got := b.Settle(now, 9, e); got != 3 {
+		t.Fatalf("settled %d before the host asked", got)
+	}
+	b.Receive(now, ID{"c", 1}, Renew{Seq: 1, Applied: 8, Relay: true, Holders: e.Holders})
+	if got := b.Settle(now, 9, e); got != 8 {
+		t.Fatalf("settled %d, want 8", got)
+	}
+}
