--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -114,6 +114,16 @@
 	<-p.done
 }
 
+// alive reports whether the process has not ended.
+func (p *process) alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // stop asks the process to shut down and waits for its end.
 func (p *process) stop(t *testing.T) {
 	t.Helper()
--- a/test/integration/recorder_test.go
+++ b/test/integration/recorder_test.go
@@ -167,6 +167,9 @@
 	w.wg.Wait()
 }
 
+// writerPause is the pause of a writer between two records.
+const writerPause = 5 * time.Millisecond
+
 // requestTimeout bounds one request of a writer.
 const requestTimeout = 20 * time.Second
 
@@ -200,6 +203,7 @@
 		_, err := conn.Exec(reqCtx, "insert into records (id, workspace, body) values ($1, $2, $3)", id, crew, name)
 		cancel()
 		r.write(id, crew, err)
+		sleepContext(ctx, writerPause)
 	}
 	if conn != nil {
 		closeConn(conn)
