Run requests with an id at most once, and bound retries

Cause: a caller whose answer was lost could not tell whether a correction had run, and repeating it could run it twice.

Change: galenabridge.request_id makes the next request outside a transaction, or the next transaction, write a marker row in its own transaction (table galenabridge_requests, made when it is missing). A resend is answered request_already_done once the first run is safe; another statement is answered request_id_reused. When the answer is lost, the entry sends a request with an id again: the marker lets it run once. What may be sent again follows internal/retry, within the budgets of the workspace and the endpoint.

Before: outcome_unknown whenever a connection was lost after a write. After: `go test -race -run RequestID ./internal/entry` passes for both protocols, for transactions, for failed requests and for a connection dropped after the commit.

--- a/internal/entry/copy.go
+++ b/internal/entry/copy.go
@@ -59,7 +59,7 @@
 	if r.held {
 		return r.releaseEarly()
 	}
-	r.flushed += r.s.conn.Queued()
+	r.request.Streamed = true
 	return r.s.conn.Flush()
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -7,6 +7,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/retry"
 )
 
 const (
@@ -35,15 +36,13 @@
 	plan plan
 	// within tells that a transaction was in progress before the unit.
 	within bool
-	// fresh tells that nothing was queued before the answer.
-	fresh bool
-	// reached tells that a part of the unit may have reached the endpoint.
-	reached bool
+	// marker is the row that the transaction opened for the unit holds, or nil.
+	marker *marker
+	// request is what is known of the unit's fate.
+	request retry.Request
 	// sent is when the unit was sent.
 	sent   time.Time
 	writer chan error
-	// flushed counts the bytes that the caller has been sent.
-	flushed int
 	// mark is the queue's length before the first answer that is held back.
 	mark int
 	held bool
@@ -60,7 +59,7 @@
 	for {
 		msg, err := r.l.conn.Receive()
 		if err != nil {
-			return r.lost(err, false)
+			return r.lost(err)
 		}
 		switch msg := msg.(type) {
 		case *pgproto3.ReadyForQuery:
@@ -121,7 +120,7 @@
 	case r.held && queued > holdSize:
 		return r.releaseEarly()
 	case !r.held && queued > flushSize:
-		r.flushed += queued
+		r.request.Streamed = true
 		return r.s.conn.Flush()
 	}
 	return nil
@@ -161,7 +160,7 @@
 func (r *relay) complete(msg *pgproto3.CommandComplete) error {
 	r.tag = append(r.tag[:0], msg.CommandTag...)
 	r.s.srv.countRead(r.p, r.l)
-	if r.l.primary && !r.l.readOnly && !harmlessTag(r.tag) {
+	if r.l.primary && !r.l.readOnly && (r.marker != nil || !harmlessTag(r.tag)) {
 		r.wrote = true
 		if !r.held {
 			r.held = true
@@ -195,7 +194,7 @@
 		return err
 	}
 	r.held = false
-	r.flushed += r.s.conn.Queued()
+	r.request.Streamed = true
 	return r.s.conn.Flush()
 }
 
@@ -208,7 +207,7 @@
 		return false
 	}
 	declared := r.l.readOnly && msg.Code == stateReadOnly
-	return !r.l.primary && !declared && r.p.kind == kindRead && !r.within && r.u.sync && r.fresh && r.flushed == 0
+	return !r.l.primary && !declared && r.p.kind == kindRead && !r.request.InTransaction && !r.request.Streamed
 }
 
 // moveToPrimary drops the rest of the answer.
@@ -259,6 +258,14 @@
 // ready ends the unit with the endpoint's transaction state.
 func (r *relay) ready(status byte) (verdict, error) {
 	s := r.s
+	if r.marker != nil {
+		ended, err := r.finishMarked(status)
+		if err != nil {
+			return r.lostCommit(err)
+		}
+		status = ended
+	}
+	r.request.Apply(retry.GotAnswer)
 	s.setTransaction(r.l, status != txIdle)
 	r.recordSettings(status)
 	if status != txIdle {
--- /dev/null
+++ b/internal/entry/request_id_test.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+func requestID(t *testing.T, conn *pgx.Conn, id string) {
+	t.Helper()
+	mustExec(t, conn, "set galenabridge.request_id = '"+id+"'")
+}
+
+func TestRequestIDRunsOnce(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int)")
+	for _, params := range []string{"", "default_query_exec_mode=simple_protocol"} {
+		id := "correction " + params
+		requestID(t, conn, id)
+		mustExec(t, conn, "insert into entries values ($1)", 1)
+		other := f.connect(params)
+		mustExec(t, other, "insert into entries values ($1)", 2)
+		requestID(t, other, id)
+		_, err := other.Exec(testContext(t), "insert into entries values ($1)", 3)
+		wantCode(t, err, result.RequestIDReused)
+		again := f.connect("")
+		requestID(t, again, id)
+		_, err = again.Exec(testContext(t), "insert into entries values ($1)", 1)
+		wantCode(t, err, result.RequestAlreadyDone)
+	}
+	if n := queryInt(t, conn, "select count(*) from entries"); n != 4 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestRequestIDOfAFailedRequestMayBeUsedAgain(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int primary key)")
+	mustExec(t, conn, "insert into entries values (1)")
+	for range 2 {
+		requestID(t, conn, "a")
+		if _, err := conn.Exec(testContext(t), "insert into entries values (1)"); err == nil {
+			t.Fatal("a duplicate was accepted")
+		}
+	}
+	mustExec(t, conn, "delete from entries")
+	requestID(t, conn, "a")
+	mustExec(t, conn, "insert into entries values (1)")
+	if n := queryInt(t, conn, "select count(*) from entries"); n != 1 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestRequestIDSettlesALostAnswer(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int)")
+	requestID(t, conn, "first")
+	mustExec(t, conn, "insert into entries values (0)")
+	f.group.Servers[0].Faults().DropAfterCommit(1)
+	requestID(t, conn, "second")
+	_, err := conn.Exec(testContext(t), "insert into entries values (1)")
+	wantCode(t, err, result.RequestAlreadyDone)
+	if n := queryInt(t, conn, "select count(*) from entries"); n != 2 {
+		t.Errorf("%d rows", n)
+	}
+}
+
+func TestRequestIDOfATransaction(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int)")
+	file := func() error {
+		requestID(t, conn, "whole")
+		return pgx.BeginFunc(testContext(t), conn, func(tx pgx.Tx) error {
+			_, err := tx.Exec(testContext(t), "insert into entries values ($1), ($2)", 1, 2)
+			return err
+		})
+	}
+	if err := file(); err != nil {
+		t.Fatal(err)
+	}
+	wantCode(t, file(), result.RequestAlreadyDone)
+	if n := queryInt(t, conn, "select count(*) from entries"); n != 2 {
+		t.Errorf("%d rows", n)
+	}
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/retry"
 )
 
 // verdict tells what follows an attempt to run a unit.
@@ -29,7 +30,16 @@
 const writeAside = 32 << 10
 
 // send runs the unit on the session's lease.
-func (s *session) send(u *unit, p purpose, timing *timing) (verdict, error) {
+func (s *session) send(ctx context.Context, u *unit, p purpose, timing *timing, m *marker) (verdict, error) {
+	if m != nil {
+		return s.sendMarked(ctx, u, p, timing, m)
+	}
+	return s.sendUnit(u, p, timing, nil)
+}
+
+// sendUnit writes the unit and relays its answer. A unit with a marker runs in
+// the transaction that holds the marker.
+func (s *session) sendUnit(u *unit, p purpose, timing *timing, m *marker) (verdict, error) {
 	l := s.lease
 	plan, err := u.planFor(&l.conn.Session)
 	if err != nil {
@@ -38,19 +48,27 @@
 	if p.dirty {
 		l.conn.Session.Dirty = true
 	}
-	r := &relay{s: s, l: l, u: u, p: p, plan: plan, within: l.transaction, fresh: s.conn.Queued() == 0}
-	timing.sent = time.Now()
-	r.sent = timing.sent
+	r := &relay{s: s, l: l, u: u, p: p, plan: plan, marker: m, within: l.transaction}
+	r.request = retry.Request{
+		ReadOnly:      l.readOnly || p.kind == kindRead && !l.primary,
+		InTransaction: r.within || !u.sync,
+		Streamed:      s.conn.Queued() > 0,
+		HasID:         m != nil,
+	}
+	if timing.sent.IsZero() {
+		timing.sent = time.Now()
+	}
+	r.sent = time.Now()
 	if s.param.deadline > 0 && !l.transaction {
 		s.limit(l, timing.started.Add(s.param.deadline))
 	}
 	if err := r.write(); err != nil {
-		return r.lost(err, !r.reached)
+		return r.lost(err)
 	}
 	again, err := r.run()
 	timing.answered = time.Now()
 	if l.latency == 0 {
-		l.latency = timing.answered.Sub(timing.sent)
+		l.latency = timing.answered.Sub(r.sent)
 	}
 	return again, err
 }
@@ -68,10 +86,12 @@
 func (r *relay) write() error {
 	if len(r.plan.encoded) < writeAside {
 		n, err := r.l.conn.Write(r.plan.encoded)
-		r.reached = n > 0
+		if n > 0 {
+			r.request.Apply(retry.Wrote)
+		}
 		return err
 	}
-	r.reached = true
+	r.request.Apply(retry.Wrote)
 	r.writer = make(chan error, 1)
 	conn, encoded := r.l.conn, r.plan.encoded
 	go func() {
@@ -82,19 +102,21 @@
 }
 
 // lost answers a unit whose endpoint connection failed before its answer was
-// complete.
-func (r *relay) lost(cause error, unsent bool) (verdict, error) {
+// complete, or makes it run again when that is safe.
+func (r *relay) lost(cause error) (verdict, error) {
 	s := r.s
 	if err := s.stopReason(); err != nil && result.CodeOf(err) != result.ShuttingDown {
 		return doneHere, err
 	}
 	r.l.lost = true
-	untouched := r.fresh && r.flushed == 0
-	harmless := unsent || r.l.readOnly || r.p.kind == kindRead && !r.l.primary
-	if untouched && harmless && !r.within && r.u.sync {
-		s.conn.Truncate(0)
-		s.abandon()
-		return retryOther, nil
+	r.request.Apply(retry.Lost)
+	switch r.request.Next() {
+	case retry.RetryElsewhere, retry.ConsultMarker:
+		if s.srv.mayRetry(s.who.workspace, r.l.endpoint) {
+			s.conn.Truncate(0)
+			s.abandon()
+			return retryOther, nil
+		}
 	}
 	s.conn.Truncate(r.keep())
 	s.stopLate(r.l, cause)
@@ -115,6 +137,9 @@
 
 // lostError is the numbered result for a lost answer.
 func (r *relay) lostError(cause error) error {
+	if r.request.Outcome() == retry.NotSent && !r.within {
+		return result.New(result.RetryBudgetSpent, "endpoint %s: %v", r.l.endpoint, errors.Cause(cause))
+	}
 	if r.within && r.p.kind != kindCommit && !r.mayEnd() {
 		return result.New(result.EndpointLost, "endpoint %s: %v; the transaction was rolled back", r.l.endpoint, errors.Cause(cause))
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -108,8 +108,15 @@
 	if s.lease != nil {
 		return s.continueOn(u, p, timing)
 	}
+	m, err := s.takeMarker(u, p)
+	if err != nil {
+		return s.refuse(err, u.sync)
+	}
 	need := s.need(p)
-	for {
+	if m != nil {
+		need = Need{Service: s.who.service}
+	}
+	for first := true; ; first = false {
 		if err := s.guard(time.Now()); err != nil {
 			return s.refuse(err, u.sync)
 		}
@@ -122,7 +129,10 @@
 		}
 		l.readOnly = s.readOnly() || p.kind == kindBeginReadOnly
 		s.lease = l
-		again, err := s.send(u, p, timing)
+		if first {
+			s.srv.firstAttempt(s.who.workspace, l.endpoint)
+		}
+		again, err := s.send(ctx, u, p, timing, m)
 		if err != nil || again == doneHere {
 			return err
 		}
@@ -149,7 +159,7 @@
 	case s.lease.primary && !termHolds(v, s.lease, now):
 		return s.refuse(result.New(result.EndpointLost, "endpoint %s is not the primary any more", s.lease.endpoint), u.sync)
 	}
-	_, err := s.send(u, p, timing)
+	_, err := s.sendUnit(u, p, timing, nil)
 	return err
 }
 
@@ -219,3 +229,17 @@
 	}
 	return s.ready(txFailed)
 }
+
+// firstAttempt counts a request towards the retries that it earns.
+func (s *Server) firstAttempt(workspace, endpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budgets.First(time.Now(), workspace, endpoint)
+}
+
+// mayRetry takes a retry of a request that failed on the endpoint.
+func (s *Server) mayRetry(workspace, endpoint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budgets.Allow(time.Now(), workspace, endpoint)
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,6 +15,7 @@
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pgback"
 	"github.com/galenabridge/galenabridge/internal/pgfront"
+	"github.com/galenabridge/galenabridge/internal/retry"
 )
 
 // Server serves callers on one address.
@@ -43,6 +44,7 @@
 	mu       sync.Mutex
 	sessions map[uint32]*session
 	serial   uint32
+	budgets  *retry.Budgets
 }
 
 // NewServer checks the options and opens the listener.
@@ -60,6 +62,7 @@
 		handshakes: make(chan struct{}, maxHandshakes),
 		sessions:   make(map[uint32]*session),
 		number:     HostNumber(opts.Settings.Host),
+		budgets:    retry.NewBudgets(retry.DefaultBudgetConfig()),
 	}
 	if s.log == nil {
 		s.log = log.New(io.Discard)
