Add the control host and the subscriber

Cause: the agreed state has to be kept by the control hosts and reach every host together with its lease.

The subscriber follows one control host, turns to another when it is silent, and publishes the view.

Tests on loopback with three control hosts cover an isolated leader, racing operators, a resent note, a restart after 300 notes, a replaced process, and hosts that die or leave.

Conclusion: the entry role can act on the published view.

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+func TestSingleControlHost(t *testing.T) {
+	f := newFleet(t, 1)
+	f.waitValid("c0")
+	f.propose("c0", testNote(1, "first"), 0)
+	f.waitNote(1, "c0")
+}
+
+func TestNoteReachesEveryHost(t *testing.T) {
+	f := newFleet(t, 3)
+	f.start("e0")
+	f.start("e1")
+	f.waitValid("c0", "c1", "c2", "e0", "e1")
+	f.propose("c1", testNote(1, "first"), 0)
+	f.waitNote(1, "c0", "c1", "c2", "e0", "e1")
+}
+
+func TestResentNoteAndRacingOperators(t *testing.T) {
+	f := newFleet(t, 3)
+	f.waitValid("c0", "c1", "c2")
+	first := f.propose("c0", testNote(1, "first"), 0)
+	again := f.propose("c2", testNote(1, "first"), 0)
+	if *first.Stamp != *again.Stamp {
+		t.Fatalf("the resent note got %+v, the first %+v", again.Stamp, first.Stamp)
+	}
+	outcomes := make([]agreed.Outcome, 3)
+	var racing sync.WaitGroup
+	for i, title := range []string{"a", "b", "c"} {
+		racing.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			var err error
+			outcomes[i], err = f.hosts[f.controls[i].Host].control.Propose(ctx, testNote(2, title))
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	racing.Wait()
+	won := 0
+	for _, out := range outcomes {
+		switch out.Code {
+		case 0:
+			won++
+		case result.NoteConflict:
+		default:
+			t.Errorf("code %d", out.Code)
+		}
+		if out.Stamp == nil || *out.Stamp != *outcomes[0].Stamp {
+			t.Errorf("racers were told different notes: %+v", out.Stamp)
+		}
+	}
+	if won != 1 {
+		t.Errorf("%d racers won", won)
+	}
+}
+
+func TestIsolatedLeader(t *testing.T) {
+	f := newFleet(t, 3)
+	f.waitValid("c0", "c1", "c2")
+	f.propose("c0", testNote(1, "first"), 0)
+	f.waitNote(1, "c0", "c1", "c2")
+	old := f.leader("c0", "c1", "c2")
+	var others []string
+	for _, c := range f.controls {
+		if c.Host != old {
+			others = append(others, c.Host)
+		}
+	}
+	f.net.isolate(old, true)
+	f.leader(others...)
+	f.propose(others[0], testNote(2, "without the leader"), 0)
+	f.waitNote(2, others...)
+	wait(t, "the lease of the isolated host runs out", func() bool { return !f.hosts[old].valid() })
+	v := f.hosts[old].view.Current()
+	if v.State.Catalog.Stamp.Number != 1 {
+		t.Errorf("the isolated host has note %d", v.State.Catalog.Stamp.Number)
+	}
+	f.waitValid(others...)
+	f.net.isolate(old, false)
+	f.waitNote(2, old)
+	f.waitValid(old)
+}
+
+func TestRestartReturnsToTheCurrentState(t *testing.T) {
+	f := newFleet(t, 3)
+	f.waitValid("c0", "c1", "c2")
+	const notes = 300
+	for n := range uint64(notes) {
+		f.propose("c0", testNote(n+1, "note"), 0)
+	}
+	for _, c := range f.controls {
+		f.hosts[c.Host].stop()
+	}
+	for _, c := range f.controls {
+		f.start(c.Host)
+	}
+	f.waitValid("c0", "c1", "c2")
+	for _, c := range f.controls {
+		if got := f.hosts[c.Host].noteNumber(); got != notes {
+			t.Errorf("%s acts on note %d after the restart, want %d", c.Host, got, notes)
+		}
+	}
+	f.propose("c1", testNote(notes, "note"), 0)
+	f.propose("c1", testNote(notes, "another"), result.NoteConflict)
+}
+
+func TestNewProcessReplacesTheOld(t *testing.T) {
+	f := newFleet(t, 1)
+	old := f.start("e0")
+	f.waitValid("c0", "e0")
+	f.start("e0")
+	f.waitValid("e0")
+	if old.valid() {
+		t.Error("both processes may act")
+	}
+	<-old.replaced
+}
+
+func TestDeadHostAgesOutAndLeavingHostIsRemoved(t *testing.T) {
+	f := newFleet(t, 1)
+	f.start("e0")
+	f.start("e1")
+	f.waitValid("c0", "e0", "e1")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := f.hosts["e0"].subscriber.Leave(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if f.hosts["e0"].valid() {
+		t.Error("a host that left may act")
+	}
+	f.hosts["e1"].stop()
+	wait(t, "both hosts are removed", func() bool {
+		return len(f.hosts["c0"].view.Current().State.Hosts) == 1
+	})
+	f.waitValid("c0")
+}
+
+func TestSettledRevisionFollows(t *testing.T) {
+	f := newFleet(t, 3)
+	f.waitValid("c0", "c1", "c2")
+	out := f.propose("c0", testNote(1, "first"), 0)
+	wait(t, "the note is settled", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		s, err := f.hosts["c1"].control.Status(ctx)
+		return err == nil && s.Settled >= out.Revision && len(s.Hosts) == 3
+	})
+}
--- /dev/null
+++ b/internal/control/failover_driver.go
@@ -0,0 +1,253 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/failover"
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/peer"
+)
+
+// Timing of the failover driver.
+const (
+	failoverTick   = 100 * time.Millisecond
+	probeTimeout   = 800 * time.Millisecond
+	promoteTimeout = 3 * time.Second
+)
+
+// Databases reads the condition of endpoints and promotes them.
+type Databases interface {
+	// Probe reads the condition of an endpoint after the call.
+	Probe(ctx context.Context, service note.Service, e agreed.Endpoint) failover.Condition
+	// Promote orders an endpoint to become the primary. It is harmless on a
+	// primary.
+	Promote(ctx context.Context, service note.Service, e agreed.Endpoint) error
+}
+
+// failoverDriver runs the decisions of package failover on a confirmed leader.
+// A nil driver does nothing.
+type failoverDriver struct {
+	host    *Host
+	fleet   *failover.Fleet
+	ctx     context.Context
+	cancel  context.CancelFunc
+	ticked  time.Time
+	changed bool
+	leaving map[string]bool
+	// probing and promoting hold the endpoints with a request on its way.
+	probing   map[string]bool
+	promoting map[string]bool
+	// results are effects of events that arrived while consensus was busy.
+	results []commandResult
+}
+
+// commandResult is the outcome of a command of the driver.
+type commandResult struct {
+	service   string
+	committed bool
+}
+
+func newFailoverDriver(h *Host) *failoverDriver {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &failoverDriver{
+		host:      h,
+		fleet:     failover.NewFleet(failover.DefaultConfig()),
+		ctx:       ctx,
+		cancel:    cancel,
+		changed:   true,
+		probing:   make(map[string]bool),
+		promoting: make(map[string]bool),
+	}
+}
+
+func (d *failoverDriver) stop() {
+	if d != nil {
+		d.cancel()
+	}
+}
+
+// stateChanged notes that the agreed state has changed.
+func (d *failoverDriver) stateChanged() {
+	if d != nil {
+		d.changed = true
+	}
+}
+
+// commandDone notes the outcome of a command of the driver.
+func (d *failoverDriver) commandDone(service string, committed bool) {
+	if d != nil {
+		d.results = append(d.results, commandResult{service, committed})
+	}
+}
+
+// refresh passes on what was noted. Unlike the methods that note, it may
+// propose commands.
+func (d *failoverDriver) refresh(now time.Time) {
+	if d == nil {
+		return
+	}
+	if d.changed {
+		d.changed = false
+		d.run(now, d.fleet.SetState(now, d.host.state, d.leaving))
+	}
+	results := d.results
+	d.results = nil
+	for _, r := range results {
+		d.run(now, d.fleet.Step(now, r.service, failover.CommandResult{Committed: r.committed}))
+	}
+}
+
+// tick lets time pass.
+func (d *failoverDriver) tick(now time.Time) {
+	if d == nil || now.Sub(d.ticked) < failoverTick {
+		return
+	}
+	d.ticked = now
+	if leaving := d.host.leavingEndpoints(now); !maps.Equal(leaving, d.leaving) {
+		d.leaving, d.changed = leaving, true
+	}
+	d.run(now, d.fleet.StepAll(now, failover.Tick{}))
+}
+
+// settled passes on a new settled revision.
+func (d *failoverDriver) settled(now time.Time, revision uint64) {
+	d.run(now, d.fleet.StepAll(now, failover.Settled{Revision: revision}))
+}
+
+// reason tells why a group is not active or what it waits for.
+func (d *failoverDriver) reason(service string) string {
+	if d == nil {
+		return ""
+	}
+	return d.fleet.Reason(service)
+}
+
+func (d *failoverDriver) run(now time.Time, effects []failover.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case failover.Seal:
+			d.propose(now, e.Service, agreed.Command{SealGroup: &agreed.SealGroup{Service: e.Service, Term: e.Term, Reason: e.Reason}})
+		case failover.Choose:
+			d.propose(now, e.Service, agreed.Command{ChooseGroup: &agreed.ChooseGroup{Service: e.Service, Term: e.Term, Candidate: e.Candidate}})
+		case failover.Activate:
+			d.propose(now, e.Service, agreed.Command{ActivateGroup: &agreed.ActivateGroup{Service: e.Service, Term: e.Term, Primary: e.Primary, Timeline: e.Timeline}})
+		case failover.AskPositions:
+			d.ask(e)
+		case failover.Promote:
+			d.promote(e)
+		case failover.Status:
+			d.host.log.Info("group_status", "service", e.Service, "reason", e.Reason)
+		}
+	}
+}
+
+func (d *failoverDriver) propose(now time.Time, service string, c agreed.Command) {
+	index, err := d.host.proposeNow(c)
+	if err != nil {
+		d.commandDone(service, false)
+		return
+	}
+	d.host.proposals[index] = pendingProposal{term: d.host.term, until: now.Add(proposalTimeout), service: service}
+}
+
+// ask probes endpoints, each at most once at a time.
+func (d *failoverDriver) ask(e failover.AskPositions) {
+	service := d.host.state.Catalog.Services[e.Service]
+	for _, id := range e.Endpoints {
+		endpoint, ok := d.host.state.Endpoints[id]
+		if !ok || d.probing[id] {
+			continue
+		}
+		d.probing[id] = true
+		go func() {
+			ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
+			defer cancel()
+			seen := d.host.opts.Databases.Probe(ctx, service, endpoint)
+			d.report(answerEvent{driver: d, service: e.Service, answer: failover.Answer{Term: e.Term, Endpoint: id, Condition: seen}})
+		}()
+	}
+}
+
+func (d *failoverDriver) promote(e failover.Promote) {
+	service := d.host.state.Catalog.Services[e.Service]
+	endpoint, ok := d.host.state.Endpoints[e.Endpoint]
+	if !ok || d.promoting[e.Endpoint] {
+		return
+	}
+	d.promoting[e.Endpoint] = true
+	d.host.log.Info("promote", "service", e.Service, "endpoint", e.Endpoint, "term", e.Term)
+	go func() {
+		ctx, cancel := context.WithTimeout(d.ctx, promoteTimeout)
+		defer cancel()
+		err := d.host.opts.Databases.Promote(ctx, service, endpoint)
+		if err != nil {
+			d.host.log.Warn("promote_failed", "service", e.Service, "endpoint", e.Endpoint, "err", err)
+		}
+		d.report(promotionEvent{driver: d, service: e.Service, result: failover.PromotionResult{Term: e.Term, Endpoint: e.Endpoint, OK: err == nil}})
+	}()
+}
+
+// report passes a result to the task of the Host, unless the driver has ended.
+func (d *failoverDriver) report(e event) {
+	select {
+	case d.host.events <- e:
+	case <-d.ctx.Done():
+	}
+}
+
+// answerEvent is the result of a probe.
+type answerEvent struct {
+	driver  *failoverDriver
+	service string
+	answer  failover.Answer
+}
+
+func (e answerEvent) handle(h *Host, now time.Time) {
+	if e.driver != h.failover {
+		return
+	}
+	delete(e.driver.probing, e.answer.Endpoint)
+	e.driver.run(now, e.driver.fleet.Step(now, e.service, e.answer))
+}
+
+// promotionEvent is the result of a promotion.
+type promotionEvent struct {
+	driver  *failoverDriver
+	service string
+	result  failover.PromotionResult
+}
+
+func (e promotionEvent) handle(h *Host, now time.Time) {
+	if e.driver != h.failover {
+		return
+	}
+	delete(e.driver.promoting, e.result.Endpoint)
+	e.driver.run(now, e.driver.fleet.Step(now, e.service, e.result))
+}
+
+// observationEvent is a watcher's report.
+type observationEvent struct {
+	observation Observation
+}
+
+func (e observationEvent) handle(h *Host, now time.Time) {
+	if !h.leading {
+		h.forwardToLeader(peer.KindObservation, e.observation)
+		return
+	}
+	if h.failover == nil {
+		return
+	}
+	o := e.observation
+	h.failover.run(now, h.failover.fleet.Step(now, o.Service, failover.Observation{
+		Watcher: o.Watcher, Domain: o.Domain, Endpoint: o.Endpoint, Condition: o.Seen,
+	}))
+}
+
+// Observe takes a report of the watcher of this host.
+func (h *Host) Observe(o Observation) {
+	h.post(observationEvent{observation: o})
+}
--- /dev/null
+++ b/internal/control/fleet_test.go
@@ -0,0 +1,211 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+// patience bounds every wait of these tests.
+const patience = 60 * time.Second
+
+// fleet is a set of hosts in this process that talk over loopback.
+type fleet struct {
+	t        testing.TB
+	net      *network
+	dir      string
+	controls []config.ControlHost
+	hosts    map[string]*testHost
+	started  uint64
+	leases   lease.Config
+}
+
+// testHost is one running process of a host.
+type testHost struct {
+	name       string
+	peer       *peer.Node
+	control    *Host // nil without the control role
+	subscriber *Subscriber
+	view       *view.Box
+	replaced   chan struct{}
+	cancel     context.CancelFunc
+	done       chan struct{}
+}
+
+// newFleet starts control hosts c0 to c(n-1), which are entry hosts too.
+func newFleet(t testing.TB, n int) *fleet {
+	f := &fleet{t: t, net: newNetwork(), dir: t.TempDir(), hosts: map[string]*testHost{}, leases: lease.DefaultConfig()}
+	for i := range n {
+		f.controls = append(f.controls, config.ControlHost{Host: fmt.Sprintf("c%d", i), Addr: freeAddr(t), Voter: true})
+	}
+	for _, c := range f.controls {
+		f.start(c.Host)
+	}
+	return f
+}
+
+func freeAddr(t testing.TB) string {
+	l, err := port{net: newNetwork()}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func logger() *log.Logger {
+	if os.Getenv("GB_TEST_LOG") != "" {
+		return log.NewWithOptions(os.Stderr, log.Options{Level: log.DebugLevel, ReportTimestamp: true, TimeFormat: "05.000"})
+	}
+	return log.New(io.Discard)
+}
+
+// start starts a new process of a host.
+func (f *fleet) start(name string) *testHost {
+	f.t.Helper()
+	f.started++
+	h := &testHost{name: name, view: view.NewBox(), replaced: make(chan struct{}), done: make(chan struct{})}
+	listen, isControl := "127.0.0.1:0", false
+	for _, c := range f.controls {
+		if c.Host == name {
+			listen, isControl = c.Addr, true
+		}
+	}
+	h.peer = peer.NewNode(peer.Options{
+		Host: name, Fleet: "fleet", Secret: "a secret of the fleet", Incarnation: f.started,
+		Listen: listen, Transport: port{f.net, name}, Logger: logger().With("host", name),
+		OnReplaced: func() { close(h.replaced) },
+	})
+	if isControl {
+		h.control = New(Options{
+			Fleet: "fleet", DataDir: filepath.Join(f.dir, name), Bootstrap: true, Controls: f.controls,
+			Peer: h.peer, Lease: f.leases, Logger: logger().With("host", name), CompactEvery: 200,
+		})
+	}
+	h.subscriber = NewSubscriber(SubscriberOptions{
+		Fleet: "fleet", Domain: "d", Entry: true, Control: isControl, Controls: f.controls,
+		Peer: h.peer, Lease: f.leases, Logger: logger().With("host", name), View: h.view,
+	})
+	if err := h.peer.Listen(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.run(h)
+	f.hosts[name] = h
+	return h
+}
+
+func (f *fleet) run(h *testHost) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	tasks := []func(context.Context) error{h.peer.Run, h.subscriber.Run}
+	if h.control != nil {
+		tasks = append(tasks, h.control.Run)
+	}
+	errs := make(chan error, len(tasks))
+	for _, task := range tasks {
+		go func() { errs <- task(ctx) }()
+	}
+	go func() {
+		defer close(h.done)
+		for range tasks {
+			if err := <-errs; err != nil && ctx.Err() == nil {
+				f.t.Errorf("task of %s: %v", h.name, err)
+			}
+		}
+	}()
+	f.t.Cleanup(h.stop)
+}
+
+// stop ends the process without a goodbye.
+func (h *testHost) stop() {
+	h.cancel()
+	<-h.done
+}
+
+// wait waits for a condition.
+func wait(t testing.TB, what string, cond func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !cond() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never came to: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// valid reports whether the host may act now.
+func (h *testHost) valid() bool { return h.view.Current().Valid(time.Now()) }
+
+// noteNumber returns the number of the note in force on the host.
+func (h *testHost) noteNumber() uint64 {
+	if s := h.view.Current().State; s != nil {
+		return s.Catalog.Stamp.Number
+	}
+	return 0
+}
+
+func (f *fleet) waitValid(names ...string) {
+	f.t.Helper()
+	for _, name := range names {
+		wait(f.t, name+" may act", f.hosts[name].valid)
+	}
+}
+
+// leader waits for the leader among the given hosts.
+func (f *fleet) leader(names ...string) string {
+	f.t.Helper()
+	var leader string
+	wait(f.t, "a leader", func() bool {
+		for _, name := range names {
+			if f.hosts[name].control.lead.Load().leading {
+				leader = name
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func testNote(number uint64, title string) agreed.Command {
+	n := note.Note{Number: number, Title: title}
+	n.Added.Workspaces = []note.Workspace{{Name: fmt.Sprintf("w%d", number), Rate: 1, Burst: 1, Class: note.ClassBulk}}
+	return agreed.Command{ApplyNote: &agreed.ApplyNote{Note: n}}
+}
+
+// propose proposes through a host and expects a result code.
+func (f *fleet) propose(name string, c agreed.Command, want result.Code) agreed.Outcome {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	out, err := f.hosts[name].control.Propose(ctx, c)
+	if err != nil {
+		f.t.Fatalf("propose through %s: %v", name, err)
+	}
+	if out.Code != want {
+		f.t.Fatalf("propose through %s: code %d %s, want %d", name, out.Code, out.Detail, want)
+	}
+	return out
+}
+
+func (f *fleet) waitNote(number uint64, names ...string) {
+	f.t.Helper()
+	for _, name := range names {
+		wait(f.t, fmt.Sprintf("note %d on %s", number, name), func() bool { return f.hosts[name].noteNumber() >= number })
+	}
+}
--- /dev/null
+++ b/internal/control/handlers.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/consensus"
+	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// registerHandlers connects the peer node with the task.
+func (h *Host) registerHandlers() {
+	n := h.opts.Peer
+	peer.On(n, peer.KindConsensus, func(from peer.Identity, m consensus.Message) {
+		h.post(stepEvent{from: from.Host, message: m})
+	})
+	peer.On(n, peer.KindRenew, func(from peer.Identity, r lease.Renew) {
+		h.post(renewEvent{from: from, renew: r})
+	})
+	peer.On(n, peer.KindRelayOK, func(_ peer.Identity, ok lease.RenewOK) {
+		h.post(relayOKEvent{ok: ok})
+	})
+	peer.On(n, peer.KindAnnounce, func(_ peer.Identity, a Announcement) {
+		h.post(announceEvent{announcement: a})
+	})
+	peer.On(n, peer.KindObservation, func(_ peer.Identity, o Observation) {
+		h.post(observationEvent{observation: o})
+	})
+	peer.OnCall(n, peer.KindProposal, h.serveProposal)
+	peer.OnCall(n, peer.KindStatus, h.serveStatus)
+	peer.OnCall(n, peer.KindGoodbye, h.serveGoodbye)
+}
+
+// goodbyeEvent ends the lease and the subscription of a process.
+type goodbyeEvent struct {
+	id lease.ID
+}
+
+func (e goodbyeEvent) handle(h *Host, now time.Time) {
+	h.broker.Release(e.id)
+	delete(h.subscribers, e.id)
+	h.settle(now)
+}
+
+// serveGoodbye removes the host of a process that leaves.
+func (h *Host) serveGoodbye(ctx context.Context, from peer.Identity, g goodbye) (agreed.Outcome, error) {
+	if g.Host != from.Host || g.Incarnation != from.Incarnation {
+		return agreed.Outcome{}, result.New(result.PeerMalformed, "a host takes leave for itself only")
+	}
+	h.post(goodbyeEvent{id: lease.ID{Host: g.Host, Incarnation: g.Incarnation}})
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	return h.Propose(ctx, agreed.Command{RemoveHost: &agreed.RemoveHost{ID: g.Host, Incarnation: g.Incarnation}})
+}
--- /dev/null
+++ b/internal/control/host.go
@@ -0,0 +1,257 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/consensus"
+	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/store"
+)
+
+// Options configure a Host.
+type Options struct {
+	Fleet string
+	// DataDir is the folder of the store.
+	DataDir string
+	// Bootstrap founds a new fleet from the voters among Controls.
+	Bootstrap bool
+	Controls  []config.ControlHost
+	Peer      *peer.Node
+	Lease     lease.Config
+	Logger    *log.Logger
+	// Databases probes and promotes endpoints; nil disables failover.
+	Databases Databases
+	// CompactEvery is the number of applied entries between two snapshots;
+	// zero selects DefaultCompactEvery.
+	CompactEvery uint64
+}
+
+// DefaultCompactEvery is the number of applied entries between two snapshots.
+const DefaultCompactEvery = 4096
+
+// eventBacklog bounds the events that wait for the task of a Host.
+const eventBacklog = 4096
+
+// Host is the control role of one host. Run owns all its state; other
+// goroutines reach it by events.
+type Host struct {
+	opts   Options
+	log    *log.Logger
+	events chan event
+	// snapshot of the position, for proposers in other goroutines.
+	lead atomic.Pointer[leadInfo]
+
+	node   *consensus.Node
+	store  *store.Store
+	state  *agreed.State
+	recent recentStates
+	broker *lease.Broker
+
+	subscribers map[lease.ID]*subscription
+	proposals   map[uint64]pendingProposal
+	announced   map[string]announced
+	// floors are the positions needed to join a group, by service.
+	floors map[string]joinFloor
+	// lastHeld is when a registered host was last seen with a lease.
+	lastHeld map[lease.ID]time.Time
+	roundEnd time.Time // when the lease round in flight is given up
+	duties   time.Time // when the duties of the leader are due
+	saveFail error
+
+	leading bool
+	// confirmed is set once a leader has confirmed its quorum.
+	confirmed   bool
+	confirmedAt time.Time
+	term        uint64
+	failover    *failoverDriver
+}
+
+// leadInfo is what proposers need to know.
+type leadInfo struct {
+	leading bool
+	leader  string
+}
+
+// event is a message to the task of a Host.
+type event interface {
+	handle(h *Host, now time.Time)
+}
+
+// New returns a Host and registers its handlers with the peer node. Call it
+// before the node runs.
+func New(opts Options) *Host {
+	if opts.CompactEvery == 0 {
+		opts.CompactEvery = DefaultCompactEvery
+	}
+	if opts.Logger == nil {
+		opts.Logger = log.Default()
+	}
+	h := &Host{opts: opts, log: opts.Logger, events: make(chan event, eventBacklog)}
+	// The broker outlives a restart of the task: leases that it relayed count on.
+	h.broker = lease.NewBroker(opts.Lease, startSeq())
+	h.lead.Store(&leadInfo{})
+	h.registerHandlers()
+	return h
+}
+
+// post queues an event without blocking. A full backlog drops it: all senders
+// repeat what matters.
+func (h *Host) post(e event) bool {
+	select {
+	case h.events <- e:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run opens the store and serves until ctx ends.
+func (h *Host) Run(ctx context.Context) error {
+	if err := h.open(); err != nil {
+		return err
+	}
+	defer h.close()
+	ticker := time.NewTicker(consensus.DefaultTickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			h.tick(time.Now())
+		case e := <-h.events:
+			h.drain(e)
+		}
+		if err := h.process(time.Now()); err != nil {
+			return err
+		}
+	}
+}
+
+// drainBatch bounds the events handled before the resulting work is done.
+const drainBatch = 256
+
+// drain handles an event and those that wait behind it, so that one sync of the
+// store serves many proposals.
+func (h *Host) drain(e event) {
+	e.handle(h, time.Now())
+	for range drainBatch {
+		select {
+		case e = <-h.events:
+			e.handle(h, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+func (h *Host) open() error {
+	st, err := store.Open(h.opts.DataDir, store.Options{})
+	if err != nil {
+		return err
+	}
+	h.store = st
+	if err := h.load(); err != nil {
+		_ = st.Close()
+		return err
+	}
+	return nil
+}
+
+// load creates the consensus node and the state from the store.
+func (h *Host) load() error {
+	stored, err := h.store.Load()
+	if err != nil {
+		return err
+	}
+	state, err := restore(stored.Snapshot)
+	if err != nil {
+		return err
+	}
+	if err := h.checkFleet(state); err != nil {
+		return err
+	}
+	node, err := consensus.New(h.consensusConfig(), stored)
+	if err != nil {
+		return err
+	}
+	h.node = node
+	h.state = state
+	h.recent = recentStates{}
+	h.recent.add(state)
+	h.broker.Abort()
+	h.subscribers = make(map[lease.ID]*subscription)
+	h.proposals = make(map[uint64]pendingProposal)
+	h.announced = make(map[string]announced)
+	h.floors = make(map[string]joinFloor)
+	h.lastHeld = make(map[lease.ID]time.Time)
+	h.leading, h.confirmed = false, false
+	return nil
+}
+
+// startSeq numbers requests above those of earlier tasks of the process.
+func startSeq() uint64 { return uint64(time.Now().UnixNano()) >> 1 }
+
+func (h *Host) checkFleet(s *agreed.State) error {
+	if s.Fleet != "" && s.Fleet != h.opts.Fleet {
+		return result.New(result.PeerFleet, "the data folder belongs to fleet %q", s.Fleet)
+	}
+	return nil
+}
+
+func restore(snap consensus.Snapshot) (*agreed.State, error) {
+	if len(snap.Data) == 0 {
+		return agreed.New(), nil
+	}
+	return agreed.Decode(snap.Data)
+}
+
+func (h *Host) consensusConfig() consensus.Config {
+	cfg := consensus.Config{
+		Host: h.opts.Peer.Host(),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	for _, c := range h.opts.Controls {
+		if c.Host != cfg.Host {
+			cfg.Peers = append(cfg.Peers, c.Host)
+		}
+		if c.Voter && h.opts.Bootstrap {
+			cfg.Founders = append(cfg.Founders, c.Host)
+		}
+	}
+	return cfg
+}
+
+func (h *Host) close() {
+	h.stopLeading()
+	h.lead.Store(&leadInfo{})
+	for index := range h.proposals {
+		h.answerProposal(index, agreed.Outcome{}, result.New(result.NoQuorum, "the control host is stopping"))
+	}
+	if err := h.store.Close(); err != nil {
+		h.log.Error("store_close_failed", "err", err)
+	}
+}
+
+// addr returns the peer address of a control host, empty when unknown.
+func (h *Host) addr(host string) string {
+	for _, c := range h.opts.Controls {
+		if c.Host == host {
+			return c.Addr
+		}
+	}
+	return h.state.Hosts[host].PeerAddr
+}
+
+// errStopped is returned to proposers when the task does not take the proposal.
+var errStopped = errors.New("the control task is busy or stopped")
--- /dev/null
+++ b/internal/control/leases.go
@@ -0,0 +1,141 @@
+package control
+
+import (
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/consensus"
+	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/peer"
+)
+
+// electionConfirm identifies the first confirmation of a new leader. Lease
+// rounds have greater numbers.
+const electionConfirm = 1
+
+// roundTimeout is how long a lease round may take before it is repeated.
+const roundTimeout = 800 * time.Millisecond
+
+// renewEvent is a request for a lease by a subscriber.
+type renewEvent struct {
+	from  peer.Identity
+	renew lease.Renew
+}
+
+func (e renewEvent) handle(h *Host, now time.Time) {
+	id := lease.ID{Host: e.from.Host, Incarnation: e.from.Incarnation}
+	h.broker.Receive(now, id, e.renew)
+	if !e.renew.Relay {
+		h.follow(now, id, e.from.Addr, e.renew.Applied)
+	}
+	h.settle(now)
+}
+
+// relayOKEvent is the leader's answer to a request of this host as a relay.
+type relayOKEvent struct {
+	ok lease.RenewOK
+}
+
+func (e relayOKEvent) handle(h *Host, _ time.Time) {
+	if h.leading {
+		return
+	}
+	h.answerRound(e.ok.Seq, e.ok.Revision, e.ok.Settled)
+}
+
+// pumpLeases starts a lease round when subscribers wait and none is in flight.
+func (h *Host) pumpLeases(now time.Time) {
+	round, ok := h.broker.Begin(now)
+	if !ok {
+		return
+	}
+	h.roundEnd = now.Add(roundTimeout)
+	if h.leading {
+		if err := h.node.ConfirmQuorum(round.ID); err != nil {
+			h.log.Debug("confirm_failed", "err", err)
+		}
+		return
+	}
+	leader := h.node.Status().Leader
+	if leader == "" {
+		return
+	}
+	request := lease.Renew{Seq: round.ID, Applied: round.Applied, Relay: true, Holders: round.Holders}
+	if err := h.opts.Peer.Send(leader, h.addr(leader), peer.KindRenew, request); err != nil {
+		h.log.Debug("renew_failed", "leader", leader, "err", err)
+	}
+}
+
+// expireRound repeats a round that was not answered in time.
+func (h *Host) expireRound(now time.Time) {
+	if !h.roundEnd.IsZero() && now.After(h.roundEnd) {
+		h.roundEnd = time.Time{}
+		h.broker.Abort()
+	}
+}
+
+// confirmAll takes the confirmations of a leader's quorum. They follow the
+// application of all entries committed before.
+func (h *Host) confirmAll(now time.Time, rd consensus.Ready) {
+	for range rd.Dropped {
+		h.broker.Abort()
+	}
+	for _, c := range rd.Confirmed {
+		if !h.leading || c.Term != h.term {
+			continue
+		}
+		h.becomeConfirmed(now)
+		if c.ID != electionConfirm {
+			h.answerRound(c.ID, h.state.Revision, h.settle(now))
+		}
+	}
+}
+
+// becomeConfirmed lets a leader take up its duties once it knows that it has
+// applied everything committed by its predecessors.
+func (h *Host) becomeConfirmed(now time.Time) {
+	if h.confirmed {
+		return
+	}
+	h.confirmed = true
+	h.confirmedAt = now
+	if h.state.HostsChanged == 0 {
+		h.broker.Found()
+	}
+	if h.opts.Databases != nil {
+		h.failover = newFailoverDriver(h)
+	}
+}
+
+// answerRound answers the requests of a finished round.
+func (h *Host) answerRound(id, revision, settled uint64) {
+	for _, a := range h.broker.Finish(id, revision, settled) {
+		kind := peer.KindRenewOK
+		if a.Relay {
+			kind = peer.KindRelayOK
+		}
+		if err := h.opts.Peer.Send(a.To.Host, "", kind, a.OK); err != nil {
+			h.log.Debug("renew_answer_failed", "peer", a.To.Host, "err", err)
+		}
+	}
+}
+
+// settle computes the settled revision on a confirmed leader and returns it.
+func (h *Host) settle(now time.Time) uint64 {
+	if !h.leading || !h.confirmed {
+		return h.broker.Settled()
+	}
+	before := h.broker.Settled()
+	settled := h.broker.Settle(now, h.state.Revision, h.electorate())
+	if settled > before && h.failover != nil {
+		h.failover.settled(now, settled)
+	}
+	return settled
+}
+
+func (h *Host) electorate() lease.Electorate {
+	e := lease.Electorate{Changed: h.state.HostsChanged}
+	for _, host := range h.state.Hosts {
+		e.Holders = append(e.Holders, lease.ID{Host: host.ID, Incarnation: host.Incarnation})
+	}
+	return e
+}
--- /dev/null
+++ b/internal/control/publish.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/peer"
+)
+
+// Bounds of the dissemination.
+const (
+	// recentLimit is the number of states from which deltas can be made. A
+	// subscriber further behind gets a snapshot.
+	recentLimit = 256
+	// resendAfter is how long a push may be on its way before a request that
+	// shows an older revision causes another one.
+	resendAfter = 300 * time.Millisecond
+	// subscriptionTimeout ends the subscription of a silent host.
+	subscriptionTimeout = 5 * time.Second
+)
+
+// subscription is a host that follows the state through this one.
+type subscription struct {
+	addr string
+	// sent is the revision last pushed.
+	sent   uint64
+	pushed time.Time
+	seen   time.Time
+}
+
+// recentStates are the last states in ascending order of revision.
+type recentStates struct {
+	states []*agreed.State
+}
+
+func (r *recentStates) add(s *agreed.State) {
+	r.states = append(r.states, s)
+	if len(r.states) > recentLimit {
+		r.states = slices.Delete(r.states, 0, len(r.states)-recentLimit)
+	}
+}
+
+func (r *recentStates) at(revision uint64) *agreed.State {
+	i, ok := slices.BinarySearchFunc(r.states, revision, func(s *agreed.State, revision uint64) int {
+		switch {
+		case s.Revision < revision:
+			return -1
+		case s.Revision > revision:
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		return nil
+	}
+	return r.states[i]
+}
+
+// follow notes that a host follows the state and pushes what it lacks.
+func (h *Host) follow(now time.Time, id lease.ID, addr string, applied uint64) {
+	sub := h.subscribers[id]
+	if sub == nil {
+		sub = &subscription{sent: applied}
+		h.subscribers[id] = sub
+	}
+	sub.addr, sub.seen = addr, now
+	if applied >= h.state.Revision {
+		sub.sent = max(sub.sent, applied)
+		return
+	}
+	if sub.sent > applied && now.Sub(sub.pushed) < resendAfter {
+		return
+	}
+	sub.sent = applied
+	h.push(now, id, sub, map[uint64]cbor.RawMessage{})
+}
+
+// pushAll pushes the state to every subscriber that lacks it. Subscribers at
+// the same revision share one encoded delta.
+func (h *Host) pushAll(now time.Time) {
+	encoded := make(map[uint64]cbor.RawMessage)
+	for id, sub := range h.subscribers {
+		if now.Sub(sub.seen) > subscriptionTimeout {
+			delete(h.subscribers, id)
+			continue
+		}
+		if sub.sent < h.state.Revision {
+			h.push(now, id, sub, encoded)
+		}
+	}
+}
+
+// push sends a delta, or a snapshot to a subscriber that is too far behind. The
+// encoded messages are kept by the revision at which they start; snapshots
+// under noRevision.
+func (h *Host) push(now time.Time, id lease.ID, sub *subscription, encoded map[uint64]cbor.RawMessage) {
+	kind, from := peer.KindDelta, sub.sent
+	base := h.recent.at(from)
+	if base == nil {
+		kind, from = peer.KindSnapshot, noRevision
+	}
+	data, ok := encoded[from]
+	if !ok {
+		var err error
+		if data, err = h.encodePush(base); err != nil {
+			h.log.Error("push_encode_failed", "err", err)
+			return
+		}
+		encoded[from] = data
+	}
+	if err := h.opts.Peer.Send(id.Host, sub.addr, kind, data); err != nil {
+		h.log.Debug("push_failed", "peer", id.Host, "err", err)
+		return
+	}
+	sub.sent, sub.pushed = h.state.Revision, now
+}
+
+// noRevision is greater than any revision.
+const noRevision = ^uint64(0)
+
+func (h *Host) encodePush(base *agreed.State) ([]byte, error) {
+	if base != nil {
+		return peer.Marshal(agreed.Diff(base, h.state))
+	}
+	state, err := h.state.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return peer.Marshal(snapshotPush{State: state})
+}
--- /dev/null
+++ b/internal/control/subscriber.go
@@ -0,0 +1,290 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+// Timing of a subscriber.
+const (
+	// silenceTimeout is how long a control host may leave requests unanswered
+	// before the subscriber turns to another one.
+	silenceTimeout = time.Second
+	// registerInterval is the time between two attempts to register.
+	registerInterval = time.Second
+	subscriberTick   = 50 * time.Millisecond
+)
+
+// SubscriberOptions configure a Subscriber.
+type SubscriberOptions struct {
+	Fleet    string
+	Domain   string
+	Entry    bool
+	Control  bool
+	Controls []config.ControlHost
+	Peer     *peer.Node
+	Lease    lease.Config
+	Logger   *log.Logger
+	// View receives the agreed state with the lease.
+	View *view.Box
+}
+
+// Subscriber follows the agreed state on one host, holds its configuration
+// lease and keeps it registered. Run owns its state.
+type Subscriber struct {
+	opts   SubscriberOptions
+	log    *log.Logger
+	events chan subscriberEvent
+
+	state    *agreed.State
+	holder   *lease.Holder
+	upstream int
+	// heard is when the upstream last granted a lease, or was chosen.
+	heard      time.Time
+	renewed    time.Time
+	registered time.Time // when registration was last attempted
+	leaving    bool
+}
+
+// subscriberEvent is a message to the task of a Subscriber.
+type subscriberEvent interface {
+	handle(s *Subscriber, now time.Time)
+}
+
+// NewSubscriber returns a Subscriber and registers its handlers with the peer
+// node. Call it before the node runs.
+func NewSubscriber(opts SubscriberOptions) *Subscriber {
+	if opts.Logger == nil {
+		opts.Logger = log.Default()
+	}
+	s := &Subscriber{opts: opts, log: opts.Logger, events: make(chan subscriberEvent, eventBacklog)}
+	peer.On(opts.Peer, peer.KindDelta, func(_ peer.Identity, d agreed.Delta) {
+		s.post(deltaEvent{d})
+	})
+	peer.On(opts.Peer, peer.KindSnapshot, func(_ peer.Identity, p snapshotPush) {
+		s.post(snapshotEvent{p})
+	})
+	peer.On(opts.Peer, peer.KindRenewOK, func(from peer.Identity, ok lease.RenewOK) {
+		s.post(grantEvent{from.Host, ok})
+	})
+	return s
+}
+
+func (s *Subscriber) post(e subscriberEvent) {
+	select {
+	case s.events <- e:
+	default:
+	}
+}
+
+// Run follows the state until ctx ends, then withdraws the view.
+func (s *Subscriber) Run(ctx context.Context) error {
+	now := time.Now()
+	if s.state == nil {
+		s.state = agreed.New()
+	}
+	s.holder = lease.NewHolder(s.opts.Lease, startSeq())
+	s.upstream = s.firstUpstream()
+	s.heard, s.renewed, s.leaving = now, time.Time{}, false
+	defer s.opts.View.Publish(view.View{})
+	ticker := time.NewTicker(subscriberTick)
+	defer ticker.Stop()
+	for {
+		s.advance(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case e := <-s.events:
+			e.handle(s, time.Now())
+		}
+	}
+}
+
+// firstUpstream prefers the control role of the same host. Other hosts spread
+// over the control hosts by their incarnation.
+func (s *Subscriber) firstUpstream() int {
+	for i, c := range s.opts.Controls {
+		if c.Host == s.opts.Peer.Host() {
+			return i
+		}
+	}
+	return int(s.opts.Peer.Incarnation() % uint64(len(s.opts.Controls)))
+}
+
+// Upstream returns a control host to send messages for the leader to.
+func (s *Subscriber) control() config.ControlHost { return s.opts.Controls[s.upstream] }
+
+// advance does what is due.
+func (s *Subscriber) advance(ctx context.Context, now time.Time) {
+	if now.Sub(s.heard) > silenceTimeout {
+		s.upstream = (s.upstream + 1) % len(s.opts.Controls)
+		s.heard, s.renewed = now, time.Time{}
+		s.log.Info("control_host_silent", "next", s.control().Host)
+	}
+	if now.Sub(s.renewed) >= s.opts.Lease.RenewInterval {
+		s.renew(now)
+	}
+	if !s.isRegistered() && now.Sub(s.registered) >= registerInterval {
+		s.registered = now
+		s.register(ctx)
+	}
+}
+
+func (s *Subscriber) renew(now time.Time) {
+	if s.leaving {
+		return
+	}
+	s.renewed = now
+	c := s.control()
+	if err := s.opts.Peer.Send(c.Host, c.Addr, peer.KindRenew, s.holder.Renew(now, s.state.Revision)); err != nil {
+		s.log.Debug("renew_failed", "control", c.Host, "err", err)
+	}
+}
+
+// isRegistered reports whether the state names this very process.
+func (s *Subscriber) isRegistered() bool {
+	host, ok := s.state.Hosts[s.opts.Peer.Host()]
+	return ok && host == s.self(host.Registered)
+}
+
+func (s *Subscriber) self(registered uint64) agreed.Host {
+	return agreed.Host{
+		ID:          s.opts.Peer.Host(),
+		PeerAddr:    s.opts.Peer.Addr(),
+		Domain:      s.opts.Domain,
+		Incarnation: s.opts.Peer.Incarnation(),
+		Entry:       s.opts.Entry,
+		Control:     s.opts.Control,
+		Registered:  registered,
+	}
+}
+
+// register proposes the registration in a goroutine; its result shows in the
+// state.
+func (s *Subscriber) register(ctx context.Context) {
+	if s.leaving {
+		return
+	}
+	c := s.control()
+	p := proposal{Command: agreed.Command{RegisterHost: &agreed.RegisterHost{Host: s.self(0)}}}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, registerInterval)
+		defer cancel()
+		out, err := callProposal(ctx, s.opts.Peer, c.Host, c.Addr, p)
+		switch {
+		case err != nil:
+			s.log.Debug("register_failed", "control", c.Host, "err", err)
+		case out.Code == result.PeerIncarnation:
+			s.log.Error("host_replaced", "detail", out.Detail)
+		}
+	}()
+}
+
+// publish publishes the state with the end of the lease. Until the registration
+// of this process is settled, and once it was replaced, the view is not valid.
+func (s *Subscriber) publish() {
+	v := view.View{State: s.state, Settled: s.holder.Settled()}
+	host, ok := s.state.Hosts[s.opts.Peer.Host()]
+	registered := ok && host.Incarnation == s.opts.Peer.Incarnation() && v.Settled >= host.Registered
+	if registered && !s.leaving {
+		v.ValidUntil = s.holder.ValidUntil(s.state.Revision)
+	}
+	s.opts.View.Publish(v)
+}
+
+// deltaEvent is a pushed delta.
+type deltaEvent struct {
+	delta agreed.Delta
+}
+
+func (e deltaEvent) handle(s *Subscriber, now time.Time) {
+	next, err := agreed.Patch(s.state, e.delta)
+	if err != nil {
+		return // a repeated push, or a gap that the next request shows
+	}
+	s.setState(now, next)
+}
+
+// snapshotEvent is a pushed snapshot.
+type snapshotEvent struct {
+	push snapshotPush
+}
+
+func (e snapshotEvent) handle(s *Subscriber, now time.Time) {
+	next, err := agreed.Decode(e.push.State)
+	if err != nil {
+		s.log.Warn("snapshot_refused", "err", err)
+		return
+	}
+	if next.Revision > s.state.Revision {
+		s.setState(now, next)
+	}
+}
+
+// setState adopts a newer state and reports it at once, so that it can settle.
+func (s *Subscriber) setState(now time.Time, next *agreed.State) {
+	if next.Fleet != "" && next.Fleet != s.opts.Fleet {
+		s.log.Error("foreign_state", "fleet", next.Fleet)
+		return
+	}
+	s.state = next
+	for _, h := range next.Hosts {
+		s.opts.Peer.Observe(h.ID, h.Incarnation)
+	}
+	s.publish()
+	s.renew(now)
+}
+
+// grantEvent is an answer to a request for a lease.
+type grantEvent struct {
+	from string
+	ok   lease.RenewOK
+}
+
+func (e grantEvent) handle(s *Subscriber, now time.Time) {
+	if e.from == s.control().Host {
+		s.heard = now
+	}
+	s.holder.Granted(e.ok)
+	s.publish()
+}
+
+// leaveEvent stops all acting of this process.
+type leaveEvent struct {
+	done chan config.ControlHost // buffered
+}
+
+func (e leaveEvent) handle(s *Subscriber, _ time.Time) {
+	s.leaving = true
+	s.publish()
+	e.done <- s.control()
+}
+
+// Leave withdraws the view, for good, and takes the host out of the fleet. Call
+// it after the host has stopped to serve callers.
+func (s *Subscriber) Leave(ctx context.Context) error {
+	done := make(chan config.ControlHost, 1)
+	s.post(leaveEvent{done: done})
+	var c config.ControlHost
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case c = <-done:
+	}
+	var out agreed.Outcome
+	g := goodbye{Host: s.opts.Peer.Host(), Incarnation: s.opts.Peer.Incarnation()}
+	if err := s.opts.Peer.Call(ctx, c.Host, c.Addr, peer.KindGoodbye, g, &out); err != nil {
+		return err
+	}
+	return out.Err()
+}
--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -54,7 +54,9 @@
 // Answer is an answer to a subscriber.
 type Answer struct {
 	To ID
-	OK RenewOK
+	// Relay tells whether the subscriber asked as a relay.
+	Relay bool
+	OK    RenewOK
 }
 
 // NewBroker returns a Broker without subscribers. Its rounds are numbered above
@@ -109,8 +111,9 @@
 	var answers []Answer
 	for _, r := range b.inRound {
 		answers = append(answers, Answer{
-			To: r.key.id,
-			OK: RenewOK{Seq: r.seq, Revision: revision, Settled: b.settled},
+			To:    r.key.id,
+			Relay: r.key.relay,
+			OK:    RenewOK{Seq: r.seq, Revision: revision, Settled: b.settled},
 		})
 	}
 	b.round, b.inRound = 0, nil
@@ -161,6 +164,10 @@
 	Changed uint64
 }
 
+// Found tells the broker of a leader that no process was ever registered, so
+// that no lease of a former leader can allow anyone to act.
+func (b *Broker) Found() { b.assumeUntil = time.Time{} }
+
 // Settle returns the greatest revision known to be applied by every holder of a
 // valid lease; revision is what the leader has applied. Only the leader calls
 // it. The result never falls: a lease granted later allows no older revision.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -35,7 +35,7 @@
 
 func newEncMode() cbor.EncMode {
 	opts := cbor.CoreDetEncOptions()
-	opts.Time = cbor.TimeUnixMicro
+	opts.Time = cbor.TimeRFC3339Nano
 	mode, err := opts.EncMode()
 	if err != nil {
 		panic(err)
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -13,15 +13,14 @@
 	KindConsensus Kind = 1
 	KindProposal  Kind = 2
 
-	KindSubscribe   Kind = 10
-	KindDelta       Kind = 11
-	KindSnapshot    Kind = 12
-	KindRenew       Kind = 13
-	KindRenewOK     Kind = 14
-	KindGoodbye     Kind = 15
-	KindAnnounce    Kind = 16
-	KindStatus      Kind = 17
-	KindUnsubscribe Kind = 18
+	KindRelayOK  Kind = 10
+	KindDelta    Kind = 11
+	KindSnapshot Kind = 12
+	KindRenew    Kind = 13
+	KindRenewOK  Kind = 14
+	KindGoodbye  Kind = 15
+	KindAnnounce Kind = 16
+	KindStatus   Kind = 17
 
 	KindObservation Kind = 30
 	KindPosition    Kind = 31
@@ -48,7 +47,7 @@
 var kinds = map[Kind]kindInfo{
 	KindConsensus:   {"consensus", true},
 	KindProposal:    {"proposal", false},
-	KindSubscribe:   {"subscribe", false},
+	KindRelayOK:     {"relay_ok", true},
 	KindDelta:       {"delta", true},
 	KindSnapshot:    {"snapshot", true},
 	KindRenew:       {"renew", true},
@@ -56,7 +55,6 @@
 	KindGoodbye:     {"goodbye", false},
 	KindAnnounce:    {"announce", true},
 	KindStatus:      {"status", false},
-	KindUnsubscribe: {"unsubscribe", false},
 	KindObservation: {"observation", true},
 	KindPosition:    {"position", false},
 	KindPromote:     {"promote", false},
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -172,6 +172,9 @@
 	if incarnation > known && l != nil {
 		l.dropOlder(incarnation)
 	}
+	if host == n.opts.Host && incarnation > n.opts.Incarnation {
+		n.replaced()
+	}
 	return incarnation >= known
 }
 
