Count missing members against the quorum of a write

Cause: a write was acknowledged on a majority of the endpoints that had joined, while a new primary is chosen from a majority of those that the release note asks for. A group of five with three members acknowledged on two of them; once two more had joined, a majority without the write could be chosen.

Change: the entry uses the quorum of the agreed state, as the choice does.

Before: with 5 endpoints asked for and 3 joined, 2 sufficed. After: 3 are needed (go test -run Quorum ./internal/entry).

Conclusion: both sides of the overlap now use one definition.

--- a/internal/entry/durability.go
+++ b/internal/entry/durability.go
@@ -41,7 +41,7 @@
 		if first {
 			target = status.LSN
 		}
-		if hasMajority(group, status, target) {
+		if hasQuorum(group, state.Quorum(service), status, target) {
 			return Position{Term: term, LSN: target}, nil
 		}
 		if err := pause(ctx, durabilityPause); err != nil {
@@ -50,8 +50,8 @@
 	}
 }
 
-// hasMajority counts the primary and the members that have flushed lsn.
-func hasMajority(group agreed.Group, status pgback.Status, lsn uint64) bool {
+// hasQuorum counts the primary and the members that have flushed lsn.
+func hasQuorum(group agreed.Group, quorum int, status pgback.Status, lsn uint64) bool {
 	have := 0
 	for _, id := range group.Members {
 		flushed, ok := status.Flushed[id]
@@ -59,7 +59,7 @@
 			have++
 		}
 	}
-	return have > len(group.Members)/2
+	return have >= quorum
 }
 
 // pause waits for d or the end of ctx.
