--- /dev/null
+++ b/internal/failover/sim_test.go
@@ -0,0 +1,239 @@
+package failover
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+)
+
+// The simulation below gives the time from a fault to the next active term as
+// the policy decides it, with assumed times for messages, commands and the
+// promotion itself. It is not a measurement of processes.
+const (
+	simTick     = 5 * time.Millisecond
+	simMessage  = 5 * time.Millisecond   // there and back between hosts
+	simCommand  = 10 * time.Millisecond  // propose, sync and apply everywhere
+	simPromote  = 150 * time.Millisecond // the server's own promotion
+	simTimeout  = 250 * time.Millisecond // of a probe
+	simRenew    = 700 * time.Millisecond
+	simElection = time.Second // at most, after the loss of a leader
+	simHosts    = 9
+)
+
+// scenario is a fault at time zero.
+type scenario struct {
+	name string
+	// refused: probes of the primary fail at once, not after a time-out.
+	refused bool
+	// friends is the number of hosts that still reach the primary and are cut
+	// off from the control leader.
+	friends int
+	// leaderLost: the control leader is lost at the same moment.
+	leaderLost bool
+	// bound is the longest gap that the simulation may show.
+	bound time.Duration
+}
+
+var scenarios = []scenario{
+	{"primary killed", true, 0, false, 3 * time.Second},
+	{"primary isolated", false, 0, false, 3 * time.Second},
+	{"primary isolated with one host", false, 1, false, 5 * time.Second},
+	{"primary killed, control leader lost", true, 0, true, 5 * time.Second},
+	{"primary isolated with one host, control leader lost", false, 1, true, 7 * time.Second},
+}
+
+type simulation struct {
+	scenario
+	rnd      *rand.Rand
+	now      time.Time
+	machine  *Machine
+	group    agreed.Group
+	revision uint64
+	grants   []time.Time // of the friends
+	elected  time.Time
+	probes   []simProbe
+	due      []delayed
+	promoted bool
+}
+
+// simProbe is the next probe of a watcher.
+type simProbe struct {
+	watcher Watcher
+	at      time.Time
+}
+
+var simStart = time.Unix(0, 0)
+
+func newSimulation(s scenario, seed uint64) *simulation {
+	sim := &simulation{
+		scenario: s, rnd: rand.New(rand.NewPCG(seed, 9)), now: simStart,
+		revision: 1, elected: simStart,
+		group: agreed.Group{Service: "s", Members: []string{"a", "b", "c"}, Term: 1, Primary: "a", Phase: agreed.PhaseActive, Timeline: 1},
+	}
+	for range s.friends {
+		sim.grants = append(sim.grants, simStart.Add(grantLease-sim.upTo(simRenew)))
+	}
+	for _, w := range sim.view().Electorate.Watchers("a") {
+		sim.probes = append(sim.probes, simProbe{watcher: w, at: simStart.Add(sim.upTo(ProbeInterval))})
+	}
+	if s.leaderLost {
+		sim.elected = simStart.Add(simElection/2 + sim.upTo(simElection/2))
+	}
+	return sim
+}
+
+func (s *simulation) upTo(d time.Duration) time.Duration {
+	return time.Duration(s.rnd.Int64N(int64(d)))
+}
+
+func (s *simulation) view() View {
+	var watchers []Watcher
+	for i := range simHosts - s.friends {
+		watchers = append(watchers, Watcher{Host: fmt.Sprintf("h%d", i), Domain: fmt.Sprintf("d%d", i%4)})
+	}
+	return View{
+		Group: s.group, Size: 3, Electorate: NewElectorate(watchers),
+		Members: []Member{{Endpoint: "a", Domain: "d0"}, {Endpoint: "b", Domain: "d1"}, {Endpoint: "c", Domain: "d2"}},
+	}
+}
+
+// run returns the time until a new term is active.
+func (s *simulation) run() time.Duration {
+	for s.group.Term == 1 || s.group.Phase != agreed.PhaseActive {
+		s.now = s.now.Add(simTick)
+		if s.now.Sub(simStart) > time.Minute {
+			return time.Minute
+		}
+		if s.machine == nil && !s.now.Before(s.elected) {
+			s.machine = New(DefaultConfig())
+			s.step(s.view())
+		}
+		s.probe()
+		s.deliver()
+		if s.machine != nil {
+			s.step(Settled{Revision: s.settled()})
+			s.step(Tick{})
+		}
+	}
+	return s.now.Sub(simStart)
+}
+
+func (s *simulation) settled() uint64 {
+	for _, end := range s.grants {
+		if s.now.Before(end) {
+			return 1
+		}
+	}
+	if s.leaderLost && s.friends > 0 && s.now.Before(s.elected.Add(grantLease)) {
+		return 1
+	}
+	return s.revision
+}
+
+// probe lets the watchers probe the primary.
+func (s *simulation) probe() {
+	for i := range s.probes {
+		p := &s.probes[i]
+		if s.now.Before(p.at) {
+			continue
+		}
+		p.at = p.at.Add(ProbeInterval)
+		wait := simMessage
+		if !s.refused {
+			wait += simTimeout
+		}
+		s.later(wait, Observation{Watcher: p.watcher.Host, Domain: p.watcher.Domain, Endpoint: "a"})
+	}
+}
+
+func (s *simulation) later(wait time.Duration, ev Event) {
+	s.due = append(s.due, delayed{due: s.now.Add(wait), event: ev})
+}
+
+func (s *simulation) deliver() {
+	due := s.due
+	s.due = nil
+	for _, d := range due {
+		switch {
+		case d.due.After(s.now):
+			s.due = append(s.due, d)
+		case s.machine != nil:
+			s.step(d.event)
+		}
+	}
+}
+
+func (s *simulation) step(ev Event) {
+	switch e := ev.(type) {
+	case commitEvent:
+		e.apply(s)
+		s.revision++
+		s.group.Changed = s.revision
+		ev = s.view()
+	case PromotionResult:
+		s.promoted = true
+	}
+	for _, effect := range s.machine.Step(s.now, ev) {
+		s.apply(effect)
+	}
+}
+
+// commitEvent carries a command that is about to be applied.
+type commitEvent struct{ command Effect }
+
+func (commitEvent) isEvent() {}
+
+func (c commitEvent) apply(s *simulation) {
+	switch e := c.command.(type) {
+	case Seal:
+		s.group.Term, s.group.Phase = e.Term+1, agreed.PhaseSealed
+	case Choose:
+		s.group.Candidate = e.Candidate
+	case Activate:
+		s.group.Phase, s.group.Primary, s.group.Candidate = agreed.PhaseActive, e.Primary, ""
+	}
+}
+
+func (s *simulation) apply(effect Effect) {
+	switch e := effect.(type) {
+	case Seal, Choose, Activate:
+		s.later(simCommand, commitEvent{command: e})
+	case AskPositions:
+		for _, id := range e.Endpoints {
+			if id == "a" {
+				continue
+			}
+			c := Condition{Reachable: true, InRecovery: true, Timeline: 1, Position: 100}
+			if s.promoted && id == s.group.Candidate {
+				c.InRecovery, c.Timeline = false, 2
+			}
+			s.later(simMessage, Answer{Term: e.Term, Endpoint: id, Condition: c})
+		}
+	case Promote:
+		s.later(simPromote, PromotionResult{Term: e.Term, Endpoint: e.Endpoint, OK: true})
+	}
+}
+
+func TestSimulatedFailoverGap(t *testing.T) {
+	const runs = 20
+	var table strings.Builder
+	for _, s := range scenarios {
+		var gaps []time.Duration
+		for seed := range uint64(runs) {
+			gaps = append(gaps, newSimulation(s, seed).run())
+		}
+		slices.Sort(gaps)
+		worst := gaps[runs-1]
+		fmt.Fprintf(&table, "\n%-55s p50 %4d ms  worst %4d ms  (%d ticks of 100 ms)", s.name,
+			gaps[runs/2].Milliseconds(), worst.Milliseconds(), worst.Milliseconds()/100)
+		if worst > s.bound {
+			t.Errorf("%s: worst gap %s, bound %s", s.name, worst, s.bound)
+		}
+	}
+	t.Log(table.String())
+}
