Share the start of local fleets between tests and benchmarks

Cause: the integration tests and the load tool both start real processes.

Change: internal/localfleet plans settings, starts hosts and endpoints, applies notes and finds primaries; test/integration uses it.

--- /dev/null
+++ b/internal/localfleet/plan.go
@@ -0,0 +1,254 @@
+// Package localfleet starts a fleet of real processes on loopback: hosts and
+// stand-in endpoints of the built program. Tests and benchmarks use it; it owns
+// the processes that it starts and the files below its folder.
+package localfleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/scramauth"
+	"github.com/galenabridge/galenabridge/internal/standin"
+)
+
+// Credentials of the endpoints.
+const (
+	ServiceUser     = "galenabridge"
+	ServicePassword = "endpoint-password"
+	Database        = "ledger"
+
+	fleetName   = "local"
+	fleetSecret = "local-fleet-secret"
+)
+
+// Options describe a fleet.
+type Options struct {
+	// Program is the path of the built program.
+	Program string
+	// Dir is the folder for settings and data.
+	Dir string
+	// Hosts is the number of hosts; the first Controls of them vote.
+	Hosts    int
+	Controls int
+	Domains  []note.Domain
+	// Services need Name, Endpoints, Slots and Connections.
+	Services   []note.Service
+	Workspaces []note.Workspace
+	// Lag is the replay lag of the endpoints.
+	Lag time.Duration
+	// Policy is passed to the hosts; empty means the default.
+	Policy   string
+	LogLevel string
+	// Front returns the address under which others reach a node's address. Nil
+	// means the address itself.
+	Front func(node, addr string) string
+	// Started is told of each process. Nil means nobody.
+	Started func(node string, p *Process)
+}
+
+// Host is a host of the fleet.
+type Host struct {
+	Name     string
+	Settings config.Settings
+	File     string
+	Proc     *Process
+	// admin is the front of the admin address.
+	admin string
+}
+
+// Endpoint is a stand-in endpoint of the fleet.
+type Endpoint struct {
+	ID, Service, Domain string
+	// Addr is the front of Listen, which all others use.
+	Addr, Listen, Control string
+	Dir                   string
+	Proc                  *Process
+}
+
+// Fleet is a planned or running fleet.
+type Fleet struct {
+	opts      Options
+	Hosts     []*Host
+	Endpoints []*Endpoint
+	// Keys holds the secret of each key by its id. The first key of a workspace
+	// is "WORKSPACE-1".
+	Keys map[string]string
+	// Last is the number of the last note that Apply has brought into force.
+	Last uint64
+}
+
+// New plans a fleet and writes its settings.
+func New(opts Options) (*Fleet, error) {
+	if opts.Front == nil {
+		opts.Front = func(_, addr string) string { return addr }
+	}
+	if opts.Started == nil {
+		opts.Started = func(string, *Process) {}
+	}
+	if opts.LogLevel == "" {
+		opts.LogLevel = "info"
+	}
+	f := &Fleet{opts: opts, Keys: make(map[string]string)}
+	if err := f.planHosts(); err != nil {
+		return nil, err
+	}
+	return f, f.planEndpoints()
+}
+
+func (f *Fleet) planHosts() error {
+	var controls []config.ControlHost
+	for i := range f.opts.Hosts {
+		h := &Host{Name: fmt.Sprintf("host-%d", i+1)}
+		if err := f.planHost(h, i); err != nil {
+			return err
+		}
+		if h.Settings.Control != nil {
+			controls = append(controls, config.ControlHost{Host: h.Name, Addr: h.Settings.Peer.Advertise, Voter: true})
+		}
+		f.Hosts = append(f.Hosts, h)
+	}
+	for _, h := range f.Hosts {
+		h.Settings.Controls = controls
+		data, err := json.MarshalIndent(h.Settings, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "encode settings")
+		}
+		h.File = filepath.Join(f.opts.Dir, h.Name+".json")
+		if err := os.WriteFile(h.File, data, 0o600); err != nil {
+			return errors.Wrap(err, "write settings")
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) planHost(h *Host, i int) error {
+	addrs, err := freeAddrs(3)
+	if err != nil {
+		return err
+	}
+	s := &h.Settings
+	s.Host, s.Fleet, s.FleetSecret = h.Name, fleetName, fleetSecret
+	s.Domain = f.opts.Domains[i%len(f.opts.Domains)].Name
+	s.Peer = config.Peer{Listen: addrs[0], Advertise: f.opts.Front(h.Name, addrs[0])}
+	s.Admin.Listen = addrs[1]
+	h.admin = f.opts.Front(h.Name, addrs[1])
+	s.Entry = &config.Entry{Listen: addrs[2]}
+	s.Log.Level = f.opts.LogLevel
+	if i < f.opts.Controls {
+		s.Control = &config.Control{DataDir: filepath.Join(f.opts.Dir, h.Name), Bootstrap: true}
+	}
+	return nil
+}
+
+func (f *Fleet) planEndpoints() error {
+	for _, s := range f.opts.Services {
+		for i := range s.Endpoints {
+			addrs, err := freeAddrs(2)
+			if err != nil {
+				return err
+			}
+			id := fmt.Sprintf("%s-%d", s.Name, i+1)
+			f.Endpoints = append(f.Endpoints, &Endpoint{
+				ID: id, Service: s.Name, Domain: f.opts.Domains[i%len(f.opts.Domains)].Name,
+				Listen: addrs[0], Control: addrs[1], Addr: f.opts.Front(id, addrs[0]),
+				Dir: filepath.Join(f.opts.Dir, id),
+			})
+		}
+	}
+	return nil
+}
+
+// Ports are taken below the range that the system gives to outgoing connections.
+const (
+	firstPort  = 12000
+	portCount  = 18000
+	portTrials = 1000
+)
+
+// ports remembers what this process has given out.
+var ports = struct {
+	sync.Mutex
+	taken map[int]bool
+}{taken: make(map[int]bool)}
+
+// freeAddrs returns loopback addresses that nothing listens on.
+func freeAddrs(n int) ([]string, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	var addrs []string
+	for range portTrials {
+		port := firstPort + rand.IntN(portCount)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if ports.taken[port] || !isFree(addr) {
+			continue
+		}
+		ports.taken[port] = true
+		if addrs = append(addrs, addr); len(addrs) == n {
+			return addrs, nil
+		}
+	}
+	return nil, errors.New("no free port")
+}
+
+func isFree(addr string) bool {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	ln.Close()
+	return true
+}
+
+// firstNote describes the fleet; each workspace gets one key.
+func (f *Fleet) firstNote() note.Note {
+	n := note.Note{Number: 1, Title: "local fleet"}
+	n.Added.Domains = f.opts.Domains
+	n.Added.Workspaces = f.opts.Workspaces
+	for _, w := range f.opts.Workspaces {
+		if !w.Open {
+			n.Added.Keys = append(n.Added.Keys, f.NewKey(w.Name+"-1", w.Name))
+		}
+	}
+	for _, s := range f.opts.Services {
+		s.Database, s.User, s.Password = Database, ServiceUser, ServicePassword
+		n.Added.Services = append(n.Added.Services, s)
+	}
+	return n
+}
+
+// NewKey makes a key and keeps its secret.
+func (f *Fleet) NewKey(id, workspace string) note.Key {
+	secret := scramauth.NewKey()
+	f.Keys[id] = secret
+	return note.Key{ID: id, Workspace: workspace, Verifier: scramauth.Verifier(workspace, secret)}
+}
+
+// endpointArgs returns the command line of an endpoint.
+func (f *Fleet) endpointArgs(e *Endpoint, role standin.Role, upstream string) []string {
+	args := []string{
+		"standin", "--service", e.Service, "--id", e.ID, "--domain", e.Domain, "--listen", e.Listen,
+		"--advertise", e.Addr, "--role", string(role), "--user", ServiceUser, "--password", ServicePassword,
+		"--database", Database, "--lag", f.opts.Lag.String(), "--control", e.Control, "--data-dir", e.Dir,
+		"--connections", "200", "--log-level", f.opts.LogLevel,
+	}
+	if upstream != "" {
+		args = append(args, "--upstream", upstream)
+	}
+	if role == standin.RolePrimary {
+		args = append(args, "--records")
+	}
+	for _, h := range f.Hosts {
+		args = append(args, "--announce", h.admin)
+	}
+	return args
+}
--- /dev/null
+++ b/internal/localfleet/run.go
@@ -0,0 +1,274 @@
+package localfleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/standin"
+)
+
+// pollInterval is the pause between attempts while the fleet starts.
+const pollInterval = 20 * time.Millisecond
+
+// Start starts all processes, applies the first note and waits until every
+// host serves every service to the first workspace.
+func (f *Fleet) Start(ctx context.Context, change func(*note.Note)) error {
+	for _, h := range f.Hosts {
+		if err := f.StartHost(h); err != nil {
+			return err
+		}
+	}
+	if err := f.startEndpoints(); err != nil {
+		return err
+	}
+	n := f.firstNote()
+	if change != nil {
+		change(&n)
+	}
+	if err := f.applyUntilAccepted(ctx, n); err != nil {
+		return err
+	}
+	return f.AwaitServing(ctx)
+}
+
+// StartHost starts the process of a host.
+func (f *Fleet) StartHost(h *Host) error {
+	args := []string{"serve", "--config", h.File}
+	if f.opts.Policy != "" {
+		args = append(args, "--policy", f.opts.Policy)
+	}
+	p, err := startProcess(f.opts.Program, h.Name, args)
+	if err != nil {
+		return err
+	}
+	h.Proc = p
+	f.opts.Started(h.Name, p)
+	return nil
+}
+
+func (f *Fleet) startEndpoints() error {
+	primaries := make(map[string]string)
+	for _, e := range f.Endpoints {
+		role := standin.RoleReplica
+		if primaries[e.Service] == "" {
+			role = standin.RolePrimary
+		}
+		if err := f.StartEndpoint(e, role, primaries[e.Service]); err != nil {
+			return err
+		}
+		if role == standin.RolePrimary {
+			primaries[e.Service] = e.Addr
+		}
+	}
+	return nil
+}
+
+// StartEndpoint starts the process of an endpoint. With a data folder from an
+// earlier start the role is the one it had.
+func (f *Fleet) StartEndpoint(e *Endpoint, role standin.Role, upstream string) error {
+	p, err := startProcess(f.opts.Program, e.ID, f.endpointArgs(e, role, upstream))
+	if err != nil {
+		return err
+	}
+	e.Proc = p
+	f.opts.Started(e.ID, p)
+	return nil
+}
+
+// Stop kills all processes.
+func (f *Fleet) Stop() {
+	for _, h := range f.Hosts {
+		if h.Proc != nil {
+			h.Proc.Kill()
+		}
+	}
+	for _, e := range f.Endpoints {
+		if e.Proc != nil {
+			e.Proc.Kill()
+		}
+	}
+}
+
+func (f *Fleet) applyUntilAccepted(ctx context.Context, n note.Note) error {
+	err := Poll(ctx, func() error {
+		_, err := f.Post(ctx, f.Hosts[0], n)
+		return err
+	})
+	if err != nil {
+		return errors.Wrapf(err, "note %d", n.Number)
+	}
+	f.Last = n.Number
+	return nil
+}
+
+// Poll repeats try until it succeeds or ctx ends; it returns the last error.
+func Poll(ctx context.Context, try func() error) error {
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "gave up")
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// AwaitServing waits until every host answers reads of every service.
+func (f *Fleet) AwaitServing(ctx context.Context) error {
+	workspace := f.opts.Workspaces[0].Name
+	for _, h := range f.Hosts {
+		for _, s := range f.opts.Services {
+			err := Poll(ctx, func() error { return ask(ctx, f.URL(h, workspace, s.Name)) })
+			if err != nil {
+				return errors.Wrapf(err, "%s does not serve %s", h.Name, s.Name)
+			}
+		}
+	}
+	return nil
+}
+
+func ask(ctx context.Context, url string) error {
+	conn, err := pgx.Connect(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	var n int64
+	return conn.QueryRow(ctx, "select count(*) from records").Scan(&n)
+}
+
+// URL returns the URL of a caller with the workspace's first key.
+func (f *Fleet) URL(h *Host, workspace, service string) string {
+	return CallerURL(h, workspace, f.Keys[workspace+"-1"], service)
+}
+
+// CallerURL returns the URL of a caller with any key.
+func CallerURL(h *Host, workspace, key, service string) string {
+	u := url.URL{
+		Scheme: "postgres", User: url.UserPassword(workspace, key), Host: h.Settings.Entry.Listen,
+		Path: "/" + service, RawQuery: "sslmode=disable&connect_timeout=30",
+	}
+	return u.String()
+}
+
+// DirectURL returns the URL of an endpoint, past the hosts.
+func (e *Endpoint) DirectURL() string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", ServiceUser, ServicePassword, e.Listen, Database)
+}
+
+// Accepted is the answer to an accepted note.
+type Accepted struct {
+	Stamp    note.Stamp `json:"stamp"`
+	Repeated bool       `json:"repeated"`
+}
+
+// StatusError is an answer over HTTP that is not a success.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("HTTP %d: %s", e.Status, e.Body) }
+
+// Post sends a note to a host.
+func (f *Fleet) Post(ctx context.Context, h *Host, n note.Note) (Accepted, error) {
+	body, err := json.Marshal(n)
+	if err != nil {
+		return Accepted{}, err
+	}
+	var answer Accepted
+	err = request(ctx, http.MethodPost, "http://"+h.Settings.Admin.Listen+"/v1/notes", body, &answer)
+	return answer, err
+}
+
+// Apply applies the next note through a host, sending it again until it is
+// accepted.
+func (f *Fleet) Apply(ctx context.Context, h *Host, change func(*note.Note)) error {
+	n := note.Note{Number: f.Last + 1}
+	change(&n)
+	err := Poll(ctx, func() error {
+		_, err := f.Post(ctx, h, n)
+		return err
+	})
+	if err == nil {
+		f.Last = n.Number
+	}
+	return errors.Wrapf(err, "note %d", n.Number)
+}
+
+// Current returns the catalog in force as a host shows it.
+func (f *Fleet) Current(ctx context.Context, h *Host) (note.Catalog, error) {
+	var c note.Catalog
+	err := request(ctx, http.MethodGet, "http://"+h.Settings.Admin.Listen+"/v1/notes/current", nil, &c)
+	return c, err
+}
+
+// SetFaults sets fault switches of an endpoint.
+func (e *Endpoint) SetFaults(ctx context.Context, r standin.FaultRequest) error {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	return request(ctx, http.MethodPost, "http://"+e.Control+"/v1/faults", body, nil)
+}
+
+// Status returns the state of an endpoint.
+func (e *Endpoint) Status(ctx context.Context) (standin.Status, error) {
+	var s standin.Status
+	err := request(ctx, http.MethodGet, "http://"+e.Control+"/v1/status", nil, &s)
+	return s, err
+}
+
+// Primary returns the endpoint of the newest timeline that takes itself for the
+// primary, or nil.
+func (f *Fleet) Primary(ctx context.Context, service string) *Endpoint {
+	var found *Endpoint
+	var newest uint32
+	for _, e := range f.Endpoints {
+		if e.Service != service {
+			continue
+		}
+		s, err := e.Status(ctx)
+		if err == nil && s.Role == standin.RolePrimary && s.Timeline > newest {
+			found, newest = e, s.Timeline
+		}
+	}
+	return found
+}
+
+func request(ctx context.Context, method, url string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode >= http.StatusBadRequest {
+		return &StatusError{Status: res.StatusCode, Body: string(data)}
+	}
+	if out == nil || len(data) == 0 {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(data, out), string(data))
+}
--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenabridge/galenabridge/internal/history"
+	"github.com/galenabridge/galenabridge/internal/localfleet"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/standin"
@@ -46,7 +47,7 @@
 			g := *f
 			g.t = t
 			part.test(t, &g)
-			f.last = g.last
+			f.Last = g.Last
 		})
 	}
 }
@@ -59,8 +60,8 @@
 		rounds = 1000
 	}
 	service := services[0]
-	conns := make([]*pgx.Conn, len(f.hosts))
-	for i, h := range f.hosts {
+	conns := make([]*pgx.Conn, len(f.Hosts))
+	for i, h := range f.Hosts {
 		conns[i] = f.connect(h, crew, service)
 	}
 	ctx := f.context()
@@ -91,14 +92,14 @@
 func testTransactionsNeverMix(t *testing.T, f *fleet) {
 	const callers, rounds = 36, 5
 	service := services[1]
-	setup := f.connect(f.hosts[0], crew, service)
+	setup := f.connect(f.Hosts[0], crew, service)
 	if _, err := setup.Exec(f.context(), "create table parts (token text, part int4)"); err != nil {
 		t.Fatal(err)
 	}
 	ctx := f.context()
 	var work errgroup.Group
 	for c := range callers {
-		conn := f.connect(f.hosts[c%len(f.hosts)], crew, service)
+		conn := f.connect(f.Hosts[c%len(f.Hosts)], crew, service)
 		work.Go(func() error {
 			for round := range rounds {
 				if err := threeParts(f, conn, fmt.Sprintf("%d-%d", c, round), round%2 == 0); err != nil {
@@ -157,15 +158,15 @@
 }
 
 func testOnlyOwnWorkspace(t *testing.T, f *fleet) {
-	h := f.hosts[1]
+	h := f.Hosts[1]
 	cases := []struct {
 		name, url string
 		want      result.Code
 	}{
-		{"wrong key", callerURL(h, crew, "no key of anybody", services[0]), result.BadKey},
-		{"key of another workspace", callerURL(h, crew, f.keys[editors+"-1"], services[0]), result.BadKey},
-		{"unknown workspace", callerURL(h, "nobody", f.keys[crew+"-1"], services[0]), result.UnknownWorkspace},
-		{"unknown service", callerURL(h, crew, f.keys[crew+"-1"], "nothing"), result.UnknownService},
+		{"wrong key", localfleet.CallerURL(h, crew, "no key of anybody", services[0]), result.BadKey},
+		{"key of another workspace", localfleet.CallerURL(h, crew, f.Keys[editors+"-1"], services[0]), result.BadKey},
+		{"unknown workspace", localfleet.CallerURL(h, "nobody", f.Keys[crew+"-1"], services[0]), result.UnknownWorkspace},
+		{"unknown service", localfleet.CallerURL(h, crew, f.Keys[crew+"-1"], "nothing"), result.UnknownService},
 	}
 	for _, c := range cases {
 		conn, err := pgx.Connect(f.context(), c.url)
@@ -176,7 +177,7 @@
 			t.Errorf("%s: code %d (%v), want %d", c.name, got, err, c.want)
 		}
 	}
-	open, err := pgx.Connect(f.context(), callerURL(h, "visitors", "", services[0]))
+	open, err := pgx.Connect(f.context(), localfleet.CallerURL(h, "visitors", "", services[0]))
 	if err != nil {
 		t.Fatalf("open route: %v", err)
 	}
@@ -192,21 +193,21 @@
 // testNoDatabaseSeesAKey looks at all bytes that have reached the endpoints.
 func testNoDatabaseSeesAKey(t *testing.T, f *fleet) {
 	const mark = "mark of a caller"
-	for _, h := range f.hosts {
+	for _, h := range f.Hosts {
 		for _, service := range services {
 			conn := f.connect(h, editors, service)
-			if _, err := conn.Exec(f.context(), "insert into records (id, body) values ($1, $2)", mark+h.name, mark); err != nil {
+			if _, err := conn.Exec(f.context(), "insert into records (id, body) values ($1, $2)", mark+h.Name, mark); err != nil {
 				t.Fatal(err)
 			}
 		}
 	}
 	marks := 0
-	for _, e := range f.endpoints {
-		sent := f.net.sentTo(e.id)
+	for _, e := range f.Endpoints {
+		sent := f.net.sentTo(e.ID)
 		marks += strings.Count(sent, mark)
-		for id, key := range f.keys {
+		for id, key := range f.Keys {
 			if strings.Contains(sent, key) {
-				t.Errorf("endpoint %s was sent the key %s", e.id, id)
+				t.Errorf("endpoint %s was sent the key %s", e.ID, id)
 			}
 		}
 	}
@@ -222,14 +223,14 @@
 
 // testRateHoldsOverTheFleet sends several times the rate through all hosts.
 func testRateHoldsOverTheFleet(t *testing.T, f *fleet) {
-	f.apply(func(n *note.Note) { n.Added.Keys = []note.Key{f.newKey("metered-1", "metered")} })
+	f.apply(f.Hosts[0], func(n *note.Note) { n.Added.Keys = []note.Key{f.NewKey("metered-1", "metered")} })
 	ctx := f.context()
 	start := time.Now()
-	spans := make([][]history.Span, len(f.hosts))
+	spans := make([][]history.Span, len(f.Hosts))
 	var work errgroup.Group
-	for i, h := range f.hosts {
+	for i, h := range f.Hosts {
 		var conn *pgx.Conn
-		eventually(t, "key accepted by "+h.name, func() bool {
+		eventually(t, "key accepted by "+h.Name, func() bool {
 			var err error
 			conn, err = f.dial(h, "metered", services[0])
 			return err == nil
@@ -268,20 +269,20 @@
 // caller may get the rest of such an answer.
 func testWholeOwnAnswers(t *testing.T, f *fleet) {
 	late := 50
-	for _, e := range f.endpoints {
-		e.faults(t, standin.FaultRequest{LateMS: &late})
+	for _, e := range f.Endpoints {
+		f.faults(e, standin.FaultRequest{LateMS: &late})
 	}
 	r := newRecorder()
 	var work errgroup.Group
 	for c := range 27 {
-		h := f.hosts[c%len(f.hosts)]
+		h := f.Hosts[c%len(f.Hosts)]
 		work.Go(func() error { return f.askWithMarks(r, h, c) })
 	}
 	if err := work.Wait(); err != nil {
 		t.Fatal(err)
 	}
-	for _, e := range f.endpoints {
-		e.faults(t, standin.FaultRequest{Clear: true})
+	for _, e := range f.Endpoints {
+		f.faults(e, standin.FaultRequest{Clear: true})
 	}
 	r.check(t, nil)
 	if len(r.answers) == 0 {
@@ -318,39 +319,39 @@
 // testWithdrawnKey withdraws one key of a workspace that is connected everywhere
 // with two.
 func testWithdrawnKey(t *testing.T, f *fleet) {
-	f.apply(func(n *note.Note) { n.Added.Keys = []note.Key{f.newKey(crew+"-2", crew)} })
+	f.apply(f.Hosts[0], func(n *note.Note) { n.Added.Keys = []note.Key{f.NewKey(crew+"-2", crew)} })
 	var withdrawn, kept []*pgx.Conn
-	for _, h := range f.hosts {
+	for _, h := range f.Hosts {
 		var conn *pgx.Conn
-		eventually(t, "second key accepted by "+h.name, func() bool {
+		eventually(t, "second key accepted by "+h.Name, func() bool {
 			var err error
-			conn, err = pgx.Connect(f.context(), callerURL(h, crew, f.keys[crew+"-2"], services[0]))
+			conn, err = pgx.Connect(f.context(), localfleet.CallerURL(h, crew, f.Keys[crew+"-2"], services[0]))
 			return err == nil
 		})
 		defer closeConn(conn)
 		withdrawn = append(withdrawn, conn)
 		kept = append(kept, f.connect(h, crew, services[0]))
 	}
-	f.apply(func(n *note.Note) { n.Withdrawn.Keys = []string{crew + "-2"} })
+	f.apply(f.Hosts[0], func(n *note.Note) { n.Withdrawn.Keys = []string{crew + "-2"} })
 	start := time.Now()
 	for i, conn := range withdrawn {
 		var last error
-		eventually(t, "withdrawn key refused by "+f.hosts[i].name, func() bool {
+		eventually(t, "withdrawn key refused by "+f.Hosts[i].Name, func() bool {
 			_, last = conn.Exec(f.context(), "select 1")
 			return last != nil
 		})
 		if code := codeOf(last); code != result.KeyWithdrawn {
-			t.Errorf("%s: code %d (%v)", f.hosts[i].name, code, last)
+			t.Errorf("%s: code %d (%v)", f.Hosts[i].Name, code, last)
 		}
-		_, err := pgx.Connect(f.context(), callerURL(f.hosts[i], crew, f.keys[crew+"-2"], services[0]))
+		_, err := pgx.Connect(f.context(), localfleet.CallerURL(f.Hosts[i], crew, f.Keys[crew+"-2"], services[0]))
 		if codeOf(err) != result.BadKey {
-			t.Errorf("%s: new connection with the withdrawn key: %v", f.hosts[i].name, err)
+			t.Errorf("%s: new connection with the withdrawn key: %v", f.Hosts[i].Name, err)
 		}
 	}
 	t.Logf("withdrawn key refused everywhere after %s", time.Since(start))
 	for i, conn := range kept {
 		if _, err := conn.Exec(f.context(), "select 1"); err != nil {
-			t.Errorf("%s: the other key: %v", f.hosts[i].name, err)
+			t.Errorf("%s: the other key: %v", f.Hosts[i].Name, err)
 		}
 	}
 }
--- a/test/integration/failures_test.go
+++ b/test/integration/failures_test.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5"
 
 	"github.com/galenabridge/galenabridge/internal/history"
+	"github.com/galenabridge/galenabridge/internal/localfleet"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/standin"
@@ -27,18 +28,6 @@
 	return found
 }
 
-// directly connects to an endpoint without the fleet and its network.
-func (f *fleet) directly(e *endpoint) *pgx.Conn {
-	f.t.Helper()
-	url := fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", serviceUser, servicePassword, e.listen, database)
-	conn, err := pgx.Connect(f.context(), url)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	f.t.Cleanup(func() { closeConn(conn) })
-	return conn
-}
-
 // awaitAcks waits for n more acknowledged writes.
 func awaitAcks(t *testing.T, r *recorder, n int) {
 	t.Helper()
@@ -51,12 +40,12 @@
 // awaitMember waits until the endpoint follows the primary of its service.
 func (f *fleet) awaitMember(e *endpoint) {
 	f.t.Helper()
-	eventually(f.t, e.id+" follows", func() bool {
-		s, err := e.status()
+	eventually(f.t, e.ID+" follows", func() bool {
+		s, err := e.Status(f.context())
 		if err != nil || s.Role != standin.RoleReplica {
 			return false
 		}
-		p, err := f.primary(e.service).status()
+		p, err := f.primary(e.Service).Status(f.context())
 		return err == nil && p.Timeline == s.Timeline && p.Flushed == s.Flushed
 	})
 }
@@ -67,18 +56,18 @@
 	f := startFleet(t, fleetOptions{})
 	service := services[0]
 	r := newRecorder()
-	w := f.startWriters(r, len(f.hosts), service)
+	w := f.startWriters(r, len(f.Hosts), service)
 	awaitAcks(t, r, 100)
 
 	old := f.primary(service)
-	f.net.isolate(old.id, true)
+	f.net.isolate(old.ID, true)
 	cutAt := time.Now()
 	next := f.awaitNewPrimary(service, old)
 	promoted := time.Since(cutAt)
 	awaitAcks(t, r, 100)
-	t.Logf("%s replaced %s after %s; 100 more writes acknowledged after %s", next.id, old.id, promoted, time.Since(cutAt))
+	t.Logf("%s replaced %s after %s; 100 more writes acknowledged after %s", next.ID, old.ID, promoted, time.Since(cutAt))
 
-	if s, err := old.status(); err != nil || s.Role != standin.RolePrimary {
+	if s, err := old.Status(f.context()); err != nil || s.Role != standin.RolePrimary {
 		t.Fatalf("the isolated endpoint does not take itself for the primary: %+v, %v", s, err)
 	}
 	if _, err := f.directly(old).Exec(f.context(), "insert into records (id) values ('orphan')"); err != nil {
@@ -109,10 +98,10 @@
 	w := f.startWriters(r, 6, service)
 	awaitAcks(t, r, 100)
 	old := f.primary(service)
-	old.proc.kill()
+	old.Proc.Kill()
 	f.awaitNewPrimary(service, old)
 	awaitAcks(t, r, 100)
-	f.startEndpoint(old, standin.RoleReplica, "", 0)
+	f.restartEndpoint(old)
 	f.awaitMemberAfter(w, old)
 	r.check(t, f.storedIDs(service, "records"))
 }
@@ -128,11 +117,11 @@
 	primary := f.primary(service)
 	stall, drops := true, 5
 	for range 3 {
-		primary.faults(t, standin.FaultRequest{DropAfterCommit: &drops})
+		f.faults(primary, standin.FaultRequest{DropAfterCommit: &drops})
 		awaitAcks(t, r, 50)
-		primary.faults(t, standin.FaultRequest{Stall: &stall})
+		f.faults(primary, standin.FaultRequest{Stall: &stall})
 		time.Sleep(500 * time.Millisecond)
-		primary.faults(t, standin.FaultRequest{Clear: true})
+		f.faults(primary, standin.FaultRequest{Clear: true})
 		awaitAcks(t, r, 50)
 	}
 	w.stop()
@@ -147,7 +136,7 @@
 func TestCorrectionRunsOnce(t *testing.T) {
 	f := startFleet(t, fleetOptions{hosts: controlCount})
 	service := services[1]
-	setup := f.connect(f.hosts[0], editors, service)
+	setup := f.connect(f.Hosts[0], editors, service)
 	if _, err := setup.Exec(f.context(), "create table corrections (id text, body text)"); err != nil {
 		t.Fatal(err)
 	}
@@ -155,17 +144,17 @@
 	one := 1
 	for i := range rounds {
 		id := fmt.Sprintf("correction-%d", i)
-		f.primary(service).faults(t, standin.FaultRequest{DropAfterCommit: &one})
-		err := f.correct(f.hosts[i%len(f.hosts)], service, id)
+		f.faults(f.primary(service), standin.FaultRequest{DropAfterCommit: &one})
+		err := f.correct(f.Hosts[i%len(f.Hosts)], service, id)
 		for attempt := 1; err != nil && codeOf(err) != result.RequestAlreadyDone; attempt++ {
 			if attempt > 20 {
 				t.Fatalf("%s: %v", id, err)
 			}
 			time.Sleep(50 * time.Millisecond)
-			err = f.correct(f.hosts[(i+attempt)%len(f.hosts)], service, id)
+			err = f.correct(f.Hosts[(i+attempt)%len(f.Hosts)], service, id)
 		}
 	}
-	f.primary(service).faults(t, standin.FaultRequest{Clear: true})
+	f.faults(f.primary(service), standin.FaultRequest{Clear: true})
 	stored := f.storedIDs(service, "corrections")
 	for i := range rounds {
 		if n := stored[fmt.Sprintf("correction-%d", i)]; n != 1 {
@@ -193,7 +182,7 @@
 func TestHostDiesInTransaction(t *testing.T) {
 	f := startFleet(t, fleetOptions{})
 	service := services[0]
-	victim := f.hosts[len(f.hosts)-1]
+	victim := f.Hosts[len(f.Hosts)-1]
 	conn := f.connect(victim, crew, service)
 	tx, err := conn.Begin(f.context())
 	if err != nil {
@@ -202,11 +191,11 @@
 	if _, err := tx.Exec(f.context(), "insert into records (id) values ('unfinished')"); err != nil {
 		t.Fatal(err)
 	}
-	victim.proc.kill()
+	victim.Proc.Kill()
 	if err := tx.Commit(f.context()); err == nil {
 		t.Error("a transaction was committed through a dead host")
 	}
-	other := f.connect(f.hosts[0], crew, service)
+	other := f.connect(f.Hosts[0], crew, service)
 	if _, err := other.Exec(f.context(), "insert into records (id) values ('finished')"); err != nil {
 		t.Fatalf("the dead host's transaction holds up others: %v", err)
 	}
@@ -222,12 +211,12 @@
 	f := startFleet(t, fleetOptions{hosts: controlCount})
 	service := services[0]
 	lag := int((10 * time.Minute).Milliseconds())
-	for _, e := range f.endpoints {
-		e.faults(t, standin.FaultRequest{ReplayLagMS: &lag})
+	for _, e := range f.Endpoints {
+		f.faults(e, standin.FaultRequest{ReplayLagMS: &lag})
 	}
 	r := newRecorder()
-	conns := make([]*pgx.Conn, len(f.hosts))
-	for i, h := range f.hosts {
+	conns := make([]*pgx.Conn, len(f.Hosts))
+	for i, h := range f.Hosts {
 		conns[i] = f.connect(h, crew, service)
 	}
 	if _, err := conns[0].Exec(f.context(), "insert into records (id, body) values ('r', '')"); err != nil {
@@ -268,9 +257,9 @@
 }
 
 func (f *fleet) domainOf(id string) string {
-	for _, e := range f.endpoints {
-		if e.id == id {
-			return e.domain
+	for _, e := range f.Endpoints {
+		if e.ID == id {
+			return e.Domain
 		}
 	}
 	return ""
@@ -282,23 +271,23 @@
 	f := startFleet(t, fleetOptions{})
 	service := services[0]
 	r := newRecorder()
-	w := f.startWriters(r, len(f.hosts), service)
+	w := f.startWriters(r, len(f.Hosts), service)
 	awaitAcks(t, r, 50)
 	old := f.primary(service)
 	change := func(out bool) {
-		f.apply(func(n *note.Note) {
-			n.Changed.Domains = []note.Domain{{Name: old.domain, Region: "kr-central", Out: out}}
+		f.apply(f.Hosts[0], func(n *note.Note) {
+			n.Changed.Domains = []note.Domain{{Name: old.Domain, Region: "kr-central", Out: out}}
 		})
 	}
 	change(true)
-	conns := make([]*pgx.Conn, len(f.hosts))
-	for i, h := range f.hosts {
+	conns := make([]*pgx.Conn, len(f.Hosts))
+	for i, h := range f.Hosts {
 		conns[i] = f.connect(h, crew, service)
 	}
 	inDomain := func(reads int) bool {
 		for i := range reads {
 			id, err := servedBy(f, conns[i%len(conns)])
-			if err != nil || f.domainOf(id) == old.domain {
+			if err != nil || f.domainOf(id) == old.Domain {
 				return true
 			}
 		}
@@ -322,27 +311,27 @@
 func TestLeavingServiceGetsNoNewWork(t *testing.T) {
 	f := startFleet(t, fleetOptions{hosts: controlCount})
 	leaving := services[1]
-	conns := make([]*pgx.Conn, len(f.hosts))
-	for i, h := range f.hosts {
+	conns := make([]*pgx.Conn, len(f.Hosts))
+	for i, h := range f.Hosts {
 		conns[i] = f.connect(h, crew, leaving)
 	}
-	f.apply(func(n *note.Note) {
+	f.apply(f.Hosts[0], func(n *note.Note) {
 		n.Changed.Services = []note.Service{{
 			Name: leaving, Endpoints: endpointCount, Slots: 5, Connections: 50,
-			Database: database, User: serviceUser, Password: servicePassword, Leaving: true,
+			Database: localfleet.Database, User: localfleet.ServiceUser, Password: localfleet.ServicePassword, Leaving: true,
 		}}
 	})
 	for i, conn := range conns {
 		var last error
-		eventually(t, f.hosts[i].name+" refuses work for the leaving service", func() bool {
+		eventually(t, f.Hosts[i].Name+" refuses work for the leaving service", func() bool {
 			_, last = conn.Exec(f.context(), "insert into records (id) values (gen_random_uuid()::text)")
 			return last != nil
 		})
 		if outcomeOf(last) != history.NotRun {
-			t.Errorf("%s: %v", f.hosts[i].name, last)
+			t.Errorf("%s: %v", f.Hosts[i].Name, last)
 		}
-		if _, err := f.connect(f.hosts[i], crew, services[0]).Exec(f.context(), "select 1"); err != nil {
-			t.Errorf("%s: the other service: %v", f.hosts[i].name, err)
+		if _, err := f.connect(f.Hosts[i], crew, services[0]).Exec(f.context(), "select 1"); err != nil {
+			t.Errorf("%s: the other service: %v", f.Hosts[i].Name, err)
 		}
 	}
 }
@@ -352,7 +341,7 @@
 func TestGracefulShutdownCutsNoRequest(t *testing.T) {
 	f := startFleet(t, fleetOptions{hosts: controlCount + 1})
 	service := services[0]
-	leaving := f.hosts[len(f.hosts)-1]
+	leaving := f.Hosts[len(f.Hosts)-1]
 	running, open, idle := f.connect(leaving, crew, service), f.connect(leaving, crew, service), f.connect(leaving, crew, service)
 	tx, err := open.Begin(f.context())
 	if err != nil {
@@ -370,9 +359,9 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		leaving.proc.stop(t)
+		f.shutDown(leaving)
 	}()
-	eventually(t, "the host drains", func() bool { return strings.Contains(leaving.proc.out.String(), "drain") })
+	eventually(t, "the host drains", func() bool { return strings.Contains(leaving.Proc.Output(), "shutdown_begin") })
 	if err := tx.Commit(f.context()); err != nil {
 		t.Errorf("the open transaction was cut: %v", err)
 	}
@@ -390,11 +379,11 @@
 
 // sleeping reports whether an endpoint of the service runs a pg_sleep.
 func (f *fleet) sleeping(service string) bool {
-	for _, e := range f.endpoints {
-		if e.service != service {
+	for _, e := range f.Endpoints {
+		if e.Service != service {
 			continue
 		}
-		if s, err := e.status(); err == nil && s.Sleeping > 0 {
+		if s, err := e.Status(f.context()); err == nil && s.Sleeping > 0 {
 			return true
 		}
 	}
--- a/test/integration/recorder_test.go
+++ b/test/integration/recorder_test.go
@@ -134,13 +134,7 @@
 // hosts.
 func (f *fleet) storedIDs(service, table string) map[string]int {
 	f.t.Helper()
-	url := fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", serviceUser, servicePassword,
-		f.primary(service).listen, database)
-	conn, err := pgx.Connect(f.context(), url)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer closeConn(conn)
+	conn := f.directly(f.primary(service))
 	rows, err := conn.Query(f.context(), "select id from "+table)
 	if err != nil {
 		f.t.Fatal(err)
@@ -179,7 +173,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &writers{cancel: cancel}
 	for i := range count {
-		h := f.hosts[i%len(f.hosts)]
+		h := f.Hosts[i%len(f.Hosts)]
 		name := fmt.Sprintf("%s-%d", service, i)
 		w.wg.Go(func() { f.fileRecords(ctx, r, h, service, name) })
 	}
--- a/test/integration/soak_test.go
+++ b/test/integration/soak_test.go
@@ -66,7 +66,7 @@
 
 func (s *soakRun) createTables() {
 	for _, service := range services {
-		conn := s.connect(s.hosts[0], crew, service)
+		conn := s.connect(s.Hosts[0], crew, service)
 		for _, text := range []string{
 			"create table corrections (id text, body text)",
 			"insert into records (id, body) values ('shared', '')",
@@ -81,7 +81,7 @@
 func (s *soakRun) startLoad() *writers {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &writers{cancel: cancel}
-	for i, h := range s.hosts {
+	for i, h := range s.Hosts {
 		service := services[i%len(services)]
 		w.wg.Go(func() { s.fileRecords(ctx, s.recorder, h, service, fmt.Sprintf("soak-%d", i)) })
 		w.wg.Go(func() { s.useShared(ctx, i, service) })
@@ -95,7 +95,7 @@
 func (s *soakRun) useShared(ctx context.Context, client int, service string) {
 	rng := rand.New(rand.NewPCG(*seed, uint64(client)))
 	for i := 0; ctx.Err() == nil; i++ {
-		h := s.hosts[rng.IntN(len(s.hosts))]
+		h := s.Hosts[rng.IntN(len(s.Hosts))]
 		s.onShared(rng, h, client, service, i)
 		sleepContext(ctx, 50*time.Millisecond)
 	}
@@ -104,7 +104,7 @@
 func (s *soakRun) onShared(rng *rand.Rand, h *host, client int, service string, i int) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	conn, err := pgx.Connect(ctx, s.url(h, editors, service))
+	conn, err := pgx.Connect(ctx, s.URL(h, editors, service))
 	if err != nil {
 		return
 	}
@@ -129,7 +129,7 @@
 		id := fmt.Sprintf("correction-%d-%d", client, i)
 		done := false
 		for attempt := 0; !done && ctx.Err() == nil; attempt++ {
-			err := s.correctWithin(s.hosts[(client+attempt)%len(s.hosts)], service, id)
+			err := s.correctWithin(s.Hosts[(client+attempt)%len(s.Hosts)], service, id)
 			done = err == nil || codeOf(err) == result.RequestAlreadyDone
 			sleepContext(ctx, 50*time.Millisecond)
 		}
@@ -144,7 +144,7 @@
 func (s *soakRun) correctWithin(h *host, service, id string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	conn, err := pgx.Connect(ctx, s.url(h, editors, service))
+	conn, err := pgx.Connect(ctx, s.URL(h, editors, service))
 	if err != nil {
 		return err
 	}
@@ -176,17 +176,17 @@
 	service := services[st.Pick%len(services)]
 	switch st.Fault {
 	case faultIsolatePrimary:
-		return s.isolateNode(s.primaryOr(service, st.Pick).id)
+		return s.isolateNode(s.primaryOr(service, st.Pick).ID)
 	case faultIsolateReplica:
-		return s.isolateNode(s.endpoints[st.Pick%len(s.endpoints)].id)
+		return s.isolateNode(s.Endpoints[st.Pick%len(s.Endpoints)].ID)
 	case faultIsolateControl:
-		return s.isolateNode(s.hosts[st.Pick%controlCount].name)
+		return s.isolateNode(s.Hosts[st.Pick%controlCount].Name)
 	case faultIsolateEntry:
-		return s.isolateNode(s.hosts[controlCount+st.Pick%(len(s.hosts)-controlCount)].name)
+		return s.isolateNode(s.Hosts[controlCount+st.Pick%(len(s.Hosts)-controlCount)].Name)
 	case faultKillEndpoint:
-		return s.killEndpoint(s.endpoints[st.Pick%len(s.endpoints)])
+		return s.killEndpoint(s.Endpoints[st.Pick%len(s.Endpoints)])
 	case faultKillHost:
-		return s.killHost(s.hosts[st.Pick%len(s.hosts)])
+		return s.killHost(s.Hosts[st.Pick%len(s.Hosts)])
 	case faultDomainOut:
 		return s.domainOut(domains[st.Pick%len(domains)])
 	case faultRotateKey:
@@ -216,8 +216,8 @@
 
 // tryFaults sets switches of an endpoint that may be dead.
 func (s *soakRun) tryFaults(e *endpoint, r standin.FaultRequest) {
-	if _, err := e.status(); err == nil {
-		e.faults(s.t, r)
+	if _, err := e.Status(s.context()); err == nil {
+		s.faults(e, r)
 	}
 }
 
@@ -225,12 +225,12 @@
 // none.
 func (s *soakRun) primaryOr(service string, pick int) *endpoint {
 	var members []*endpoint
-	for _, e := range s.endpoints {
-		if e.service != service {
+	for _, e := range s.Endpoints {
+		if e.Service != service {
 			continue
 		}
 		members = append(members, e)
-		if st, err := e.status(); err == nil && st.Role == standin.RolePrimary {
+		if st, err := e.Status(s.context()); err == nil && st.Role == standin.RolePrimary {
 			return e
 		}
 	}
@@ -245,12 +245,12 @@
 func (s *soakRun) killHost(h *host) func() {
 	s.procs.Lock()
 	defer s.procs.Unlock()
-	h.proc.kill()
+	h.Proc.Kill()
 	return func() {
 		s.procs.Lock()
 		defer s.procs.Unlock()
-		if !h.proc.alive() {
-			s.startHost(h)
+		if !h.Proc.Alive() {
+			s.mustStart(h)
 		}
 	}
 }
@@ -258,12 +258,12 @@
 func (s *soakRun) killEndpoint(e *endpoint) func() {
 	s.procs.Lock()
 	defer s.procs.Unlock()
-	e.proc.kill()
+	e.Proc.Kill()
 	return func() {
 		s.procs.Lock()
 		defer s.procs.Unlock()
-		if !e.proc.alive() {
-			s.startEndpoint(e, standin.RoleReplica, "", 0)
+		if !e.Proc.Alive() {
+			s.restartEndpoint(e)
 		}
 	}
 }
@@ -275,15 +275,15 @@
 	defer s.notes.Unlock()
 	deadline := time.Now().Add(patience)
 	for i := 0; time.Now().Before(deadline); i++ {
-		h := s.hosts[i%controlCount]
-		c, err := s.current(h)
+		h := s.Hosts[i%controlCount]
+		c, err := s.Current(s.context(), h)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
 		n := note.Note{Number: c.Stamp.Number + 1}
 		change(&n)
-		if _, err := s.post(h, n); err == nil {
+		if _, err := s.Post(s.context(), h, n); err == nil {
 			return
 		}
 	}
@@ -302,7 +302,7 @@
 
 func (s *soakRun) rotateKey(id string) func() {
 	s.notes.Lock()
-	key := s.newKey(id, auditors)
+	key := s.NewKey(id, auditors)
 	s.notes.Unlock()
 	s.tryNote(func(n *note.Note) { n.Added.Keys = []note.Key{key} })
 	return func() {
