Add the admin interface and the announcements of endpoints

Cause: operators, endpoints, the balancer and collectors of metrics need one HTTP interface on every host.

Change: package admin accepts release notes, shows the history, the catalog without secrets, the status of the leader, health and metrics, checks the operators' token and answers errors as numbered JSON. Package announce takes announcements and answers with the group's term and primary.

Before/After: none before.

--- /dev/null
+++ b/internal/admin/server_test.go
@@ -0,0 +1,135 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/control"
+	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+// stateFleet applies commands to a state of its own.
+type stateFleet struct {
+	box   *view.Box
+	state *agreed.State
+}
+
+func newStateFleet() *stateFleet {
+	f := &stateFleet{box: view.NewBox(), state: agreed.New()}
+	f.box.Publish(view.View{State: f.state})
+	return f
+}
+
+func (f *stateFleet) Propose(_ context.Context, c agreed.Command) (agreed.Outcome, error) {
+	var out agreed.Outcome
+	f.state, out = agreed.Apply(f.state, f.state.Revision+1, c)
+	f.box.Publish(view.View{State: f.state})
+	return out, nil
+}
+
+func (f *stateFleet) Status(context.Context) (control.Status, error) {
+	return control.Status{}, result.New(result.NoQuorum, "nobody answers")
+}
+
+func do(s *Server, method, path, body, token string) (int, string) {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.RemoteAddr = "192.0.2.1:99"
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	s.Handler().ServeHTTP(w, r)
+	return w.Code, w.Body.String()
+}
+
+const token = "a token of operators"
+
+const firstNote = `{"number":1,"title":"first","added":{"workspaces":[{"name":"w","rate":1,"burst":1,"class":"bulk"}]}}`
+
+func newServer(t *testing.T) *Server {
+	t.Helper()
+	f := newStateFleet()
+	accepting := true
+	return &Server{opts: Options{Token: token, Fleet: f, View: f.box, Accepting: func() bool { return accepting }, Logger: quiet()}}
+}
+
+func TestNoteIsAcceptedOnce(t *testing.T) {
+	s := newServer(t)
+	for _, repeated := range []bool{false, true} {
+		code, body := do(s, "POST", "/v1/notes", firstNote, token)
+		var a Accepted
+		if err := json.Unmarshal([]byte(body), &a); code != http.StatusOK || err != nil || a.Repeated != repeated || a.Stamp.Number != 1 {
+			t.Fatalf("%d %s", code, body)
+		}
+	}
+	code, body := do(s, "GET", "/v1/notes", "", token)
+	if code != http.StatusOK || !strings.Contains(body, `"title":"first"`) {
+		t.Errorf("history: %d %s", code, body)
+	}
+	code, body = do(s, "GET", "/v1/notes/current", "", token)
+	if code != http.StatusOK || !strings.Contains(body, `"w":{`) {
+		t.Errorf("current: %d %s", code, body)
+	}
+}
+
+func TestRefusalsAreNumbered(t *testing.T) {
+	s := newServer(t)
+	do(s, "POST", "/v1/notes", firstNote, token)
+	tests := []struct {
+		method, path, body, token string
+		status                    int
+		code                      result.Code
+	}{
+		{"POST", "/v1/notes", strings.Replace(firstNote, "first", "other", 1), token, http.StatusConflict, result.NoteConflict},
+		{"POST", "/v1/notes", strings.Replace(firstNote, `"number":1`, `"number":7`, 1), token, http.StatusConflict, result.NoteOutOfOrder},
+		{"POST", "/v1/notes", `{"number":2,"unknown":1}`, token, http.StatusUnprocessableEntity, result.NoteInvalid},
+		{"POST", "/v1/notes", firstNote, "", http.StatusUnauthorized, result.BadKey},
+		{"POST", "/v1/notes", firstNote, "another token", http.StatusUnauthorized, result.BadKey},
+		{"GET", "/v1/status", "", token, http.StatusServiceUnavailable, result.NoQuorum},
+		{"GET", "/nowhere", "", token, http.StatusNotFound, result.UnsupportedFeature},
+	}
+	for _, test := range tests {
+		status, body := do(s, test.method, test.path, test.body, test.token)
+		var r Refusal
+		if err := json.Unmarshal([]byte(body), &r); err != nil || status != test.status || r.Code != test.code || r.Name == "" {
+			t.Errorf("%s %s: %d %s", test.method, test.path, status, body)
+		}
+	}
+}
+
+func TestWithoutTokenOnlyLoopbackIsServed(t *testing.T) {
+	s := newServer(t)
+	s.opts.Token = ""
+	if status, body := do(s, "GET", "/v1/notes", "", ""); status != http.StatusForbidden {
+		t.Errorf("from afar: %d %s", status, body)
+	}
+	r := httptest.NewRequest("GET", "/v1/notes", nil)
+	r.RemoteAddr = "127.0.0.1:99"
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, r)
+	if w.Code != http.StatusOK {
+		t.Errorf("from loopback: %d %s", w.Code, w.Body)
+	}
+}
+
+func TestHealthFollowsTheEntryRole(t *testing.T) {
+	s := newServer(t)
+	if status, _ := do(s, "GET", "/healthz", "", ""); status != http.StatusOK {
+		t.Errorf("accepting: %d", status)
+	}
+	s.opts.Accepting = func() bool { return false }
+	if status, _ := do(s, "GET", "/healthz", "", ""); status != http.StatusServiceUnavailable {
+		t.Errorf("not accepting: %d", status)
+	}
+}
+
+func quiet() *log.Logger { return log.New(io.Discard) }
--- a/internal/agreed/apply_note.go
+++ b/internal/agreed/apply_note.go
@@ -53,7 +53,7 @@
 
 func repeatedNote(stamp note.Stamp, digest string) Outcome {
 	if stamp.Digest == digest {
-		return Outcome{Stamp: &stamp}
+		return Outcome{Stamp: &stamp, Repeated: true}
 	}
 	out := refuse(result.NoteConflict, "note %d %q with digest %s is in force; the note sent has digest %s",
 		stamp.Number, stamp.Title, stamp.Digest, digest)
--- a/internal/agreed/command.go
+++ b/internal/agreed/command.go
@@ -95,6 +95,8 @@
 	Stamp *note.Stamp `cbor:"4,keyasint,omitempty"`
 	// Problems are the errors and warnings of a note.
 	Problems []note.Problem `cbor:"5,keyasint,omitempty"`
+	// Repeated tells that the note had been accepted before.
+	Repeated bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Err returns the outcome as a result.Error, or nil when the command succeeded.
--- /dev/null
+++ b/internal/announce/announce_test.go
@@ -0,0 +1,60 @@
+package announce
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/control"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+type recorder struct{ got []control.Announcement }
+
+func (r *recorder) Announce(a control.Announcement) { r.got = append(r.got, a) }
+
+func post(h http.Handler, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/announce", strings.NewReader(body)))
+	return w
+}
+
+const good = `{"service":"log","id":"b","addr":"127.0.0.1:5432","domain":"d","role":"replica","timeline":3,"lsn":"1/A0"}`
+
+func TestAnnouncementIsPassedOnAndAnswered(t *testing.T) {
+	box := view.NewBox()
+	state := agreed.New()
+	state.Groups["log"] = agreed.Group{Service: "log", Term: 4, Primary: "a", Phase: agreed.PhaseActive}
+	state.Endpoints["a"] = agreed.Endpoint{ID: "a", Addr: "127.0.0.1:1"}
+	box.Publish(view.View{State: state})
+	var sent recorder
+	w := post(NewHandler(box, &sent), good)
+	want := `{"term":4,"phase":"active","primary":"a","primary_addr":"127.0.0.1:1","member":false}`
+	if w.Code != http.StatusOK || strings.TrimSpace(w.Body.String()) != want {
+		t.Fatalf("%d %s", w.Code, w.Body)
+	}
+	if len(sent.got) != 1 || sent.got[0].LSN != 1<<32|0xa0 || sent.got[0].Timeline != 3 || sent.got[0].Primary {
+		t.Fatalf("passed on %+v", sent.got)
+	}
+}
+
+func TestBadAnnouncementsAreRefused(t *testing.T) {
+	bad := []string{
+		``, `{`, good + good, strings.Repeat(" ", maxBytes) + good,
+		strings.Replace(good, `"log"`, `""`, 1),
+		strings.Replace(good, `"b"`, `"`+strings.Repeat("b", 64)+`"`, 1),
+		strings.Replace(good, `127.0.0.1:5432`, `localhost:5432`, 1),
+		strings.Replace(good, `replica`, `king`, 1),
+		strings.Replace(good, `1/A0`, `1A0`, 1),
+		strings.Replace(good, `1/A0`, `1/FFFFFFFFF`, 1),
+	}
+	for _, body := range bad {
+		var sent recorder
+		w := post(NewHandler(view.NewBox(), &sent), body)
+		if w.Code != http.StatusBadRequest || len(sent.got) != 0 || !strings.Contains(w.Body.String(), `"code":3001`) {
+			t.Errorf("%.60q: %d %s", body, w.Code, w.Body)
+		}
+	}
+}
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -45,6 +46,9 @@
 	log    *log.Logger
 	events chan subscriberEvent
 
+	// current is the upstream, for other goroutines.
+	current atomic.Pointer[config.ControlHost]
+
 	state    *agreed.State
 	holder   *lease.Holder
 	upstream int
@@ -67,6 +71,7 @@
 		opts.Logger = log.Default()
 	}
 	s := &Subscriber{opts: opts, log: opts.Logger, events: make(chan subscriberEvent, eventBacklog)}
+	s.choose(s.firstUpstream())
 	peer.On(opts.Peer, peer.KindDelta, func(_ peer.Identity, d agreed.Delta) {
 		s.post(deltaEvent{d})
 	})
@@ -93,7 +98,7 @@
 		s.state = agreed.New()
 	}
 	s.holder = lease.NewHolder(s.opts.Lease, startSeq())
-	s.upstream = s.firstUpstream()
+	s.choose(s.firstUpstream())
 	s.heard, s.renewed, s.leaving = now, time.Time{}, false
 	defer s.opts.View.Publish(view.View{})
 	ticker := time.NewTicker(subscriberTick)
@@ -121,13 +126,18 @@
 	return int(s.opts.Peer.Incarnation() % uint64(len(s.opts.Controls)))
 }
 
-// Upstream returns a control host to send messages for the leader to.
+// choose makes a control host the upstream.
+func (s *Subscriber) choose(i int) {
+	s.upstream = i
+	s.current.Store(&s.opts.Controls[i])
+}
+
 func (s *Subscriber) control() config.ControlHost { return s.opts.Controls[s.upstream] }
 
 // advance does what is due.
 func (s *Subscriber) advance(ctx context.Context, now time.Time) {
 	if now.Sub(s.heard) > silenceTimeout {
-		s.upstream = (s.upstream + 1) % len(s.opts.Controls)
+		s.choose((s.upstream + 1) % len(s.opts.Controls))
 		s.heard, s.renewed = now, time.Time{}
 		s.log.Info("control_host_silent", "next", s.control().Host)
 	}
