--- a/internal/failover/electorate.go
+++ b/internal/failover/electorate.go
@@ -1,10 +1,9 @@
 package failover
 
 import (
-	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/galenabridge/galenabridge/internal/rendezvous"
 )
 
 // soleDomainWatchers is the number of watchers of an endpoint when all entry
@@ -49,7 +48,7 @@
 	}
 	var chosen []Watcher
 	for _, domain := range e.domains {
-		for _, host := range highest(e.hosts[domain], endpoint, n) {
+		for _, host := range rendezvous.Top(e.hosts[domain], endpoint, n) {
 			chosen = append(chosen, Watcher{Host: host, Domain: domain})
 		}
 	}
@@ -62,7 +61,7 @@
 	if len(e.domains) == 1 {
 		n = soleDomainWatchers
 	}
-	return slices.Contains(highest(e.hosts[domain], endpoint, n), host)
+	return slices.Contains(rendezvous.Top(e.hosts[domain], endpoint, n), host)
 }
 
 // voter returns the name under which a watcher votes: its failure domain, or
@@ -85,27 +84,3 @@
 	n := min(len(e.hosts[e.domains[0]]), soleDomainWatchers)
 	return n/2 + 1
 }
-
-// highest returns the n hosts with the highest rendezvous hash for the key.
-func highest(hosts []string, key string, n int) []string {
-	if len(hosts) <= n {
-		return hosts
-	}
-	ranked := make([]ranking, len(hosts))
-	for i, host := range hosts {
-		ranked[i] = ranking{host: host, hash: xxhash.Sum64String(host + "\x00" + key)}
-	}
-	slices.SortFunc(ranked, func(a, b ranking) int {
-		return cmp.Compare(b.hash, a.hash)
-	})
-	chosen := make([]string, n)
-	for i := range chosen {
-		chosen[i] = ranked[i].host
-	}
-	return chosen
-}
-
-type ranking struct {
-	host string
-	hash uint64
-}
--- /dev/null
+++ b/internal/route/home_test.go
@@ -0,0 +1,67 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// fleet returns hosts by failure domain.
+func fleet(hosts, domains int) map[string][]string {
+	byDomain := map[string][]string{}
+	for i := range hosts {
+		domain := fmt.Sprintf("d%d", i%domains)
+		byDomain[domain] = append(byDomain[domain], fmt.Sprintf("h%d", i))
+	}
+	return byDomain
+}
+
+func TestSmallFleetIsAtHomeEverywhere(t *testing.T) {
+	for _, n := range []int{1, 9, maxSmallFleet} {
+		if home := Home("s", fleet(n, 4)); len(home) != n {
+			t.Errorf("%d of %d hosts are at home", len(home), n)
+		}
+	}
+}
+
+func TestHomeIsSpreadOverDomains(t *testing.T) {
+	hosts := fleet(2000, 11)
+	load := map[string]int{}
+	for i := range 2200 {
+		home := Home(fmt.Sprint("db", i), hosts)
+		domains := map[string]bool{}
+		for _, h := range home {
+			load[h]++
+			for domain, names := range hosts {
+				if slices.Contains(names, h) {
+					domains[domain] = true
+				}
+			}
+		}
+		if len(home) != HomeSize || len(domains) != HomeSize {
+			t.Fatalf("home %v in %d domains", home, len(domains))
+		}
+	}
+	most := 0
+	for _, n := range load {
+		most = max(most, n)
+	}
+	t.Logf("2,200 databases at 2,000 hosts: 4.4 on average, %d at most", most)
+	if most > 20 {
+		t.Errorf("a host is at home for %d databases", most)
+	}
+}
+
+func TestLostHostMovesOnlyItsPlace(t *testing.T) {
+	hosts := fleet(200, 4)
+	before := Home("s", hosts)
+	for domain, names := range hosts {
+		hosts[domain] = slices.DeleteFunc(names, func(h string) bool { return h == before[0] })
+	}
+	after := Home("s", hosts)
+	for _, h := range before[1:] {
+		if !slices.Contains(after, h) {
+			t.Fatalf("%v became %v after the loss of %s", before, after, before[0])
+		}
+	}
+}
