--- /dev/null
+++ b/internal/watch/prober_test.go
@@ -0,0 +1,77 @@
+package watch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/standin"
+)
+
+const testTimeout = 30 * time.Second
+
+func startGroup(t *testing.T) *standin.Group {
+	t.Helper()
+	group, err := standin.NewGroup(standin.Options{Service: "s", Database: "db", ReplayLag: -1}, 3, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = group.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return group
+}
+
+func TestProbeSeesRolesAndPromotion(t *testing.T) {
+	group := startGroup(t)
+	p := NewProber()
+	defer p.Forget(func(string) bool { return false })
+	service := note.Service{Name: "s", Database: "db", User: standin.DefaultUser}
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	primary := agreed.Endpoint{ID: "s-1", Service: "s", Addr: group.Servers[0].Addr()}
+	replica := agreed.Endpoint{ID: "s-2", Service: "s", Addr: group.Servers[1].Addr()}
+
+	was := p.Probe(ctx, service, primary)
+	if !was.Reachable || was.InRecovery || was.Timeline != 1 {
+		t.Errorf("primary: %+v", was)
+	}
+	if c := p.Probe(ctx, service, replica); !c.Reachable || !c.InRecovery {
+		t.Errorf("replica: %+v", c)
+	}
+	for range 2 { // the second order does nothing
+		if err := p.Promote(ctx, service, replica); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c := p.Probe(ctx, service, replica)
+	if c.InRecovery || c.Timeline != was.Timeline+1 {
+		t.Errorf("after promotion: %+v", c)
+	}
+}
+
+func TestProbeReportsALostEndpoint(t *testing.T) {
+	group := startGroup(t)
+	p := NewProber()
+	defer p.Forget(func(string) bool { return false })
+	service := note.Service{Name: "s", Database: "db", User: standin.DefaultUser}
+	e := agreed.Endpoint{ID: "s-1", Service: "s", Addr: group.Servers[0].Addr()}
+	if c := p.Probe(context.Background(), service, e); !c.Reachable {
+		t.Fatalf("before the loss: %+v", c)
+	}
+	group.Servers[0].Kill()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if c := p.Probe(ctx, service, e); c.Reachable {
+		t.Errorf("after the loss: %+v", c)
+	}
+}
