Run the whole path: host from settings, development system, command line

Cause: the parts existed, but no process ran them together. Change: bridge builds a host (peers, control, subscriber, entry, watcher, admin) under the supervisor tree with a graceful shutdown; internal/dev runs a whole system on loopback; internal/cli has serve, dev, standin, note, key, config, store, status, version; first-start page; capacity target and slopes. Before: no command.

--- /dev/null
+++ b/bridge/admin.go
@@ -0,0 +1,31 @@
+package bridge
+
+import (
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/admin"
+	"github.com/galenabridge/galenabridge/internal/announce"
+)
+
+func (h *Host) buildAdmin() error {
+	server, err := admin.New(admin.Options{
+		Listen:    h.settings.Admin.Listen,
+		Token:     h.settings.Admin.Token,
+		Fleet:     h.subscriber,
+		View:      h.view,
+		Announce:  announce.NewHandler(h.view, h.subscriber),
+		Accepting: h.healthy,
+		Gatherer:  h.registry,
+		Logger:    h.log,
+	})
+	if err != nil {
+		return err
+	}
+	h.admin = server
+	return nil
+}
+
+// healthy tells the balancer whether to send callers to this host.
+func (h *Host) healthy() bool {
+	return h.accepting.Load() && h.view.Current().Valid(time.Now())
+}
--- /dev/null
+++ b/bridge/run.go
@@ -0,0 +1,96 @@
+package bridge
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/supervise"
+	"github.com/galenabridge/galenabridge/internal/watch"
+)
+
+// Run serves until ctx ends, then shuts down gracefully: the balancer's health
+// check fails first, requests in progress end, the host deregisters. It returns
+// nil after a graceful shutdown.
+func (h *Host) Run(ctx context.Context) error {
+	// The tasks outlive ctx: a graceful shutdown needs them.
+	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
+
+	var group run.Group
+	group.Add(func() error {
+		return h.tree().Run(taskCtx)
+	}, func(error) { stopTasks() })
+	for _, task := range h.essential() {
+		group.Add(func() error {
+			return task.Run(taskCtx)
+		}, func(error) { stopTasks() })
+	}
+	shutdownCtx, skipShutdown := context.WithCancel(ctx)
+	group.Add(func() error {
+		<-shutdownCtx.Done()
+		if ctx.Err() == nil {
+			return nil // another member has failed
+		}
+		return h.shutdown(taskCtx)
+	}, func(error) { skipShutdown() })
+
+	err := group.Run()
+	if errors.Is(err, errShutdown) {
+		return nil
+	}
+	return err
+}
+
+var errShutdown = errors.New("shut down")
+
+// tree holds the tasks that are restarted when they fail.
+func (h *Host) tree() *supervise.Tree {
+	tree := supervise.New(h.settings.Host, h.log)
+	if h.control != nil {
+		tree.Add("control", h.control)
+	}
+	tree.Add("subscriber", h.subscriber)
+	if h.entry != nil {
+		tree.Add("watcher", watch.NewWatcher(h.settings.Host, h.settings.Domain, h.view, h.subscriber.Observe))
+	}
+	return tree
+}
+
+// essential holds the tasks that own listeners. When one fails the host ends,
+// and its process is started anew by the platform.
+func (h *Host) essential() []supervise.Task {
+	tasks := []supervise.Task{h.peers, h.admin}
+	if h.entry != nil {
+		h.accepting.Store(true)
+		tasks = append(tasks, h.entry)
+	}
+	return tasks
+}
+
+// shutdown drains the entry role and deregisters the host.
+func (h *Host) shutdown(ctx context.Context) error {
+	h.log.Info("shutdown_begin")
+	h.accepting.Store(false)
+	h.drain(ctx)
+	ctx, cancel := context.WithTimeout(ctx, goodbyeTimeout)
+	defer cancel()
+	if err := h.subscriber.Leave(ctx); err != nil {
+		h.log.Warn("deregister_failed", "err", err)
+	}
+	h.log.Info("shutdown_end")
+	return errShutdown
+}
+
+func (h *Host) drain(ctx context.Context) {
+	if h.entry == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(h.settings.Entry.DrainTimeout))
+	defer cancel()
+	if err := h.entry.Drain(ctx); err != nil {
+		h.log.Warn("drain_incomplete", "err", err)
+	}
+}
--- a/cmd/galenabridge/main.go
+++ b/cmd/galenabridge/main.go
@@ -1,8 +1,16 @@
 // Command galenabridge is the daemon and the operators' command line.
 package main
 
-import "fmt"
+import (
+	"os"
+
+	"github.com/galenabridge/galenabridge/internal/cli"
+)
+
+// version is set by the linker.
+var version = "dev"
 
 func main() {
-	fmt.Println("galenabridge")
+	app := &cli.App{Stdout: os.Stdout, Stderr: os.Stderr, Version: version}
+	os.Exit(app.Main(os.Args[1:]))
 }
--- /dev/null
+++ b/internal/capacity/target.go
@@ -0,0 +1,77 @@
+// Package capacity measures what each part of galenabridge costs per unit of
+// load and works out from these slopes what a fleet of a given size would
+// cost. It renders docs/CAPACITY.md.
+package capacity
+
+// Target is the fleet that the page is worked out for.
+type Target struct {
+	Hosts                int     `json:"hosts"`
+	Databases            int     `json:"databases"`
+	EndpointsPerDatabase int     `json:"endpoints_per_database"`
+	CallerConnections    int     `json:"caller_connections"`
+	Statements           float64 `json:"statements_per_second"`
+	Regions              int     `json:"regions"`
+	Domains              int     `json:"failure_domains"`
+	Voters               int     `json:"voters"`
+	// Relays are control hosts without a vote; with the voters at most 14.
+	Relays            int     `json:"relays"`
+	NotesPerDay       float64 `json:"notes_per_day"`
+	RestartsPerDay    float64 `json:"restarts_per_day"`
+	HostFailuresDay   float64 `json:"host_failures_per_day"`
+	PrimaryChangesDay float64 `json:"primary_changes_per_day"`
+
+	// Workspaces, KeysPerWorkspace, ActiveWorkspaces, WriteShare and HomeHosts
+	// are assumptions: the target does not state them.
+	Workspaces       int `json:"assumed_workspaces"`
+	KeysPerWorkspace int `json:"assumed_keys_per_workspace"`
+	// ActiveWorkspaces is the number of workspaces that are active on one host
+	// at a time.
+	ActiveWorkspaces int     `json:"assumed_active_workspaces_per_host"`
+	WriteShare       float64 `json:"assumed_write_share"`
+	// HomeHosts is the number of entry hosts that hold connections to one
+	// database.
+	HomeHosts int `json:"assumed_home_hosts_per_database"`
+}
+
+// Bounds are the limits that the users state for control work.
+type Bounds struct {
+	CPU           float64 `json:"cpu_core"`        // share of one core per host
+	Memory        float64 `json:"memory_bytes"`    // bytes per host
+	Traffic       float64 `json:"bytes_per_s"`     // bytes per second per host
+	ControlHosts  int     `json:"control_hosts"`   // hosts set aside for control
+	Dissemination float64 `json:"dissemination_s"` // seconds until a note is in force
+	Failover      float64 `json:"failover_s"`      // seconds until a new primary serves
+}
+
+const secondsPerDay = 86400
+
+// perSecond converts a number of events a day.
+func perSecond(perDay float64) float64 { return perDay / secondsPerDay }
+
+// Endpoints returns the number of endpoints of the fleet.
+func (t Target) Endpoints() int { return t.Databases * t.EndpointsPerDatabase }
+
+// ControlHosts returns the number of hosts set aside for control.
+func (t Target) ControlHosts() int { return t.Voters + t.Relays }
+
+// SubscribersPerRelay returns how many hosts one control host serves when the
+// entry hosts are spread evenly over relays, or over voters without relays.
+func (t Target) SubscribersPerRelay() float64 {
+	servers := t.Relays
+	if servers == 0 {
+		servers = t.Voters
+	}
+	return float64(t.Hosts) / float64(servers)
+}
+
+// DeltasPerSecond returns the changes of the agreed state: notes, host
+// registrations and removals, and two commands more for each seal than for
+// the activation of a primary.
+func (t Target) DeltasPerSecond() float64 {
+	const commandsPerRestart = 2  // goodbye or removal, registration
+	const commandsPerFailover = 3 // seal, choice, activation
+	perDay := t.NotesPerDay +
+		commandsPerRestart*(t.RestartsPerDay+t.HostFailuresDay) +
+		commandsPerFailover*t.PrimaryChangesDay
+	return perSecond(perDay)
+}
