--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -1,4 +1,4 @@
-package control
+package control_test
 
 import (
 	"context"
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -1,4 +1,4 @@
-package control
+package control_test
 
 import (
 	"context"
@@ -13,11 +13,13 @@
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/control"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
+	"github.com/galenabridge/galenabridge/internal/watch"
 )
 
 // patience bounds every wait of these tests.
@@ -37,9 +39,11 @@
 // testHost is one running process of a host.
 type testHost struct {
 	name       string
+	domain     string
 	peer       *peer.Node
-	control    *Host // nil without the control role
-	subscriber *Subscriber
+	control    *control.Host // nil without the control role
+	subscriber *control.Subscriber
+	watcher    *watch.Watcher
 	view       *view.Box
 	replaced   chan struct{}
 	cancel     context.CancelFunc
@@ -78,7 +82,7 @@
 func (f *fleet) start(name string) *testHost {
 	f.t.Helper()
 	f.started++
-	h := &testHost{name: name, view: view.NewBox(), replaced: make(chan struct{}), done: make(chan struct{})}
+	h := &testHost{name: name, domain: "domain of " + name, view: view.NewBox(), replaced: make(chan struct{}), done: make(chan struct{})}
 	listen, isControl := "127.0.0.1:0", false
 	for _, c := range f.controls {
 		if c.Host == name {
@@ -91,15 +95,17 @@
 		OnReplaced: func() { close(h.replaced) },
 	})
 	if isControl {
-		h.control = New(Options{
+		h.control = control.New(control.Options{
 			Fleet: "fleet", DataDir: filepath.Join(f.dir, name), Bootstrap: true, Controls: f.controls,
 			Peer: h.peer, Lease: f.leases, Logger: logger().With("host", name), CompactEvery: 200,
+			Databases: watch.NewProber(),
 		})
 	}
-	h.subscriber = NewSubscriber(SubscriberOptions{
-		Fleet: "fleet", Domain: "d", Entry: true, Control: isControl, Controls: f.controls,
+	h.subscriber = control.NewSubscriber(control.SubscriberOptions{
+		Fleet: "fleet", Domain: h.domain, Entry: true, Control: isControl, Controls: f.controls,
 		Peer: h.peer, Lease: f.leases, Logger: logger().With("host", name), View: h.view,
 	})
+	h.watcher = watch.NewWatcher(name, h.domain, h.view, h.subscriber.Observe)
 	if err := h.peer.Listen(); err != nil {
 		f.t.Fatal(err)
 	}
@@ -111,7 +117,7 @@
 func (f *fleet) run(h *testHost) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	tasks := []func(context.Context) error{h.peer.Run, h.subscriber.Run}
+	tasks := []func(context.Context) error{h.peer.Run, h.subscriber.Run, h.watcher.Run}
 	if h.control != nil {
 		tasks = append(tasks, h.control.Run)
 	}
@@ -151,6 +157,14 @@
 // valid reports whether the host may act now.
 func (h *testHost) valid() bool { return h.view.Current().Valid(time.Now()) }
 
+// leads reports whether the host believes to be the control leader.
+func (h *testHost) leads() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	s, err := h.control.LocalStatus(ctx)
+	return err == nil && s.Leader == h.name && s.Role == "leader"
+}
+
 // noteNumber returns the number of the note in force on the host.
 func (h *testHost) noteNumber() uint64 {
 	if s := h.view.Current().State; s != nil {
@@ -172,7 +186,7 @@
 	var leader string
 	wait(f.t, "a leader", func() bool {
 		for _, name := range names {
-			if f.hosts[name].control.lead.Load().leading {
+			if f.hosts[name].leads() {
 				leader = name
 				return true
 			}
