Let the failover model take failure domains out

Cause: the random schedules had no planned switchover, and the simulation gave a probe half the time-out that watchers use.

Change: schedules take the primary's failure domain out and back; after each schedule the primary must leave a domain that is taken out. Probes of the simulation time out after 500 ms.

--- a/internal/failover/model_test.go
+++ b/internal/failover/model_test.go
@@ -99,14 +99,15 @@
 	sealedAt  uint64
 	nextID    int
 	calm      bool
-	checked   [2]uint64 // revision and acknowledged writes at the last check
+	out       map[string]bool // failure domains
+	checked   [2]uint64       // revision and acknowledged writes at the last check
 	failure   string
 }
 
 func newModel(pick func(int) int, size int, f fault) *model {
 	m := &model{
 		pick: pick, fault: f, now: time.Unix(1000, 0), revision: 1,
-		acked: map[int]bool{}, primaries: map[uint64]string{}, answered: map[string]bool{},
+		acked: map[int]bool{}, primaries: map[uint64]string{}, out: map[string]bool{}, answered: map[string]bool{},
 	}
 	for i := range size {
 		e := &modelEndpoint{id: fmt.Sprintf("e%d", i), alive: true, inRecovery: i > 0, upstream: "e0", cut: map[string]bool{}}
@@ -138,6 +139,23 @@
 	}
 }
 
+// takeOut puts a failure domain out of use, or back.
+func (m *model) takeOut(domain string, out bool) {
+	m.out[domain] = out
+	m.revision++
+	m.step(m.view())
+}
+
+// primaryDomain returns the failure domain of the agreed primary.
+func (m *model) primaryDomain() string {
+	for i, e := range m.endpoints {
+		if e.id == m.group.Primary {
+			return fmt.Sprintf("d%d", i%3)
+		}
+	}
+	return ""
+}
+
 func (m *model) failf(format string, args ...any) {
 	if m.failure == "" {
 		m.failure = fmt.Sprintf("t=%s %s", m.now.Sub(time.Unix(1000, 0)), fmt.Sprintf(format, args...))
@@ -165,7 +183,8 @@
 func (m *model) view() View {
 	v := View{Group: m.group, Size: len(m.endpoints), Electorate: m.electors}
 	for i, e := range m.endpoints {
-		v.Members = append(v.Members, Member{Endpoint: e.id, Domain: fmt.Sprintf("d%d", i%3)})
+		domain := fmt.Sprintf("d%d", i%3)
+		v.Members = append(v.Members, Member{Endpoint: e.id, Domain: domain, DomainOut: m.out[domain]})
 	}
 	return v
 }
--- a/internal/failover/modelrun_test.go
+++ b/internal/failover/modelrun_test.go
@@ -42,6 +42,9 @@
 	for _, h := range m.hosts {
 		h.isolated = false
 	}
+	for domain := range m.out {
+		m.takeOut(domain, false)
+	}
 }
 
 func (m *model) disturb() {
@@ -49,7 +52,7 @@
 		return
 	}
 	e := m.endpoints[m.pick(len(m.endpoints))]
-	switch m.pick(14) {
+	switch m.pick(15) {
 	case 0:
 		e.alive = false
 	case 1, 2, 3:
@@ -72,6 +75,9 @@
 		m.endpoint(m.group.Primary).alive = false
 	case 12, 13:
 		m.isolatePrimary()
+	case 14:
+		domain := m.primaryDomain()
+		m.takeOut(domain, !m.out[domain])
 	}
 }
 
--- a/internal/failover/property_test.go
+++ b/internal/failover/property_test.go
@@ -30,6 +30,14 @@
 		if m.group.Phase != agreed.PhaseActive {
 			t.Fatalf("group did not come back: %+v, %s", m.group, m.machine.reason)
 		}
+		domain := m.primaryDomain()
+		m.takeOut(domain, true)
+		if failure := m.run(calmSteps); failure != "" {
+			t.Fatal("after the switchover: ", failure)
+		}
+		if m.group.Phase != agreed.PhaseActive || m.primaryDomain() == domain {
+			t.Fatalf("primary did not leave %s: %+v, %s", domain, m.group, m.machine.reason)
+		}
 	})
 }
 
--- a/internal/failover/sim_test.go
+++ b/internal/failover/sim_test.go
@@ -19,7 +19,7 @@
 	simMessage  = 5 * time.Millisecond   // there and back between hosts
 	simCommand  = 10 * time.Millisecond  // propose, sync and apply everywhere
 	simPromote  = 150 * time.Millisecond // the server's own promotion
-	simTimeout  = 250 * time.Millisecond // of a probe
+	simTimeout  = 2 * ProbeInterval      // of a probe
 	simRenew    = 700 * time.Millisecond
 	simElection = time.Second // at most, after the loss of a leader
 	simHosts    = 9
@@ -142,11 +142,11 @@
 		if s.now.Before(p.at) {
 			continue
 		}
-		p.at = p.at.Add(ProbeInterval)
 		wait := simMessage
 		if !s.refused {
 			wait += simTimeout
 		}
+		p.at = p.at.Add(max(ProbeInterval, wait))
 		s.later(wait, Observation{Watcher: p.watcher.Host, Domain: p.watcher.Domain, Endpoint: "a"})
 	}
 }
