Keep the request ids of workspaces apart

Cause: the marker's name was workspace, slash, id; workspace a with id b/c and workspace a/b with id c shared one, so that one could make the other's request look as if it had run.

Change: the workspace is escaped in the marker's name.

Before: the two pairs gave one name. After: five look-alike pairs give five names (go test -run MarkersOfWorkspaces ./internal/entry).

Conclusion: markers written before the change are found only for workspaces without special characters in their names.

--- a/internal/entry/request_id.go
+++ b/internal/entry/request_id.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -52,7 +53,13 @@
 		return nil, result.New(result.UnsupportedFeature, "a request id for several statements; use a transaction")
 	}
 	s.param.requestID = ""
-	return &marker{id: s.who.workspace + "/" + id, digest: u.digest()}, nil
+	return &marker{id: markerID(s.who.workspace, id), digest: u.digest()}, nil
+}
+
+// markerID names a workspace's request. No two pairs share a name: a slash in
+// the workspace is escaped.
+func markerID(workspace, requestID string) string {
+	return url.PathEscape(workspace) + "/" + requestID
 }
 
 // digest identifies the unit's statements and parameters.
--- a/internal/entry/request_id_test.go
+++ b/internal/entry/request_id_test.go
@@ -89,3 +89,15 @@
 		t.Errorf("%d rows", n)
 	}
 }
+
+func TestMarkersOfWorkspacesAreSeparate(t *testing.T) {
+	pairs := [][2]string{{"a", "b/c"}, {"a/b", "c"}, {"a%2Fb", "c"}, {"a", "b"}, {"", "a/b"}}
+	seen := map[string][2]string{}
+	for _, p := range pairs {
+		id := markerID(p[0], p[1])
+		if other, ok := seen[id]; ok {
+			t.Errorf("%q and %q share the marker %q", p, other, id)
+		}
+		seen[id] = p
+	}
+}
