--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/galenabridge/galenabridge/internal/standin"
+)
+
+// benchFixture is an entry before a group without artificial delays.
+func benchFixture(b *testing.B) *fixture {
+	f := newFixture(b, fixtureConfig{
+		connections: 60,
+		standin:     func(o *standin.Options) { o.MaxConnections = 1000 },
+	})
+	conn := f.connect("")
+	mustExec(b, conn, "create table entries (id int primary key, word text)")
+	mustExec(b, conn, "insert into entries values (1, 'osan')")
+	f.waitReplicas(conn)
+	return f
+}
+
+const benchRead = "select word from entries where id = $1"
+
+// BenchmarkRead compares a prepared read through the entry with the same read
+// sent directly to a replica.
+func BenchmarkRead(b *testing.B) {
+	f := benchFixture(b)
+	b.Run("direct", func(b *testing.B) { benchOne(b, f.direct(1), benchRead) })
+	b.Run("entry", func(b *testing.B) { benchOne(b, f.connect(""), benchRead) })
+	b.Run("entry-stale", func(b *testing.B) {
+		benchOne(b, f.connect("galenabridge.max_staleness=10000"), benchRead)
+	})
+}
+
+// BenchmarkWrite compares a prepared write. The entry's answer waits for a
+// majority, the direct one does not.
+func BenchmarkWrite(b *testing.B) {
+	f := benchFixture(b)
+	const sql = "update entries set word = 'pohang' where id = $1"
+	b.Run("direct", func(b *testing.B) { benchOne(b, f.direct(0), sql) })
+	b.Run("entry", func(b *testing.B) { benchOne(b, f.connect(""), sql) })
+}
+
+// benchOne runs the statement one after the other and reports the median.
+func benchOne(b *testing.B, conn *pgx.Conn, sql string) {
+	ctx := context.Background()
+	var times []time.Duration
+	b.ReportAllocs()
+	for b.Loop() {
+		started := time.Now()
+		if _, err := conn.Exec(ctx, sql, 1); err != nil {
+			b.Fatal(err)
+		}
+		times = append(times, time.Since(started))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
+}
+
+// BenchmarkReadParallel measures the throughput of many callers.
+func BenchmarkReadParallel(b *testing.B) {
+	f := benchFixture(b)
+	for _, callers := range []int{16, 64} {
+		connectAll := func(connect func() *pgx.Conn) []*pgx.Conn {
+			conns := make([]*pgx.Conn, callers)
+			for i := range conns {
+				conns[i] = connect()
+			}
+			return conns
+		}
+		b.Run(fmt.Sprintf("direct/callers=%d", callers), func(b *testing.B) {
+			next := 0
+			benchMany(b, connectAll(func() *pgx.Conn {
+				next++
+				return f.direct(1 + next%2)
+			}))
+		})
+		b.Run(fmt.Sprintf("entry/callers=%d", callers), func(b *testing.B) {
+			benchMany(b, connectAll(func() *pgx.Conn { return f.connect("") }))
+		})
+	}
+}
+
+func benchMany(b *testing.B, conns []*pgx.Conn) {
+	var wg sync.WaitGroup
+	share := b.N/len(conns) + 1
+	b.ResetTimer()
+	for _, conn := range conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for range share {
+				if _, err := conn.Exec(context.Background(), benchRead, 1); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	b.ReportMetric(float64(share*len(conns))/b.Elapsed().Seconds(), "statements/s")
+}
+
+// BenchmarkIdleConnections measures the memory that an idle caller holds in
+// the entry. Clients are bare sockets, so that their part is small.
+func BenchmarkIdleConnections(b *testing.B) {
+	const callers = 1000
+	f := benchFixture(b)
+	var before, after runtime.MemStats
+	for b.Loop() {
+		settle(&before)
+		conns := make([]*bareClient, callers)
+		for i := range conns {
+			conns[i] = newBareClient(b, f)
+		}
+		settle(&after)
+		used := after.HeapInuse + after.StackInuse - before.HeapInuse - before.StackInuse
+		b.ReportMetric(float64(used)/callers, "B/caller")
+		for _, c := range conns {
+			c.close()
+		}
+		eventually(b, "callers gone", func() bool { return len(f.server.list()) <= 1 })
+	}
+}
+
+func settle(m *runtime.MemStats) {
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(m)
+}
+
+// BenchmarkClassify measures the look at a statement's first keywords.
+func BenchmarkClassify(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		if classify(benchRead).kind != kindRead {
+			b.Fatal("wrong kind")
+		}
+	}
+}
+
+// BenchmarkPlan measures the preparation of a pipeline for a connection.
+func BenchmarkPlan(b *testing.B) {
+	f := benchFixture(b)
+	member, err := f.server.backends.get("ledger-1")
+	if err != nil {
+		b.Fatal(err)
+	}
+	conn, err := member.pool.Acquire(testContext(b))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer member.pool.Release(conn, true)
+	known := map[string]*statement{"s": newStatement(benchRead, nil)}
+	conn.Session.Add(known["s"].name)
+	b.ReportAllocs()
+	for b.Loop() {
+		u := newBatch()
+		bind := &pgproto3.Bind{PreparedStatement: "s", Parameters: [][]byte{{0, 0, 0, 1}}}
+		for _, msg := range []pgproto3.FrontendMessage{bind, &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}} {
+			if err := u.add(msg, known); err != nil {
+				b.Fatal(err)
+			}
+		}
+		u.sync = true
+		if _, err := u.planFor(&conn.Session); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkPosition measures the ways to find the position that a read needs.
+func BenchmarkPosition(b *testing.B) {
+	for _, hosts := range []int{2, 9} {
+		f := newFleetOf(b, hosts, 0)
+		f.waitReplicas(f.connect(""))
+		ways := map[string]func(context.Context) error{
+			"primary": func(ctx context.Context) error {
+				_, err := f.server.PrimaryStatus(ctx, "ledger-1")
+				return err
+			},
+			"gather": func(ctx context.Context) error {
+				_, err := f.server.positions.Required(ctx, testService, "crew")
+				return err
+			},
+		}
+		for name, find := range ways {
+			for _, readers := range []int{1, 64} {
+				b.Run(fmt.Sprintf("%s/hosts=%d/readers=%d", name, hosts, readers), func(b *testing.B) {
+					benchPosition(b, readers, find)
+				})
+			}
+		}
+	}
+}
+
+func benchPosition(b *testing.B, readers int, find func(context.Context) error) {
+	var wg sync.WaitGroup
+	share := b.N/readers + 1
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range readers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for range share {
+				if err := find(context.Background()); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	b.ReportMetric(b.Elapsed().Seconds()*1e6/float64(share), "wait-µs")
+}
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -17,22 +17,24 @@
 	"github.com/galenabridge/galenabridge/internal/standin"
 )
 
-// fleet is two entry hosts before one group.
+// fleet is several entry hosts before one group.
 type fleet struct {
 	*fixture
+	// other is the second host.
 	other *Server
 	nodes []*peer.Node
 	// stops end the nodes.
 	stops []func()
 }
 
-func newFleet(t *testing.T, lag time.Duration) *fleet {
+func newFleet(t testing.TB, lag time.Duration) *fleet { return newFleetOf(t, 2, lag) }
+
+func newFleetOf(t testing.TB, size int, lag time.Duration) *fleet {
 	t.Helper()
 	f := &fleet{}
-	hosts := []string{"entry-1", "entry-2"}
-	for _, host := range hosts {
+	for i := range size {
 		node := peer.NewNode(peer.Options{
-			Host: host, Fleet: "test", Secret: "secret of the fleet", Incarnation: 1, Listen: "127.0.0.1:0",
+			Host: hostName(i), Fleet: "test", Secret: "secret of the fleet", Incarnation: 1, Listen: "127.0.0.1:0",
 		})
 		if err := node.Listen(); err != nil {
 			t.Fatal(err)
@@ -40,25 +42,31 @@
 		f.nodes = append(f.nodes, node)
 	}
 	f.fixture = newFixture(t, fixtureConfig{
-		standin: func(o *standin.Options) { o.ReplayLag = lag },
-		options: f.link(0),
+		standin:     func(o *standin.Options) { o.ReplayLag = lag },
+		options:     f.link(0),
+		connections: 20 * size,
 	})
 	f.publish(func(s *agreed.State) {
 		s.Hosts = make(map[string]agreed.Host)
-		for i, host := range hosts {
-			s.Hosts[host] = agreed.Host{ID: host, Entry: true, Incarnation: 1, PeerAddr: f.nodes[i].Addr()}
+		for i, node := range f.nodes {
+			s.Hosts[hostName(i)] = agreed.Host{ID: hostName(i), Entry: true, Incarnation: 1, PeerAddr: node.Addr()}
 		}
 		s.Departed = s.Revision
 	})
-	f.other = f.startHost("entry-2", f.link(1))
-	f.server.ServePeers(f.nodes[0])
-	f.other.ServePeers(f.nodes[1])
-	for _, node := range f.nodes {
+	servers := []*Server{f.server}
+	for i := 1; i < size; i++ {
+		servers = append(servers, f.startHost(hostName(i), f.link(i)))
+	}
+	f.other = servers[1]
+	for i, node := range f.nodes {
+		servers[i].ServePeers(node)
 		f.stops = append(f.stops, f.background(node.Run))
 	}
 	return f
 }
 
+func hostName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
 func (f *fleet) link(i int) func(*Options) {
 	return func(o *Options) {
 		l := NewPeerLink(f.nodes[i], o.View)
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -66,6 +66,8 @@
 	lastID  uint64
 	waiting map[uint64]chan error
 	timer   *time.Timer
+	// armed tells that the timer runs.
+	armed bool
 }
 
 func (e *endpointGate) enter(ctx context.Context, a Admission) (func(), error) {
@@ -152,11 +154,15 @@
 func (e *endpointGate) schedule() {
 	next, ok := e.queue.NextDeadline()
 	switch {
-	case !ok && e.timer != nil:
+	case !ok && e.armed:
+		e.armed = false
 		e.timer.Stop()
-	case ok && e.timer == nil:
+	case !ok:
+	case e.timer == nil:
+		e.armed = true
 		e.timer = time.AfterFunc(time.Until(next), e.tick)
-	case ok:
+	default:
+		e.armed = true
 		e.timer.Reset(time.Until(next))
 	}
 }
--- a/internal/entry/position_task.go
+++ b/internal/entry/position_task.go
@@ -71,12 +71,20 @@
 		shared: p, service: service,
 		inbox:    make(chan positionMessage, positionInbox),
 		done:     make(chan struct{}),
-		machine:  pos.NewService(pos.DefaultConfig()),
+		machine:  pos.NewService(positionConfig()),
 		reads:    make(map[uint64]chan readResult),
 		replicas: make(map[string]pgback.Status),
 	}
 }
 
+// positionConfig lets a round begin as soon as the last one has ended: rounds
+// are paced by their round trip, and reads that arrive meanwhile share the next.
+func positionConfig() pos.Config {
+	cfg := pos.DefaultConfig()
+	cfg.Interval = 0
+	return cfg
+}
+
 // post passes a message to the task in order.
 func (t *positionTask) post(ctx context.Context, m positionMessage) error {
 	select {
--- a/internal/entry/positions.go
+++ b/internal/entry/positions.go
@@ -39,6 +39,7 @@
 
 	mu       sync.Mutex
 	ctx      context.Context
+	ended    bool
 	running  sync.WaitGroup
 	services map[string]*positionTask
 }
@@ -59,12 +60,15 @@
 	}
 	p.mu.Unlock()
 	<-ctx.Done()
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
 	p.running.Wait()
 }
 
 // start runs a task. The caller holds the lock.
 func (p *SharedPositions) start(t *positionTask) {
-	if p.ctx.Err() != nil {
+	if p.ended {
 		return
 	}
 	ctx := p.ctx
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -272,11 +272,13 @@
 		r.l.conn.SetDeadline(time.Time{})
 		return doneHere, s.ready(status)
 	}
-	holds := !r.wrote || termHolds(s.srv.opts.View.Current(), r.l, time.Now())
-	r.returnLease()
 	if !r.wrote {
-		return doneHere, s.ready(txIdle)
+		err := s.ready(txIdle)
+		r.returnLease()
+		return doneHere, err
 	}
+	holds := termHolds(s.srv.opts.View.Current(), r.l, time.Now())
+	r.returnLease()
 	err := r.termEnded()
 	if holds {
 		err = r.acknowledge()
