Keep a single slot free of long reads

Cause: nine hosts before an endpoint of five slots have one slot each. A bulk read held it, and interactive requests of the host waited for its end: the rule that bulk never holds every slot did not reach this case.

Change: with one slot, one bulk request may run beside one of another class.

Conclusion: such a host may send an endpoint one statement more than its share of slots. A fleet-wide share for bulk would bound that.

--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -179,14 +179,24 @@
 	return nil
 }
 
-// mayStart reports whether the class has a waiter that its cap allows to run.
+// mayStart reports whether the class has a waiter and a slot that it may use.
 func (f *fair) mayStart(class note.Class, l load) bool {
-	if len(f.classes[class].active) == 0 {
+	bulk := l.running[note.ClassBulk]
+	switch {
+	case len(f.classes[class].active) == 0 || l.slots <= 0:
 		return false
+	case l.slots > 1 && l.total >= l.slots:
+		return false
+	case class == note.ClassBulk:
+		return bulk < f.bulkSlots(l.slots)
+	default:
+		return l.total-bulk < l.slots
 	}
-	return class != note.ClassBulk || l.running[class] < f.bulkSlots(l.slots)
 }
 
+// bulkSlots returns the number of bulk requests that may run at once. A single
+// slot is shared: a bulk request may run beside one of another class, which
+// would else wait for the whole of a long read.
 func (f *fair) bulkSlots(slots int) int {
 	if slots <= 1 {
 		return slots
--- a/internal/admit/fifo.go
+++ b/internal/admit/fifo.go
@@ -18,8 +18,8 @@
 	}
 }
 
-func (f *fifo) pop(time.Time, load) *waiter {
-	if len(f.waiters) == 0 {
+func (f *fifo) pop(_ time.Time, l load) *waiter {
+	if len(f.waiters) == 0 || l.total >= l.slots {
 		return nil
 	}
 	w := f.waiters[0]
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -12,6 +12,7 @@
 // load is the use of an endpoint's slots.
 type load struct {
 	slots   int
+	total   int
 	running map[note.Class]int
 }
 
@@ -155,10 +156,10 @@
 	}
 }
 
-// dispatch starts waiting requests while slots are free.
+// dispatch starts waiting requests while the order lets any start.
 func (q *Queue) dispatch(now time.Time) []Effect {
-	for len(q.running) < q.cfg.Slots {
-		w := q.order.pop(now, load{slots: q.cfg.Slots, running: q.byClass})
+	for {
+		w := q.order.pop(now, load{slots: q.cfg.Slots, total: len(q.running), running: q.byClass})
 		if w == nil {
 			break
 		}
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -43,8 +43,8 @@
 	CorrectionFloor float64
 	BulkFloor       float64
 	// BulkCap is the share of the slots that bulk requests may hold at once.
-	// With more than one slot, one is always left to the other classes; with
-	// one slot, bulk may use it.
+	// With more than one slot, one is always left to the other classes. With
+	// one slot, a bulk request may run beside one of another class.
 	BulkCap float64
 }
 
