--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -142,6 +142,7 @@
 	}
 	h.state = s
 	h.recent.add(s)
+	h.registered = processesOf(s)
 	h.pushAll(now)
 	h.failover.stateChanged()
 }
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -65,9 +65,10 @@
 // ageHosts removes hosts whose lease ran out some time ago. While a host may
 // still hold a lease it stays.
 func (h *Host) ageHosts(now time.Time) {
+	leased := h.broker.Held(now, h.registered)
 	for _, host := range h.state.Hosts {
 		id := lease.ID{Host: host.ID, Incarnation: host.Incarnation}
-		if h.broker.Held(now, id) {
+		if leased[id] {
 			h.lastHeld[id] = now
 			continue
 		}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/config"
@@ -44,6 +45,7 @@
 	control    *control.Host // nil without the control role
 	subscriber *control.Subscriber
 	watcher    *watch.Watcher
+	registry   *prometheus.Registry
 	view       *view.Box
 	replaced   chan struct{}
 	cancel     context.CancelFunc
@@ -82,7 +84,8 @@
 func (f *fleet) start(name string) *testHost {
 	f.t.Helper()
 	f.started++
-	h := &testHost{name: name, domain: "domain of " + name, view: view.NewBox(), replaced: make(chan struct{}), done: make(chan struct{})}
+	h := &testHost{name: name, domain: "domain of " + name, view: view.NewBox(), registry: prometheus.NewRegistry(),
+		replaced: make(chan struct{}), done: make(chan struct{})}
 	listen, isControl := "127.0.0.1:0", false
 	for _, c := range f.controls {
 		if c.Host == name {
@@ -92,7 +95,7 @@
 	h.peer = peer.NewNode(peer.Options{
 		Host: name, Fleet: "fleet", Secret: "a secret of the fleet", Incarnation: f.started,
 		Listen: listen, Transport: port{f.net, name}, Logger: logger().With("host", name),
-		OnReplaced: func() { close(h.replaced) },
+		OnReplaced: func() { close(h.replaced) }, Registry: h.registry,
 	})
 	if isControl {
 		h.control = control.New(control.Options{
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -64,9 +64,12 @@
 	floors map[string]joinFloor
 	// lastHeld is when a registered host was last seen with a lease.
 	lastHeld map[lease.ID]time.Time
-	roundEnd time.Time // when the lease round in flight is given up
-	duties   time.Time // when the duties of the leader are due
-	saveFail error
+	// registered are the registered processes of the state.
+	registered []lease.ID
+	roundEnd   time.Time // when the lease round in flight is given up
+	nextRound  time.Time // when the next lease round is due
+	duties     time.Time // when the duties of the leader are due
+	saveFail   error
 
 	leading bool
 	// confirmed is set once a leader has confirmed its quorum.
@@ -189,6 +192,7 @@
 	h.state = state
 	h.recent = recentStates{}
 	h.recent.add(state)
+	h.registered = processesOf(state)
 	h.broker.Abort()
 	h.subscribers = make(map[lease.ID]*subscription)
 	h.proposals = make(map[uint64]pendingProposal)
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/consensus"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/peer"
@@ -15,6 +16,10 @@
 // roundTimeout is how long a lease round may take before it is repeated.
 const roundTimeout = 800 * time.Millisecond
 
+// roundInterval is the time between two lease rounds, unless the next one tells
+// of a greater revision. Requests that arrive meanwhile share a round.
+const roundInterval = 100 * time.Millisecond
+
 // renewEvent is a request for a lease by a subscriber.
 type renewEvent struct {
 	from  peer.Identity
@@ -44,10 +49,14 @@
 
 // pumpLeases starts a lease round when subscribers wait and none is in flight.
 func (h *Host) pumpLeases(now time.Time) {
+	if now.Before(h.nextRound) && !h.broker.Progress() {
+		return
+	}
 	round, ok := h.broker.Begin(now)
 	if !ok {
 		return
 	}
+	h.nextRound = now.Add(roundInterval)
 	h.roundEnd = now.Add(roundTimeout)
 	if h.leading {
 		if err := h.node.ConfirmQuorum(round.ID); err != nil {
@@ -125,17 +134,19 @@
 		return h.broker.Settled()
 	}
 	before := h.broker.Settled()
-	settled := h.broker.Settle(now, h.state.Revision, h.electorate())
+	e := lease.Electorate{Holders: h.registered, Changed: h.state.HostsChanged}
+	settled := h.broker.Settle(now, h.state.Revision, e)
 	if settled > before && h.failover != nil {
 		h.failover.settled(now, settled)
 	}
 	return settled
 }
 
-func (h *Host) electorate() lease.Electorate {
-	e := lease.Electorate{Changed: h.state.HostsChanged}
-	for _, host := range h.state.Hosts {
-		e.Holders = append(e.Holders, lease.ID{Host: host.ID, Incarnation: host.Incarnation})
+// processesOf returns the registered processes of a state.
+func processesOf(s *agreed.State) []lease.ID {
+	ids := make([]lease.ID, 0, len(s.Hosts))
+	for _, host := range s.Hosts {
+		ids = append(ids, lease.ID{Host: host.ID, Incarnation: host.Incarnation})
 	}
-	return e
+	return ids
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -83,9 +83,10 @@
 		}
 		s.Controls = append(s.Controls, c)
 	}
+	leased := h.broker.Held(now, h.registered)
 	for _, host := range h.state.Hosts {
 		id := lease.ID{Host: host.ID, Incarnation: host.Incarnation}
-		s.Hosts = append(s.Hosts, HostStatus{Host: host, Leased: h.broker.Held(now, id)})
+		s.Hosts = append(s.Hosts, HostStatus{Host: host, Leased: leased[id]})
 	}
 	slices.SortFunc(s.Hosts, func(a, b HostStatus) int { return cmp.Compare(a.ID, b.ID) })
 	for _, g := range h.state.Groups {
--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -17,6 +17,8 @@
 	round    uint64 // the number of the round in flight, zero when there is none
 	rounds   uint64
 	settled  uint64
+	// reported is the revision in the last round.
+	reported uint64
 	// assumeUntil is when leases granted by former leaders have run out.
 	assumeUntil time.Time
 }
@@ -97,7 +99,14 @@
 	b.rounds++
 	b.round = b.rounds
 	b.inRound, b.waiting = b.waiting, nil
-	return Round{ID: b.round, Applied: b.minimum(), Holders: b.holders()}, true
+	b.reported = b.minimum()
+	return Round{ID: b.round, Applied: b.reported, Holders: b.holders()}, true
+}
+
+// Progress reports whether the next round would tell of a greater revision
+// than the last one.
+func (b *Broker) Progress() bool {
+	return len(b.waiting) > 0 && b.minimum() > b.reported
 }
 
 // Finish ends the round in flight with what the leader confirmed, and returns
@@ -137,18 +146,20 @@
 	delete(b.sessions, sessionKey{id: id})
 }
 
-// Held reports whether the process may hold a valid lease.
-func (b *Broker) Held(now time.Time, id ID) bool {
+// Held reports which of the processes may hold a valid lease.
+func (b *Broker) Held(now time.Time, ids []ID) map[ID]bool {
+	held := make(map[ID]bool)
 	if now.Before(b.assumeUntil) {
-		return true
+		for _, id := range ids {
+			held[id] = true
+		}
+		return held
 	}
 	b.expire(now)
-	for _, s := range b.sessions {
-		if slices.Contains(s.holders, id) {
-			return true
-		}
+	for _, id := range b.holders() {
+		held[id] = true
 	}
-	return false
+	return held
 }
 
 // Lead tells the broker that its host was elected leader. Former leaders may
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -90,11 +90,11 @@
 	b := NewBroker(DefaultConfig(), 0)
 	id := ID{"h", 1}
 	b.Receive(now, id, Renew{Seq: 1, Applied: 4})
-	if got := b.Settle(now, 9, Electorate{}); got != 4 || !b.Held(now, id) {
+	if got := b.Settle(now, 9, Electorate{}); got != 4 || !b.Held(now, []ID{id})[id] {
 		t.Fatalf("settled %d, want 4", got)
 	}
 	b.Release(id)
-	if got := b.Settle(now, 9, Electorate{}); got != 9 || b.Held(now, id) {
+	if got := b.Settle(now, 9, Electorate{}); got != 9 || b.Held(now, []ID{id})[id] {
 		t.Fatalf("settled %d, want 9", got)
 	}
 }
--- a/internal/lease/sim_test.go
+++ b/internal/lease/sim_test.go
@@ -231,7 +231,7 @@
 	reg, ok := s.registry[s.revision()][host]
 	switch s.rng.IntN(8) {
 	case 0:
-		if ok && lead.ready && !lead.broker.Held(s.local(lead.rate), ID{host, reg.incarnation}) {
+		if ok && lead.ready && !s.held(lead, ID{host, reg.incarnation}) {
 			s.commit(func(m map[string]simHost) { delete(m, host) })
 			return
 		}
@@ -242,6 +242,10 @@
 	s.commit(func(map[string]simHost) {})
 }
 
+func (s *sim) held(c *simControl, id ID) bool {
+	return c.broker.Held(s.local(c.rate), []ID{id})[id]
+}
+
 // startHolder starts a process and registers it. An older process of the same
 // host, if any, goes on running.
 func (s *sim) startHolder(host string) {
