--- a/cmd/bridgebench/commands.go
+++ b/cmd/bridgebench/commands.go
@@ -22,7 +22,9 @@
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the load"`
 	Out      string        `long:"out" default:"bench-out" description:"folder for result.json and plots"`
 	Policy   string        `long:"policy" default:"fair" description:"policy of the system under load, kept in the result"`
+	Faults   []string      `long:"fault" value-name:"AT=ACTION:TARGET" description:"fault to cause, such as 10s=isolate_primary:ledger-1 (repeatable)"`
 	Version  string        `long:"label" description:"version under load, kept in the result"`
+	Program  string        `long:"program" description:"built galenabridge; the run starts a fleet of its processes"`
 	Direct   bool          `long:"direct" description:"drive stand-in endpoints without the proxy"`
 	Lag      time.Duration `long:"replay-lag" description:"replay lag of the replicas that the run starts"`
 	Addrs    []string      `long:"addr" description:"entry host of a running system (repeatable)"`
@@ -37,6 +39,13 @@
 	if err != nil {
 		return err
 	}
+	for _, text := range c.Faults {
+		f, err := bench.ParseFault(text)
+		if err != nil {
+			return err
+		}
+		profile.Faults = append(profile.Faults, f)
+	}
 	target, end, err := c.target(ctx, profile)
 	if err != nil {
 		return err
@@ -74,10 +83,24 @@
 
 // target returns the system under load and a function that ends it.
 func (c *runCommand) target(ctx context.Context, p *bench.Profile) (bench.Target, func(), error) {
-	if !c.Direct {
+	switch {
+	case c.Program != "":
+		system, err := bench.StartSystem(ctx, bench.SystemOptions{
+			Profile: p, Program: c.Program, Policy: c.Policy, Lag: c.Lag,
+		})
+		if err != nil {
+			return bench.Target{}, nil, err
+		}
+		return system.Target(), system.Stop, nil
+	case !c.Direct:
 		target, err := c.running()
 		return target, func() {}, err
 	}
+	return c.direct(ctx, p)
+}
+
+// direct starts stand-in endpoints without the proxy.
+func (c *runCommand) direct(ctx context.Context, p *bench.Profile) (bench.Target, func(), error) {
 	direct, err := bench.NewDirect(p, c.Lag)
 	if err != nil {
 		return bench.Target{}, nil, err
@@ -96,7 +119,7 @@
 // running returns a system that was started elsewhere.
 func (c *runCommand) running() (bench.Target, error) {
 	if len(c.Addrs) == 0 {
-		return bench.Target{}, errors.New("name the system under load with --addr and --key, or use --direct")
+		return bench.Target{}, errors.New("name the system under load with --addr and --key, or use --program or --direct")
 	}
 	keys := make(map[string]string)
 	for _, pair := range c.Keys {
--- a/internal/bench/fault.go
+++ b/internal/bench/fault.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"sort"
+	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/config"
 )
 
 // Action names a fault.
@@ -34,6 +39,24 @@
 	return false
 }
 
+// ParseFault reads "AT=ACTION:TARGET", such as "10s=kill_host:host-2".
+func ParseFault(text string) (Fault, error) {
+	at, rest, ok := strings.Cut(text, "=")
+	if !ok {
+		return Fault{}, errors.Errorf("fault %q: want AT=ACTION:TARGET", text)
+	}
+	d, err := time.ParseDuration(at)
+	if err != nil {
+		return Fault{}, errors.Wrapf(err, "fault %q", text)
+	}
+	action, target, _ := strings.Cut(rest, ":")
+	f := Fault{At: config.Duration(d), Action: Action(action), Target: target}
+	if !f.Action.known() {
+		return Fault{}, errors.Errorf("fault %q: unknown action", text)
+	}
+	return f, nil
+}
+
 // Actuator causes faults in the system under load.
 type Actuator interface {
 	// Cause performs the action. It returns an error when it cannot.
--- /dev/null
+++ b/internal/quota/bucket.go
@@ -0,0 +1,40 @@
+package quota
+
+import "time"
+
+// bucket is a token bucket that is refilled on use.
+type bucket struct {
+	share  Share
+	level  float64
+	filled time.Time
+}
+
+// refill adds the tokens of the time since the last refill.
+func (b *bucket) refill(now time.Time) {
+	if now.After(b.filled) {
+		b.level = min(b.share.Burst, b.level+b.share.Rate*now.Sub(b.filled).Seconds())
+		b.filled = now
+	}
+}
+
+// resize changes the share and returns the tokens that no longer fit.
+func (b *bucket) resize(now time.Time, share Share) float64 {
+	b.refill(now)
+	b.share = share
+	excess := max(0, b.level-share.Burst)
+	b.level -= excess
+	return excess
+}
+
+// add puts tokens in, up to the burst.
+func (b *bucket) add(tokens float64) {
+	b.level = min(b.share.Burst, b.level+tokens)
+}
+
+// until returns the time until the bucket holds n tokens.
+func (b *bucket) until(n float64) time.Duration {
+	if b.level >= n {
+		return 0
+	}
+	return time.Duration((n - b.level) / b.share.Rate * float64(time.Second))
+}
--- /dev/null
+++ b/internal/quota/owner.go
@@ -0,0 +1,163 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+// Owner grants shares of the keys that belong to one control host. It is not
+// safe for concurrent use.
+type Owner struct {
+	cfg         Config
+	host        string
+	incarnation uint64
+	epoch       uint64
+	owners      []string
+	// since is when this process last took keys over.
+	since     time.Time
+	authority time.Time
+	limits    map[string]Limit
+	fresh     map[string]bool // limits without any former lease
+	keys      map[string]*ownedKey
+	lastID    uint64
+}
+
+// NewOwner returns the owner of a control host. The incarnation must be greater
+// than that of any former process of the host.
+func NewOwner(cfg Config, host string, incarnation uint64, now time.Time) *Owner {
+	return &Owner{
+		cfg: cfg.withDefaults(), host: host, incarnation: incarnation, since: now,
+		limits: map[string]Limit{}, fresh: map[string]bool{}, keys: map[string]*ownedKey{},
+	}
+}
+
+// SetEpoch tells the owner which hosts own keys in an epoch. Keys that it
+// already serves and keeps go on without interruption if the epoch is the next
+// one; after a gap another host may have served them in between, and they are
+// taken over as if new.
+func (o *Owner) SetEpoch(now time.Time, epoch uint64, owners []string) {
+	if epoch <= o.epoch {
+		return
+	}
+	next := epoch == o.epoch+1
+	o.epoch, o.owners, o.since = epoch, slices.Clone(owners), now
+	clear(o.fresh)
+	for key := range o.keys {
+		if !next || OwnerOf(key, o.owners) != o.host {
+			delete(o.keys, key)
+		}
+	}
+}
+
+// SetAuthority tells until when the host may act as an owner: the end of its
+// configuration lease.
+func (o *Owner) SetAuthority(until time.Time) { o.authority = until }
+
+// SetLimit sets the limit of a key. Fresh tells that no lease of the key can
+// exist because the key is new in the fleet; its whole burst is then available
+// at once. A zero limit removes the key.
+func (o *Owner) SetLimit(now time.Time, key string, limit Limit, fresh bool) {
+	if limit == (Limit{}) {
+		delete(o.limits, key)
+		delete(o.keys, key)
+		return
+	}
+	o.limits[key] = limit
+	if fresh {
+		o.fresh[key] = true
+	}
+	if k := o.keys[key]; k != nil {
+		k.setLimit(now, limit)
+	}
+}
+
+// Handle answers a request. A request of another epoch, or one that arrives
+// while the host has no authority, gets no grants.
+func (o *Owner) Handle(now time.Time, req Request) Reply {
+	reply := Reply{
+		Owner: o.host, Epoch: o.epoch, Incarnation: o.incarnation,
+		Holder: req.Incarnation, Seq: req.Seq,
+		LeaseMS: uint32(o.cfg.Lease.Milliseconds()),
+	}
+	if req.Epoch != o.epoch || !now.Before(o.authority) {
+		return reply
+	}
+	for _, a := range req.Asks {
+		if g, ok := o.ask(now, holderID{req.Host, req.Incarnation}, req.Seq, a); ok {
+			reply.Grants = append(reply.Grants, g)
+		}
+	}
+	return reply
+}
+
+func (o *Owner) ask(now time.Time, id holderID, seq uint64, a Ask) (Grant, bool) {
+	k := o.key(now, a.Key)
+	if k == nil {
+		return Grant{}, false
+	}
+	g := k.grantees[id]
+	if g == nil {
+		g = &grantee{}
+		k.grantees[id] = g
+	}
+	if seq <= g.seq {
+		return Grant{}, false
+	}
+	g.seq = seq
+	k.advance(now)
+	k.report(now, g, a)
+	if a.Release {
+		return Grant{}, false
+	}
+	o.lastID++
+	return k.grant(now, g, a, Stamp{Epoch: o.epoch, Incarnation: o.incarnation, ID: o.lastID}), true
+}
+
+// key returns the state of a key that this host owns, or nil.
+func (o *Owner) key(now time.Time, key string) *ownedKey {
+	if k := o.keys[key]; k != nil {
+		return k
+	}
+	limit, known := o.limits[key]
+	if !known || OwnerOf(key, o.owners) != o.host {
+		return nil
+	}
+	quarantine := o.since.Add(o.cfg.longer(o.cfg.Authority + o.cfg.Lease))
+	if o.fresh[key] {
+		quarantine = o.since
+	}
+	k := newOwnedKey(o.cfg, key, limit, now, quarantine)
+	if o.fresh[key] {
+		k.pool.level = limit.Burst
+		delete(o.fresh, key)
+	}
+	o.keys[key] = k
+	return k
+}
+
+// Forget reclaims the shares of a process that can no longer use them: the
+// caller knows that its configuration lease has run out.
+func (o *Owner) Forget(now time.Time, host string, incarnation uint64) {
+	for _, k := range o.keys {
+		if g := k.grantees[holderID{host, incarnation}]; g != nil {
+			k.advance(now)
+			k.drop(holderID{host, incarnation}, g)
+		}
+	}
+}
+
+// Tick reclaims leases that have run out. It should be called every second.
+func (o *Owner) Tick(now time.Time) {
+	for _, k := range o.keys {
+		k.expire(now)
+	}
+}
+
+// Pairs returns the number of (holder, key) pairs that the owner keeps.
+func (o *Owner) Pairs() int {
+	n := 0
+	for _, k := range o.keys {
+		n += len(k.grantees)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,255 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var testLimits = map[string]Limit{
+	"workspace/a": {Rate: 100, Burst: 40},
+	"workspace/b": {Rate: 20, Burst: 3},
+	"endpoint/x":  {Burst: 12},
+}
+
+const (
+	stepsPerRun   = 800
+	runsPerCheck  = 1
+	maxSeed       = 1 << 40
+	stepTime      = 20 * time.Millisecond
+	takesPerStep  = 4
+	chaosLoss     = 0.1
+	chaosMaxDelay = 600 * time.Millisecond
+)
+
+// chaos runs random faults for a number of steps: owners crash, are replaced
+// and isolated, entry hosts restart, messages are lost, late and duplicated.
+func (f *fleet) chaos(steps int) {
+	f.loss, f.maxDelay = chaosLoss, chaosMaxDelay
+	for i := 0; i < steps && f.violation() == ""; i++ {
+		f.step(time.Duration(f.rng.Int64N(int64(2 * stepTime))))
+		f.randomUse()
+		f.randomFault()
+	}
+}
+
+func (f *fleet) randomUse() {
+	for range takesPerStep {
+		e := f.entries[f.rng.IntN(len(f.entries))]
+		f.take(e, "workspace/a")
+		f.take(e, "workspace/a")
+		f.take(e, "workspace/b")
+		f.take(e, "endpoint/x")
+		if f.rng.IntN(2) == 0 {
+			if _, inUse := e.holder.Units(e.clock(f.now), "endpoint/x"); inUse > 0 {
+				e.holder.Put(e.clock(f.now), "endpoint/x", 1)
+			}
+		}
+	}
+}
+
+func (f *fleet) randomFault() {
+	c := f.controls[f.rng.IntN(len(f.controls))]
+	e := f.entries[f.rng.IntN(len(f.entries))]
+	switch f.rng.IntN(300) {
+	case 0:
+		f.startOwner(c)
+	case 1:
+		f.startHolder(e)
+	case 2:
+		f.changeOwners(f.randomOwners())
+	case 3, 4:
+		c.isolated = !c.isolated
+	case 5, 6:
+		e.isolated = !e.isolated
+	case 7, 8, 9, 10, 11, 12:
+		f.learnAll()
+	}
+}
+
+func (f *fleet) randomOwners() []string {
+	all := f.allControls()
+	f.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:1+f.rng.IntN(len(all))]
+}
+
+func TestLimitsHoldUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		first := rapid.Uint64Range(0, maxSeed).Draw(rt, "first seed")
+		for seed := first; seed < first+runsPerCheck; seed++ {
+			f := newFleet(seed, 3, 4, testLimits)
+			f.chaos(stepsPerRun)
+			if v := f.violation(); v != "" {
+				rt.Fatalf("seed %d: %s", seed, v)
+			}
+		}
+	})
+}
+
+// TestCheckFindsPlantedFaults shows that the check fails when an owner grants
+// without waiting for the leases of its predecessor, or when clocks drift more
+// than is allowed for.
+func TestCheckFindsPlantedFaults(t *testing.T) {
+	faults := map[string]func(f *fleet){
+		"no quarantine": func(f *fleet) { f.noQuarantine = true },
+		"drift": func(f *fleet) {
+			for _, e := range f.entries {
+				e.drift = 0.1
+			}
+		},
+	}
+	for name, plant := range faults {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(500) {
+				f := newFleet(seed, 3, 4, testLimits)
+				plant(f)
+				f.chaos(stepsPerRun)
+				if v := f.violation(); v != "" {
+					t.Logf("seed %d: %s", seed, v)
+					return
+				}
+			}
+			t.Fatal("no run broke a limit")
+		})
+	}
+}
+
+// load is a stream of requests that are retried until they are granted or have
+// waited for too long.
+type load struct {
+	fleet   *fleet
+	key     string
+	rate    float64 // requests per second over all hosts
+	patient time.Duration
+	waiting []waiting
+	served  int
+	refused int
+	perHost map[string]int
+}
+
+type waiting struct {
+	entry *entry
+	since time.Duration
+}
+
+// run offers requests with exponential gaps, more of them to the first hosts.
+func (l *load) run(rng *rand.Rand, d time.Duration) {
+	end := l.fleet.now + d
+	next := l.fleet.now
+	for l.fleet.now < end {
+		l.fleet.step(stepTime)
+		for ; next < l.fleet.now; next += time.Duration(rng.ExpFloat64() / l.rate * float64(time.Second)) {
+			n := len(l.fleet.entries)
+			e := l.fleet.entries[min(rng.IntN(n), rng.IntN(n))]
+			if !l.fleet.take(e, l.key) {
+				l.waiting = append(l.waiting, waiting{entry: e, since: l.fleet.now})
+				continue
+			}
+			l.done(e)
+		}
+		l.retry()
+	}
+}
+
+func (l *load) done(e *entry) {
+	l.served++
+	l.perHost[e.name]++
+}
+
+func (l *load) retry() {
+	var still []waiting
+	for _, w := range l.waiting {
+		switch {
+		case l.fleet.retry(w.entry, l.key):
+			l.done(w.entry)
+		case l.fleet.now-w.since > l.patient:
+			l.refused++
+		default:
+			still = append(still, w)
+		}
+	}
+	l.waiting = still
+}
+
+func newLoad(f *fleet, key string, rate float64) *load {
+	return &load{fleet: f, key: key, rate: rate, patient: 3 * time.Second, perHost: map[string]int{}}
+}
+
+// TestLoadInsideRateIsServed offers 85% of a rate through 9 hosts while an owner
+// restarts and a set of owners is replaced: nothing may be refused.
+func TestLoadInsideRateIsServed(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newFleet(seed, 3, 9, map[string]Limit{"workspace/a": {Rate: 200, Burst: 100}})
+		l := newLoad(f, "workspace/a", 170)
+		rng := rand.New(rand.NewPCG(seed, 9))
+		l.run(rng, 10*time.Second)
+		for _, c := range f.controls {
+			f.startOwner(c)
+		}
+		l.run(rng, 10*time.Second)
+		f.changeOwners([]string{"c1"})
+		f.learnAll()
+		l.run(rng, 20*time.Second)
+		if l.refused > 0 || f.violation() != "" {
+			t.Errorf("seed %d: %d refused of %d, violation %q", seed, l.refused, l.served+l.refused, f.violation())
+		}
+	}
+}
+
+// TestOverloadUsesTheWholeRate offers three times a rate.
+func TestOverloadUsesTheWholeRate(t *testing.T) {
+	f := newFleet(1, 3, 9, map[string]Limit{"workspace/a": {Rate: 200, Burst: 100}})
+	l := newLoad(f, "workspace/a", 600)
+	l.run(rand.New(rand.NewPCG(1, 9)), 60*time.Second)
+	if used := float64(l.served) / (200 * 60); used < 0.9 || f.violation() != "" {
+		t.Fatalf("used %.2f of the rate, violation %q", used, f.violation())
+	}
+	if !f.entries[0].holder.Take(f.entries[0].clock(f.now), "workspace/a", 1000).Over {
+		t.Fatal("the workspace is not told that it is over its rate")
+	}
+}
+
+// TestDeadHoldersShareIsReclaimed checks that units held by a process that has
+// ended can be used by another host.
+func TestDeadHoldersShareIsReclaimed(t *testing.T) {
+	f := newFleet(1, 1, 2, map[string]Limit{"endpoint/x": {Burst: 4}})
+	taken := func(e *entry) float64 {
+		for range 200 {
+			f.step(stepTime)
+			f.take(e, "endpoint/x")
+		}
+		_, inUse := e.holder.Units(e.clock(f.now), "endpoint/x")
+		return inUse
+	}
+	if got := taken(f.entries[0]); got != 4 {
+		t.Fatalf("one holder got %v of 4 units", got)
+	}
+	if got := taken(f.entries[1]); got != 0 {
+		t.Fatalf("the second holder got %v units in use by the first", got)
+	}
+	f.startHolder(f.entries[0])
+	if got := taken(f.entries[1]); got != 4 {
+		t.Fatalf("the second holder got %v of 4 units after the first ended", got)
+	}
+}
+
+func TestRendezvousMovesFewKeys(t *testing.T) {
+	before, after := []string{"a", "b", "c"}, []string{"a", "b", "c", "d"}
+	moved := 0
+	for i := range 4000 {
+		key := fmt.Sprint("workspace/", i)
+		from, to := OwnerOf(key, before), OwnerOf(key, after)
+		if from != to && to != "d" {
+			t.Fatalf("%s moved from %s to %s", key, from, to)
+		}
+		if from != to {
+			moved++
+		}
+	}
+	if moved < 800 || moved > 1200 {
+		t.Fatalf("%d of 4000 keys moved to the fourth owner", moved)
+	}
+}
--- /dev/null
+++ b/internal/quota/types.go
@@ -0,0 +1,138 @@
+package quota
+
+import (
+	"cmp"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultLease     = 8 * time.Second
+	DefaultAuthority = 3 * time.Second
+	DefaultRenew     = time.Second
+	DefaultIdle      = 2 * time.Second
+	// DefaultDrift is the greatest relative difference between the clock rates
+	// of two hosts.
+	DefaultDrift = 0.001
+)
+
+// Config holds the settings that owners and holders share. Zero values select
+// the defaults.
+type Config struct {
+	// Lease is how long a holder may use a share after its request was sent.
+	Lease time.Duration
+	// Authority is how long a control host may act as owner after it was
+	// replaced without knowing, which is the length of a configuration lease.
+	Authority time.Duration
+	// Renew is the interval of requests for a key whose demand is steady.
+	Renew time.Duration
+	// Idle is the time without demand after which a holder gives a share back.
+	Idle  time.Duration
+	Drift float64
+}
+
+func (c Config) withDefaults() Config {
+	c.Lease = cmp.Or(c.Lease, DefaultLease)
+	c.Authority = cmp.Or(c.Authority, DefaultAuthority)
+	c.Renew = cmp.Or(c.Renew, DefaultRenew)
+	c.Idle = cmp.Or(c.Idle, DefaultIdle)
+	c.Drift = cmp.Or(c.Drift, DefaultDrift)
+	return c
+}
+
+// longer returns d prolonged by the drift allowance.
+func (c Config) longer(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*c.Drift)
+}
+
+// Limit is what all hosts together may use of a key. A limit without a rate is
+// a number of units that are returned after use, such as connections.
+type Limit struct {
+	// Rate is in tokens per second.
+	Rate float64
+	// Burst is in tokens, or the number of units.
+	Burst float64
+}
+
+// Share is a part of a limit.
+type Share struct {
+	Rate  float64 `cbor:"1,keyasint,omitempty"`
+	Burst float64 `cbor:"2,keyasint,omitempty"`
+}
+
+func (s Share) plus(o Share) Share  { return Share{s.Rate + o.Rate, s.Burst + o.Burst} }
+func (s Share) minus(o Share) Share { return Share{s.Rate - o.Rate, s.Burst - o.Burst} }
+func (s Share) max(o Share) Share   { return Share{max(s.Rate, o.Rate), max(s.Burst, o.Burst)} }
+func (s Share) min(o Share) Share   { return Share{min(s.Rate, o.Rate), min(s.Burst, o.Burst)} }
+
+// Stamp orders the grants of a key: by epoch, then by the owner's incarnation,
+// then by the order in which the owner made them.
+type Stamp struct {
+	Epoch       uint64 `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	ID          uint64 `cbor:"3,keyasint"`
+}
+
+// Compare returns -1, 0 or 1 as s is older than, equal to or newer than o.
+func (s Stamp) Compare(o Stamp) int {
+	return cmp.Or(cmp.Compare(s.Epoch, o.Epoch), cmp.Compare(s.Incarnation, o.Incarnation), cmp.Compare(s.ID, o.ID))
+}
+
+// Request is sent by a holder to an owner, for all keys that are due.
+type Request struct {
+	Host        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	// Epoch numbers the set of owners that the holder knows.
+	Epoch uint64 `cbor:"3,keyasint"`
+	// Seq grows with each request of the holder.
+	Seq  uint64 `cbor:"4,keyasint"`
+	Asks []Ask  `cbor:"5,keyasint"`
+}
+
+// Ask is the part of a request for one key.
+type Ask struct {
+	Key string `cbor:"1,keyasint"`
+	// Demand is in tokens per second, or units wanted.
+	Demand float32 `cbor:"2,keyasint,omitempty"`
+	// Level is the number of unspent tokens of the holder.
+	Level float32 `cbor:"3,keyasint,omitempty"`
+	// Returned tokens no longer fit the holder's share.
+	Returned float64 `cbor:"4,keyasint,omitempty"`
+	// Held is the lease in use, nil for none.
+	Held *Held `cbor:"5,keyasint,omitempty"`
+	// Release tells that the holder no longer uses any lease of the key.
+	Release bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Held reports a lease.
+type Held struct {
+	Stamp Stamp `cbor:"1,keyasint"`
+	// Share includes units still in use beyond the granted ones.
+	Share Share `cbor:"2,keyasint"`
+	// RemainingMS is the time until the lease ends, in milliseconds, rounded up.
+	RemainingMS uint32 `cbor:"3,keyasint"`
+}
+
+// Reply answers a Request with the same Seq.
+type Reply struct {
+	Owner       string `cbor:"1,keyasint"`
+	Epoch       uint64 `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"3,keyasint"`
+	// Holder is the incarnation in the request, so that an answer to a former
+	// process of the host is not taken for one to the present process.
+	Holder  uint64  `cbor:"4,keyasint"`
+	Seq     uint64  `cbor:"5,keyasint"`
+	LeaseMS uint32  `cbor:"6,keyasint"`
+	Grants  []Grant `cbor:"7,keyasint,omitempty"`
+}
+
+// Grant replaces the holder's share of a key.
+type Grant struct {
+	Key   string `cbor:"1,keyasint"`
+	ID    uint64 `cbor:"2,keyasint"`
+	Share Share  `cbor:"3,keyasint"`
+	// Tokens are moved from the owner's bucket to the holder's.
+	Tokens float64 `cbor:"4,keyasint,omitempty"`
+	// Over reports that the demand of all holders is above the limit.
+	Over bool `cbor:"5,keyasint,omitempty"`
+}
--- a/internal/standin/wal.go
+++ b/internal/standin/wal.go
@@ -45,6 +45,8 @@
 	lastCommit int64
 	changed    chan struct{}
 	file       *walFile
+	// texts shares the text of statements that recur.
+	texts map[string]string
 }
 
 func newWAL() *wal {
@@ -52,6 +54,24 @@
 		history:  []timeline{{Number: 1, Start: firstLSN, Origin: "initial"}},
 		replayed: firstLSN,
 		changed:  make(chan struct{}),
+		texts:    make(map[string]string),
+	}
+}
+
+// maxTexts bounds the texts that are shared.
+const maxTexts = 1024
+
+// shareTexts replaces the texts of changes by equal ones in use already.
+func (w *wal) shareTexts(changes []change) {
+	for i, c := range changes {
+		known, ok := w.texts[c.SQL]
+		if ok {
+			changes[i].SQL = known
+			continue
+		}
+		if len(w.texts) < maxTexts {
+			w.texts[c.SQL] = c.SQL
+		}
 	}
 }
 
@@ -131,6 +151,7 @@
 func (w *wal) appendLocal(changes []change) (LSN, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.shareTexts(changes)
 	now := time.Now()
 	r := record{
 		End: w.flushedLocked() + recordSize(changes), Changes: changes,
@@ -156,6 +177,7 @@
 		if err := w.file.append(r); err != nil {
 			return err
 		}
+		w.shareTexts(r.Changes)
 		r.flushedAt = time.Now()
 		w.records = append(w.records, r)
 	}
