Share rates, connections and slots among hosts by quota leases

Cause: rates were unlimited and connections and slots split evenly, so nine hosts with five slots each got one whether they had work or not. Change: internal/limits runs quota owners on control hosts and a holder on each entry host; the agreed state numbers the set of owners; pools and gates follow their shares; connections for probes are kept aside. A waiting request is refused early only when the workspace is over its rate in the whole fleet and those ahead fill the time until its deadline. Before: no limit on a workspace. Conclusion: one mechanism serves rates, connections and slots.

--- a/bridge/host.go
+++ b/bridge/host.go
@@ -17,6 +17,7 @@
 	"github.com/galenabridge/galenabridge/internal/control"
 	"github.com/galenabridge/galenabridge/internal/entry"
 	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/limits"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/view"
 	"github.com/galenabridge/galenabridge/internal/watch"
@@ -50,12 +51,15 @@
 type Host struct {
 	opts       Options
 	settings   *config.Settings
+	timing     lease.Config
 	log        *log.Logger
 	registry   *prometheus.Registry
 	peers      *peer.Node
 	view       *view.Box
 	subscriber *control.Subscriber
 	control    *control.Host
+	owner      *limits.Owner
+	holder     *limits.Holder
 	entry      *entry.Server
 	admin      *admin.Server
 	// accepting is the answer to the balancer's health check.
@@ -73,6 +77,7 @@
 	h := &Host{
 		opts:     opts,
 		settings: opts.Settings,
+		timing:   lease.DefaultConfig(),
 		log:      opts.Logger.With("host", opts.Settings.Host),
 		registry: prometheus.NewRegistry(),
 		view:     view.NewBox(),
@@ -127,7 +132,6 @@
 }
 
 func (h *Host) buildControl() {
-	timing := lease.DefaultConfig()
 	if c := h.settings.Control; c != nil {
 		h.control = control.New(control.Options{
 			Fleet:     h.settings.Fleet,
@@ -135,10 +139,11 @@
 			Bootstrap: c.Bootstrap,
 			Controls:  h.settings.Controls,
 			Peer:      h.peers,
-			Lease:     timing,
+			Lease:     h.timing,
 			Logger:    h.log,
 			Databases: watch.NewProber(),
 		})
+		h.owner = limits.NewOwner(h.peers, h.view, h.timing, h.log)
 	}
 	h.subscriber = control.NewSubscriber(control.SubscriberOptions{
 		Fleet:    h.settings.Fleet,
@@ -147,7 +152,7 @@
 		Control:  h.settings.Control != nil,
 		Controls: h.settings.Controls,
 		Peer:     h.peers,
-		Lease:    timing,
+		Lease:    h.timing,
 		Logger:   h.log,
 		View:     h.view,
 	})
@@ -158,19 +163,29 @@
 		return nil
 	}
 	link := entry.NewPeerLink(h.peers, h.view)
-	server, err := entry.NewServer(entry.Options{
+	opts := entry.Options{
 		Settings:   h.settings,
 		View:       h.view,
 		Peers:      link,
 		Cancels:    link,
-		Baseline:   h.opts.Policy == PolicyFIFO,
 		Log:        h.log,
 		Registerer: h.registry,
-	})
+	}
+	h.holder = limits.NewHolder(h.peers, h.view, h.timing, h.log)
+	if h.opts.Policy == PolicyFIFO {
+		opts.Baseline = true
+		opts.Limiter = limits.NewStatic(h.view)
+	} else {
+		opts.Limiter = h.holder
+		opts.Connections = h.holder.Connections
+		opts.Slots = h.holder.Slots
+	}
+	server, err := entry.NewServer(opts)
 	if err != nil {
 		return err
 	}
 	h.entry = server
+	h.holder.SetPool(server)
 	server.ServePeers(h.peers)
 	return nil
 }
--- a/bridge/run.go
+++ b/bridge/run.go
@@ -51,9 +51,11 @@
 	tree := supervise.New(h.settings.Host, h.log)
 	if h.control != nil {
 		tree.Add("control", h.control)
+		tree.Add("owner", h.owner)
 	}
 	tree.Add("subscriber", h.subscriber)
 	if h.entry != nil {
+		tree.Add("holder", h.holder)
 		tree.Add("watcher", watch.NewWatcher(h.settings.Host, h.settings.Domain, h.view, h.subscriber.Observe))
 	}
 	return tree
--- a/internal/agreed/apply_host.go
+++ b/internal/agreed/apply_host.go
@@ -29,6 +29,9 @@
 	if known.Entry && known.Incarnation != h.Incarnation {
 		next.Departed = index
 	}
+	if known.Control != h.Control {
+		next.OwnersEpoch++
+	}
 	next.HostsChanged = index
 	return next, Outcome{}
 }
@@ -45,6 +48,9 @@
 	if known.Entry {
 		next.Departed = index
 	}
+	if known.Control {
+		next.OwnersEpoch++
+	}
 	next.HostsChanged = index
 	return next, Outcome{}
 }
--- a/internal/agreed/delta.go
+++ b/internal/agreed/delta.go
@@ -33,6 +33,8 @@
 	Departed uint64 `cbor:"12,keyasint,omitempty"`
 	// HostsChanged is the revision of the last change of the hosts.
 	HostsChanged uint64 `cbor:"13,keyasint,omitempty"`
+	// OwnersEpoch numbers the set of control hosts after the change.
+	OwnersEpoch uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // ErrGap is returned by Patch when the delta does not start at the state.
@@ -54,6 +56,7 @@
 		Departed:   to.Departed,
 
 		HostsChanged: to.HostsChanged,
+		OwnersEpoch:  to.OwnersEpoch,
 	}
 	for _, stamp := range to.History {
 		if stamp.Number > from.Catalog.Stamp.Number {
@@ -107,6 +110,7 @@
 	next.Endpoints = patchMap(s.Endpoints, d.Endpoints)
 	next.Groups = patchMap(s.Groups, d.Groups)
 	next.HostsChanged = d.HostsChanged
+	next.OwnersEpoch = d.OwnersEpoch
 	return next, nil
 }
 
--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -79,4 +79,7 @@
 	Departed uint64 `json:"departed,omitempty" cbor:"8,keyasint,omitempty"`
 	// HostsChanged is the revision of the last change of Hosts.
 	HostsChanged uint64 `json:"hosts_changed,omitempty" cbor:"9,keyasint,omitempty"`
+	// OwnersEpoch grows by one with each change of the set of control hosts,
+	// among which the owners of quotas are chosen.
+	OwnersEpoch uint64 `json:"owners_epoch,omitempty" cbor:"10,keyasint,omitempty"`
 }
--- a/internal/entry/backends.go
+++ b/internal/entry/backends.go
@@ -144,6 +144,26 @@
 	}()
 }
 
+// stats returns the state of the pools in use by endpoint.
+func (b *backends) stats() map[string]pgback.Stats {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	all := make(map[string]pgback.Stats, len(b.members))
+	for id, member := range b.members {
+		all[id] = member.pool.Stats()
+	}
+	return all
+}
+
+// resize makes the pools follow changed caps.
+func (b *backends) resize() {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for id, member := range b.members {
+		member.pool.SetLimit(b.limit(member.service, id) - 1)
+	}
+}
+
 func (m *backend) close() {
 	m.stop()
 	m.pool.Close()
@@ -179,12 +199,17 @@
 	}, true
 }
 
-// evenShare shares a cap of a service evenly among the entry hosts.
-func evenShare(src view.Source, whole func(note.Service) int) func(service, endpoint string) int {
+// minConnections is the least even share of an endpoint's connections: one for
+// the monitor and one for requests.
+const minConnections = 2
+
+// evenShare shares a cap of a service evenly among the entry hosts; each gets at
+// least the given number.
+func evenShare(src view.Source, least int, whole func(note.Service) int) func(service, endpoint string) int {
 	return func(service, _ string) int {
 		state := src.Current().State
 		if state == nil {
-			return 1
+			return least
 		}
 		hosts := 0
 		for _, h := range state.Hosts {
@@ -192,6 +217,6 @@
 				hosts++
 			}
 		}
-		return max(whole(state.Catalog.Services[service])/max(hosts, 1), 1)
+		return max(whole(state.Catalog.Services[service])/max(hosts, 1), least)
 	}
 }
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -111,5 +111,5 @@
 	if o.Slots != nil {
 		return o.Slots
 	}
-	return evenShare(o.View, func(svc note.Service) int { return svc.Slots })
+	return evenShare(o.View, 1, func(svc note.Service) int { return svc.Slots })
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -69,7 +69,7 @@
 	}
 	limit := opts.Connections
 	if limit == nil {
-		limit = evenShare(opts.View, func(svc note.Service) int { return svc.Connections })
+		limit = evenShare(opts.View, minConnections, func(svc note.Service) int { return svc.Connections })
 	}
 	s.setPorts()
 	observers := opts.Observers
--- /dev/null
+++ b/internal/limits/holder.go
@@ -0,0 +1,139 @@
+package limits
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/quota"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+// Usage is what a host does with one endpoint.
+type Usage struct {
+	Endpoint string
+	// Connections are open, WantedConnections open or asked for.
+	Connections       int
+	WantedConnections int
+	// Slots are taken, WantedSlots taken or asked for.
+	Slots       int
+	WantedSlots int
+}
+
+// Pool is the part of an entry host that uses connections and slots.
+type Pool interface {
+	// Usage lists the endpoints in use.
+	Usage() []Usage
+	// Resize makes the host follow changed shares.
+	Resize()
+}
+
+// Holder holds the shares of this entry host. It implements entry.Limiter.
+type Holder struct {
+	peers *peer.Node
+	view  view.Source
+	log   *log.Logger
+	pool  Pool
+
+	mu     sync.Mutex
+	quota  *quota.Holder
+	queues map[string]*queue
+	wake   chan struct{}
+}
+
+// NewHolder returns a Holder and registers its handler with the peer node. Call
+// it before the node runs, and SetPool before Run.
+func NewHolder(peers *peer.Node, src view.Source, cfg lease.Config, logger *log.Logger) *Holder {
+	h := &Holder{
+		peers: peers, view: src, log: logger,
+		quota:  quota.NewHolder(quotaConfig(cfg), peers.Host(), peers.Incarnation()),
+		queues: make(map[string]*queue),
+		wake:   make(chan struct{}, 1),
+	}
+	peer.On(peers, peer.KindQuotaOK, func(_ peer.Identity, r quota.Reply) { h.receive(r) })
+	return h
+}
+
+// SetPool sets the user of connections and slots.
+func (h *Holder) SetPool(p Pool) { h.pool = p }
+
+// Connections returns how many connections to an endpoint the host may have.
+func (h *Holder) Connections(_, endpoint string) int { return h.units(connectionKey(endpoint)) }
+
+// Slots returns how many statements the host may run at once on an endpoint.
+func (h *Holder) Slots(_, endpoint string) int { return h.units(slotKey(endpoint)) }
+
+func (h *Holder) units(key string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	allowed, _ := h.quota.Units(time.Now(), key)
+	return int(allowed)
+}
+
+// Run asks owners for shares and serves waiting requests until ctx ends.
+func (h *Holder) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			h.round(time.Now())
+		case <-h.wake:
+		case <-timer.C:
+		}
+		timer.Reset(h.serve(time.Now()))
+	}
+}
+
+// round reports the use of units and sends the requests that are due.
+func (h *Holder) round(now time.Time) {
+	state := h.view.Current().State
+	if state == nil {
+		return
+	}
+	usage := h.pool.Usage()
+	h.mu.Lock()
+	h.quota.SetEpoch(state.OwnersEpoch, owners(state))
+	for _, u := range usage {
+		h.quota.Report(now, connectionKey(u.Endpoint), float64(u.Connections), float64(u.WantedConnections))
+		h.quota.Report(now, slotKey(u.Endpoint), float64(u.Slots), float64(u.WantedSlots))
+	}
+	batches := h.quota.Requests(now)
+	h.mu.Unlock()
+	h.send(state, batches)
+	h.pool.Resize()
+}
+
+func (h *Holder) send(state *agreed.State, batches []quota.Batch) {
+	for _, b := range batches {
+		addr := state.Hosts[b.Owner].PeerAddr
+		if err := h.peers.Send(b.Owner, addr, peer.KindQuota, b.Request); err != nil {
+			h.log.Debug("quota_request_failed", "peer", b.Owner, "err", err)
+		}
+	}
+}
+
+func (h *Holder) receive(r quota.Reply) {
+	h.mu.Lock()
+	h.quota.Receive(time.Now(), r)
+	h.mu.Unlock()
+	h.pool.Resize()
+	h.notify()
+}
+
+// notify makes Run look at the waiting requests.
+func (h *Holder) notify() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,207 @@
+package limits
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/quota"
+	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+const (
+	testTimeout   = 60 * time.Second
+	testWorkspace = "crew"
+	testRate      = 50
+	testBurst     = 10
+)
+
+// fleet holds control and entry hosts that follow one state.
+type fleet struct {
+	t     *testing.T
+	state *agreed.State
+	hosts map[string]*testHost
+}
+
+type testHost struct {
+	peers  *peer.Node
+	view   *view.Box
+	holder *Holder
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// noPool uses neither connections nor slots.
+type noPool struct{}
+
+func (noPool) Usage() []Usage { return nil }
+func (noPool) Resize()        {}
+
+func newFleet(t *testing.T, controls, entries int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, state: agreed.New(), hosts: make(map[string]*testHost)}
+	f.state.Revision, f.state.OwnersEpoch = 1, 1
+	f.state.Hosts = make(map[string]agreed.Host)
+	f.state.Catalog.Stamp.Number = 1
+	f.state.Catalog.Workspaces = map[string]note.Workspace{
+		testWorkspace: {Name: testWorkspace, Rate: testRate, Burst: testBurst},
+	}
+	for i := range controls {
+		f.add(fmt.Sprintf("control-%d", i), true)
+	}
+	for i := range entries {
+		f.add(fmt.Sprintf("entry-%d", i), false)
+	}
+	f.publish()
+	return f
+}
+
+func (f *fleet) add(id string, control bool) {
+	logger := log.New(io.Discard)
+	h := &testHost{view: view.NewBox()}
+	h.peers = peer.NewNode(peer.Options{
+		Host: id, Fleet: "test", Secret: "0123456789abcdef", Incarnation: 1,
+		Listen: "127.0.0.1:0", Registry: prometheus.NewRegistry(), Logger: logger,
+	})
+	if err := h.peers.Listen(); err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	if control {
+		owner := NewOwner(h.peers, h.view, lease.DefaultConfig(), logger)
+		h.done.Go(func() { _ = owner.Run(ctx) })
+	} else {
+		h.holder = NewHolder(h.peers, h.view, lease.DefaultConfig(), logger)
+		h.holder.SetPool(noPool{})
+		h.done.Go(func() { _ = h.holder.Run(ctx) })
+	}
+	h.done.Go(func() { _ = h.peers.Run(ctx) })
+	f.hosts[id] = h
+	f.state.Hosts[id] = agreed.Host{
+		ID: id, PeerAddr: h.peers.Addr(), Incarnation: 1, Control: control, Entry: !control,
+	}
+	f.t.Cleanup(func() { f.kill(id) })
+}
+
+func (f *fleet) kill(id string) {
+	f.hosts[id].stop()
+	f.hosts[id].done.Wait()
+}
+
+// publish gives all hosts the present state with a lease that outlasts the test.
+func (f *fleet) publish() {
+	for _, h := range f.hosts {
+		h.view.Publish(view.View{State: f.state, ValidUntil: time.Now().Add(testTimeout)})
+	}
+}
+
+// remove takes a control host out of the agreed state.
+func (f *fleet) remove(id string) {
+	next := *f.state
+	next.Hosts = make(map[string]agreed.Host)
+	for name, h := range f.state.Hosts {
+		if name != id {
+			next.Hosts[name] = h
+		}
+	}
+	next.Revision++
+	next.OwnersEpoch++
+	f.state = &next
+	f.publish()
+}
+
+func TestFleetNeverPassesTheRate(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	var granted atomic.Int64
+	start := time.Now()
+	var callers sync.WaitGroup
+	for i := range 3 {
+		holder := f.hosts[fmt.Sprintf("entry-%d", i)].holder
+		for range 4 {
+			callers.Go(func() {
+				for granted.Load() < 3*testRate && ctx.Err() == nil {
+					if holder.Acquire(ctx, testWorkspace) == nil {
+						granted.Add(1)
+					}
+				}
+			})
+		}
+	}
+	callers.Wait()
+	elapsed := time.Since(start).Seconds()
+	if most := testRate*elapsed + testBurst; float64(granted.Load()) > most {
+		t.Errorf("%d grants in %.2f s, at most %.0f are allowed", granted.Load(), elapsed, most)
+	}
+	if granted.Load() < 3*testRate {
+		t.Errorf("only %d grants before the timeout", granted.Load())
+	}
+}
+
+// TestAnOwnerIsReplaced kills the owner of the workspace's rate. Callers who can
+// wait are served all the time.
+func TestAnOwnerIsReplaced(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	acquire := func(n int) {
+		t.Helper()
+		for i := range n {
+			holder := f.hosts[fmt.Sprintf("entry-%d", i%2)].holder
+			if err := holder.Acquire(ctx, testWorkspace); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	acquire(20)
+	owner := ownerOf(f.state, rateKey(testWorkspace))
+	f.kill(owner)
+	acquire(20)
+	f.remove(owner)
+	acquire(20)
+}
+
+func TestAHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	holder := f.hosts["entry-0"].holder
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	var refused atomic.Int64
+	var callers sync.WaitGroup
+	for range 4 * testRate {
+		callers.Go(func() {
+			for refused.Load() == 0 && ctx.Err() == nil {
+				callCtx, done := context.WithTimeout(ctx, time.Second)
+				err := holder.Acquire(callCtx, testWorkspace)
+				early := callCtx.Err() == nil
+				done()
+				if result.CodeOf(err) == result.RateExceeded && early {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	if refused.Load() == 0 {
+		t.Error("nobody was refused before the deadline at several times the rate")
+	}
+}
+
+// ownerOf returns the owner of a key in a state.
+func ownerOf(state *agreed.State, key string) string {
+	return quota.OwnerOf(key, owners(state))
+}
--- /dev/null
+++ b/internal/limits/queue.go
@@ -0,0 +1,147 @@
+package limits
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// idleWait is the pause of the holder's task when no request waits.
+const idleWait = time.Minute
+
+// minWait is the least pause between two attempts to serve a request.
+const minWait = time.Millisecond
+
+// queue holds the requests of one workspace that wait for tokens, in order of
+// arrival.
+type queue struct {
+	waiters []*waiter
+	// over tells that the demand of the fleet is above the workspace's rate.
+	over bool
+}
+
+type waiter struct {
+	deadline time.Time
+	ready    chan error // buffered
+}
+
+// Acquire implements entry.Limiter. A request waits for tokens until its
+// deadline. It is refused early only when the workspace is over its rate across
+// the fleet and the requests ahead already fill the time until the deadline.
+func (h *Holder) Acquire(ctx context.Context, workspace string) error {
+	w, err := h.offer(ctx, workspace)
+	if w == nil {
+		return err
+	}
+	select {
+	case err := <-w.ready:
+		return err
+	case <-ctx.Done():
+		return h.abandon(workspace, w)
+	}
+}
+
+// offer takes a token, or returns the waiter that stands for the request.
+func (h *Holder) offer(ctx context.Context, workspace string) (*waiter, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	key := rateKey(workspace)
+	h.quota.Offer(now, key, 1)
+	q := h.queues[workspace]
+	if q == nil {
+		if h.quota.Take(now, key, 1).Granted {
+			return nil, nil
+		}
+		q = &queue{}
+		h.queues[workspace] = q
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = now.Add(idleWait)
+	}
+	if wait, hopeless := h.hopeless(now, workspace, q, deadline); hopeless {
+		return nil, rateExceeded(workspace, wait)
+	}
+	w := &waiter{deadline: deadline, ready: make(chan error, 1)}
+	q.waiters = append(q.waiters, w)
+	h.notify()
+	return w, nil
+}
+
+// hopeless reports whether a new request cannot be served before its deadline,
+// and how long it would have to wait.
+func (h *Holder) hopeless(now time.Time, workspace string, q *queue, deadline time.Time) (time.Duration, bool) {
+	if !q.over {
+		return 0, false
+	}
+	rate := h.quota.Rate(now, rateKey(workspace))
+	if rate <= 0 {
+		return 0, false
+	}
+	wait := time.Duration(float64(len(q.waiters)+1) / rate * float64(time.Second))
+	return wait, now.Add(wait).After(deadline)
+}
+
+// abandon ends the wait of a request whose context has ended.
+func (h *Holder) abandon(workspace string, w *waiter) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	q := h.queues[workspace]
+	if q == nil || !q.remove(w) {
+		return <-w.ready // served meanwhile
+	}
+	over := q.over
+	if len(q.waiters) == 0 {
+		delete(h.queues, workspace)
+	}
+	if over {
+		return rateExceeded(workspace, time.Second)
+	}
+	return result.New(result.DeadlineInQueue, "waiting for the rate of workspace %q", workspace)
+}
+
+func (q *queue) remove(w *waiter) bool {
+	for i, other := range q.waiters {
+		if other == w {
+			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func rateExceeded(workspace string, wait time.Duration) error {
+	err := result.New(result.RateExceeded, "workspace %q is over its rate; retry after %d ms", workspace, wait.Milliseconds())
+	err.RetryAfter = wait
+	return err
+}
+
+// serve gives tokens to waiting requests and returns the time until the next
+// attempt.
+func (h *Holder) serve(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := idleWait
+	for workspace, q := range h.queues {
+		next = min(next, h.serveQueue(now, workspace, q))
+		if len(q.waiters) == 0 {
+			delete(h.queues, workspace)
+		}
+	}
+	return max(next, minWait)
+}
+
+func (h *Holder) serveQueue(now time.Time, workspace string, q *queue) time.Duration {
+	for len(q.waiters) > 0 {
+		decision := h.quota.Take(now, rateKey(workspace), 1)
+		q.over = decision.Over
+		if !decision.Granted {
+			return decision.Wait
+		}
+		q.waiters[0].ready <- nil
+		q.waiters = q.waiters[1:]
+	}
+	return idleWait
+}
--- a/internal/pgback/pool.go
+++ b/internal/pgback/pool.go
@@ -47,8 +47,9 @@
 }
 
 // NewPool returns a pool that opens at most limit connections to the target.
+// While the limit is zero, requests wait.
 func NewPool(target Target, limit int) *Pool {
-	return &Pool{target: target, dial: Dial, limit: max(limit, 1)}
+	return &Pool{target: target, dial: Dial, limit: max(limit, 0)}
 }
 
 // Target returns the endpoint and credentials of the pool.
@@ -58,7 +59,7 @@
 // are closed as they are returned.
 func (p *Pool) SetLimit(limit int) {
 	p.mu.Lock()
-	p.limit = max(limit, 1)
+	p.limit = max(limit, 0)
 	surplus := p.trim(time.Time{})
 	p.grow()
 	p.mu.Unlock()
--- a/internal/quota/held.go
+++ b/internal/quota/held.go
@@ -18,8 +18,12 @@
 
 // heldKey is the state of one key at a holder.
 type heldKey struct {
-	name    string
-	units   bool
+	name  string
+	units bool
+	// counted tells that the host counts its units itself; wanted is how many
+	// it wants in all.
+	counted bool
+	wanted  float64
 	stamp   Stamp
 	expires time.Time
 	bucket  bucket
@@ -53,6 +57,10 @@
 
 // measure updates the estimate of demand, an exponential moving average.
 func (k *heldKey) measure(now time.Time) {
+	if k.counted {
+		k.demand = k.wanted
+		return
+	}
 	if k.units {
 		k.demand = k.inUse
 		if k.short {
