Name the holders behind a relay only when they change

Cause: a relay named every host behind it in each request to the leader.

Change: while the list is that of an earlier, answered request, the relay refers to that request instead.

--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -68,7 +68,7 @@
 	if leader == "" {
 		return
 	}
-	request := lease.Renew{Seq: round.ID, Applied: round.Applied, Relay: true, Holders: round.Holders}
+	request := lease.Renew{Seq: round.ID, Applied: round.Applied, Relay: true, Holders: round.Holders, Base: round.Base}
 	if err := h.opts.Peer.Send(leader, h.addr(leader), peer.KindRenew, request); err != nil {
 		h.log.Debug("renew_failed", "leader", leader, "err", err)
 	}
--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -19,6 +19,11 @@
 	settled  uint64
 	// reported is the revision in the last round.
 	reported uint64
+	// listed are the holders in the round with number listedIn. The list may be
+	// referred to once that round was answered.
+	listed   []ID
+	listedIn uint64
+	answered bool
 	// assumeUntil is when leases granted by former leaders have run out.
 	assumeUntil time.Time
 }
@@ -34,6 +39,8 @@
 	seq     uint64
 	applied uint64
 	holders []ID
+	// listed is the number of the request that named the holders.
+	listed uint64
 	// until is the end of the leases as the broker counts them.
 	until time.Time
 }
@@ -49,8 +56,10 @@
 	ID uint64
 	// Applied is the least revision applied by the holders.
 	Applied uint64
-	// Holders are the processes that may hold a valid lease, in order.
+	// Holders are the processes that may hold a valid lease, in order. Base is
+	// set in their place when they are those of an earlier, answered round.
 	Holders []ID
+	Base    uint64
 }
 
 // Answer is an answer to a subscriber.
@@ -68,7 +77,8 @@
 }
 
 // Receive takes a request of a subscriber. From now on the broker counts the
-// lease, answered or not. Requests that were overtaken are ignored.
+// lease, answered or not. Requests that were overtaken, or that refer to a list
+// of holders that the broker does not have, are ignored.
 func (b *Broker) Receive(now time.Time, from ID, r Renew) {
 	key := sessionKey{id: from, relay: r.Relay}
 	s := b.sessions[key]
@@ -76,14 +86,16 @@
 		s = &session{}
 		b.sessions[key] = s
 	}
-	if r.Seq <= s.seq {
+	if r.Seq <= s.seq || (r.Base != 0 && r.Base != s.listed) {
 		return
 	}
 	s.seq = r.Seq
 	s.applied = r.Applied
-	s.holders = []ID{from}
-	if r.Relay {
-		s.holders = r.Holders
+	switch {
+	case !r.Relay:
+		s.holders = []ID{from}
+	case r.Base == 0:
+		s.holders, s.listed = r.Holders, r.Seq
 	}
 	s.until = now.Add(b.cfg.counted())
 	b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == key })
@@ -100,7 +112,15 @@
 	b.round = b.rounds
 	b.inRound, b.waiting = b.waiting, nil
 	b.reported = b.minimum()
-	return Round{ID: b.round, Applied: b.reported, Holders: b.holders()}, true
+	round := Round{ID: b.round, Applied: b.reported}
+	holders := b.holders()
+	if b.answered && slices.Equal(holders, b.listed) {
+		round.Base = b.listedIn
+		return round, true
+	}
+	b.listed, b.listedIn, b.answered = holders, b.round, false
+	round.Holders = holders
+	return round, true
 }
 
 // Progress reports whether the next round would tell of a greater revision
@@ -116,6 +136,7 @@
 	if id == 0 || id != b.round {
 		return nil
 	}
+	b.answered = true
 	b.settled = max(b.settled, settled)
 	var answers []Answer
 	for _, r := range b.inRound {
@@ -139,6 +160,7 @@
 		b.waiting = append(b.waiting, r)
 	}
 	b.round, b.inRound = 0, nil
+	b.answered = false
 }
 
 // Release ends the leases of a process that has stopped to act.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -57,6 +57,9 @@
 	// Relay marks the request of a broker on behalf of Holders.
 	Relay   bool `cbor:"3,keyasint,omitempty"`
 	Holders []ID `cbor:"4,keyasint,omitempty"`
+	// Base is set in place of Holders when they are those of the answered
+	// request with that number.
+	Base uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // RenewOK grants what the Renew with the same Seq asked for.
--- a/internal/lease/sim_test.go
+++ b/internal/lease/sim_test.go
@@ -316,7 +316,7 @@
 // ask sends the request of a relay to the leader that it knows of.
 func (s *sim) ask(c *simControl, round Round) {
 	up := s.controls[c.believed]
-	r := Renew{Seq: round.ID, Applied: round.Applied, Relay: true, Holders: round.Holders}
+	r := Renew{Seq: round.ID, Applied: round.Applied, Relay: true, Holders: round.Holders, Base: round.Base}
 	if s.now < up.isolated {
 		return
 	}
