Test rules of the policies that no test held

Change: tests for a long request that is paid for later, idle time that earns nothing, positions of another timeline, an endpoint on a second history of the same number, timelines before positions, answers of another term.

--- a/internal/admit/queue_test.go
+++ b/internal/admit/queue_test.go
@@ -339,3 +339,72 @@
 		}
 	}
 }
+
+// nextStarts ends requests of the given slot time one after the other in one
+// slot and returns the workspaces that were started.
+func nextStarts(t *testing.T, q *Queue, now time.Time, running uint64, owner map[uint64]string, n int, service time.Duration) []string {
+	t.Helper()
+	var order []string
+	for range n {
+		now = now.Add(service)
+		next := starts(q.Done(now, running))
+		if len(next) != 1 {
+			t.Fatalf("started %v", next)
+		}
+		running = next[0]
+		order = append(order, owner[running])
+	}
+	return order
+}
+
+func TestLongRequestIsPaidForLater(t *testing.T) {
+	q := New(DefaultConfig(1))
+	owner := map[uint64]string{1: "long"}
+	q.Arrive(epoch, req(1, "long", note.ClassInteractive))
+	for id := uint64(2); id < 40; id++ {
+		owner[id] = "short"
+		q.Arrive(epoch, req(id, "short", note.ClassInteractive))
+	}
+	// The long request ends after 100 ms; its workspace has none waiting then.
+	now := epoch.Add(100 * time.Millisecond)
+	running := starts(q.Done(now, 1))[0]
+	owner[100] = "long"
+	q.Arrive(now, req(100, "long", note.ClassInteractive))
+	order := nextStarts(t, q, now, running, owner, 15, 5*time.Millisecond)
+	if slices.Contains(order, "long") {
+		t.Fatalf("order %v: the workspace owes 100 ms", order)
+	}
+}
+
+func TestIdleTimeEarnsNothing(t *testing.T) {
+	q := New(DefaultConfig(1))
+	owner := map[uint64]string{}
+	now, id := epoch, uint64(0)
+	arrive := func(workspace string) {
+		id++
+		owner[id] = workspace
+		q.Arrive(now, req(id, workspace, note.ClassInteractive))
+	}
+	arrive("idle")
+	for range 200 {
+		arrive("busy")
+	}
+	running := uint64(1)
+	for range 100 {
+		now = now.Add(5 * time.Millisecond)
+		running = starts(q.Done(now, running))[0]
+	}
+	for range 20 {
+		arrive("idle")
+	}
+	order := nextStarts(t, q, now, running, owner, 20, 5*time.Millisecond)
+	served := 0
+	for _, workspace := range order {
+		if workspace == "idle" {
+			served++
+		}
+	}
+	if served < 9 || served > 11 {
+		t.Fatalf("%d of 20 starts went to the workspace that was idle: %v", served, order)
+	}
+}
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -334,3 +334,37 @@
 		t.Fatalf("all endpoints are watched by the same host: %v", spread)
 	}
 }
+
+func TestEndpointOnASecondHistoryIsNotCounted(t *testing.T) {
+	r := newRig(t, threeDomains)
+	r.view.Group.Timeline = 2
+	r.sealed()
+	r.send(Settled{Revision: 11})
+	b := replica(100)
+	b.Timeline = 2
+	r.answer("b", b)
+	r.answer("c", primary(2, 900)) // promoted once, but never activated
+	expectNone[Choose](r)
+}
+
+func TestLaterTimelineGoesBeforePosition(t *testing.T) {
+	r := newRig(t, threeDomains)
+	r.view.Group.Timeline = 2
+	r.sealed()
+	r.send(Settled{Revision: 11})
+	c := replica(100)
+	c.Timeline = 2
+	r.answer("b", replica(500)) // a tail of timeline 1 that was never agreed
+	r.answer("c", c)
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "c"})
+}
+
+func TestAnswersOfAnotherTermAreIgnored(t *testing.T) {
+	r := newRig(t, threeDomains)
+	r.sealed()
+	r.send(Settled{Revision: 11})
+	for _, endpoint := range []string{"a", "b", "c"} {
+		r.send(Answer{Term: 1, Endpoint: endpoint, Condition: replica(100)})
+	}
+	expectNone[Choose](r)
+}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -305,3 +305,11 @@
 		table.End(start, Report{Endpoint: id, Latency: time.Millisecond}, true)
 	}
 }
+
+func TestPositionsOfAnotherTimelineProveNoFreshness(t *testing.T) {
+	table := newTable(1)
+	table.SetView(start, groupView())
+	table.Observe(start, Status{Endpoint: "p", Asked: start, Timeline: 1, LSN: 50})
+	table.Observe(start, Status{Endpoint: "r1", Asked: start, Timeline: 2, InRecovery: true, LSN: 60})
+	expectPick(t, table, start, Need{ReadOnly: true, MaxStaleness: time.Minute}, "p")
+}
