Let the control leader promote through other hosts

Cause: a control leader that does not reach the endpoints could neither read their positions nor promote one, although entry hosts reach them.

Change: every host answers requests of the leader to probe or promote an endpoint (a line in package bridge); the leader tries by itself first, then asks up to two entry hosts, those in the endpoint's failure domain first.

Conclusion: one isolated path between control and endpoints delays no failover beyond the first attempt.

--- a/bridge/host.go
+++ b/bridge/host.go
@@ -145,6 +145,7 @@
 		})
 		h.owner = limits.NewOwner(h.peers, h.view, h.timing, h.log)
 	}
+	control.ServeDatabases(h.peers, h.view, watch.NewProber())
 	h.subscriber = control.NewSubscriber(control.SubscriberOptions{
 		Fleet:    h.settings.Fleet,
 		Domain:   h.settings.Domain,
--- a/internal/control/failover_driver.go
+++ b/internal/control/failover_driver.go
@@ -153,9 +153,13 @@
 	d.host.proposals[index] = pendingProposal{term: d.host.term, until: now.Add(proposalTimeout), service: service}
 }
 
+func (d *failoverDriver) reacher() reacher {
+	return reacher{node: d.host.opts.Peer, databases: d.host.opts.Databases, state: d.host.state}
+}
+
 // ask probes endpoints, each at most once at a time.
 func (d *failoverDriver) ask(e failover.AskPositions) {
-	service := d.host.state.Catalog.Services[e.Service]
+	reach := d.reacher()
 	for _, id := range e.Endpoints {
 		endpoint, ok := d.host.state.Endpoints[id]
 		if !ok || d.probing[id] {
@@ -165,14 +169,14 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
 			defer cancel()
-			seen := d.host.opts.Databases.Probe(ctx, service, endpoint)
+			seen := reach.probe(ctx, endpoint)
 			d.report(answerEvent{driver: d, service: e.Service, answer: failover.Answer{Term: e.Term, Endpoint: id, Condition: seen}})
 		}()
 	}
 }
 
 func (d *failoverDriver) promote(e failover.Promote) {
-	service := d.host.state.Catalog.Services[e.Service]
+	reach := d.reacher()
 	endpoint, ok := d.host.state.Endpoints[e.Endpoint]
 	if !ok || d.promoting[e.Endpoint] {
 		return
@@ -182,7 +186,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(d.ctx, promoteTimeout)
 		defer cancel()
-		err := d.host.opts.Databases.Promote(ctx, service, endpoint)
+		err := reach.promote(ctx, endpoint)
 		if err != nil {
 			d.host.log.Warn("promote_failed", "service", e.Service, "endpoint", e.Endpoint, "err", err)
 		}
--- a/internal/control/failover_test.go
+++ b/internal/control/failover_test.go
@@ -128,6 +128,24 @@
 	}
 }
 
+func TestLeaderPromotesThroughOtherHosts(t *testing.T) {
+	f := newFleet(t, 1, "c0")
+	f.start("e0")
+	f.start("e1")
+	f.waitValid("c0", "e0", "e1")
+	f.addService()
+	group := f.startGroup()
+	wait(t, "the group is active with three members", func() bool {
+		g := f.hosts["c0"].group()
+		return g.Phase == agreed.PhaseActive && len(g.Members) == 3
+	})
+	group.Servers[0].Kill()
+	wait(t, "another primary is active", func() bool {
+		g := f.hosts["c0"].group()
+		return g.Phase == agreed.PhaseActive && g.Term > 1 && g.Primary != "log-1"
+	})
+}
+
 func TestNoPromotionWithoutMajority(t *testing.T) {
 	f := newFleet(t, 1)
 	f.waitValid("c0")
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -15,6 +16,7 @@
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/config"
 	"github.com/galenabridge/galenabridge/internal/control"
+	"github.com/galenabridge/galenabridge/internal/failover"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/peer"
@@ -35,6 +37,27 @@
 	hosts    map[string]*testHost
 	started  uint64
 	leases   lease.Config
+	// cutOff names hosts whose control role does not reach any endpoint.
+	cutOff map[string]bool
+}
+
+// databases returns what the control role of a host probes endpoints with.
+func (f *fleet) databases(name string) control.Databases {
+	if f.cutOff[name] {
+		return unreachable{}
+	}
+	return watch.NewProber()
+}
+
+// unreachable reaches no endpoint.
+type unreachable struct{}
+
+func (unreachable) Probe(context.Context, note.Service, agreed.Endpoint) failover.Condition {
+	return failover.Condition{}
+}
+
+func (unreachable) Promote(context.Context, note.Service, agreed.Endpoint) error {
+	return errors.New("no route to the endpoint")
 }
 
 // testHost is one running process of a host.
@@ -53,8 +76,12 @@
 }
 
 // newFleet starts control hosts c0 to c(n-1), which are entry hosts too.
-func newFleet(t testing.TB, n int) *fleet {
+func newFleet(t testing.TB, n int, cutOff ...string) *fleet {
 	f := &fleet{t: t, net: newNetwork(), dir: t.TempDir(), hosts: map[string]*testHost{}, leases: lease.DefaultConfig()}
+	f.cutOff = make(map[string]bool)
+	for _, name := range cutOff {
+		f.cutOff[name] = true
+	}
 	for i := range n {
 		f.controls = append(f.controls, config.ControlHost{Host: fmt.Sprintf("c%d", i), Addr: freeAddr(t), Voter: true})
 	}
@@ -101,13 +128,14 @@
 		h.control = control.New(control.Options{
 			Fleet: "fleet", DataDir: filepath.Join(f.dir, name), Bootstrap: true, Controls: f.controls,
 			Peer: h.peer, Lease: f.leases, Logger: logger().With("host", name), CompactEvery: 200,
-			Databases: watch.NewProber(),
+			Databases: f.databases(name),
 		})
 	}
 	h.subscriber = control.NewSubscriber(control.SubscriberOptions{
 		Fleet: "fleet", Domain: h.domain, Entry: true, Control: isControl, Controls: f.controls,
 		Peer: h.peer, Lease: f.leases, Logger: logger().With("host", name), View: h.view,
 	})
+	control.ServeDatabases(h.peer, h.view, watch.NewProber())
 	h.watcher = watch.NewWatcher(name, h.domain, h.view, h.subscriber.Observe)
 	if err := h.peer.Listen(); err != nil {
 		f.t.Fatal(err)
--- /dev/null
+++ b/internal/control/remote.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/failover"
+	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+// Bounds of asking other hosts about an endpoint.
+const (
+	// directShare is the share of the time that the leader spends on its own
+	// attempt before it asks other hosts.
+	directShare = 2
+	maxHelpers  = 2 // hosts
+)
+
+// endpointRequest asks a host to probe or promote an endpoint.
+type endpointRequest struct {
+	Endpoint string `cbor:"1,keyasint"`
+}
+
+// ServeDatabases lets the control leader probe and promote endpoints through
+// this host, for the case that it does not reach them by itself. Call it before
+// the node runs.
+func ServeDatabases(node *peer.Node, source view.Source, databases Databases) {
+	peer.OnCall(node, peer.KindPosition, func(ctx context.Context, _ peer.Identity, r endpointRequest) (failover.Condition, error) {
+		state, e, err := findEndpoint(source, r.Endpoint)
+		if err != nil {
+			return failover.Condition{}, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		return databases.Probe(ctx, state.Catalog.Services[e.Service], e), nil
+	})
+	peer.OnCall(node, peer.KindPromote, func(ctx context.Context, _ peer.Identity, r endpointRequest) (struct{}, error) {
+		state, e, err := findEndpoint(source, r.Endpoint)
+		if err != nil {
+			return struct{}{}, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+		defer cancel()
+		return struct{}{}, databases.Promote(ctx, state.Catalog.Services[e.Service], e)
+	})
+}
+
+func findEndpoint(source view.Source, id string) (*agreed.State, agreed.Endpoint, error) {
+	state := source.Current().State
+	if state == nil {
+		return nil, agreed.Endpoint{}, result.New(result.NoConfigLease, "the host has no state yet")
+	}
+	e, ok := state.Endpoints[id]
+	if !ok {
+		return nil, e, result.New(result.NoEndpoint, "no endpoint %q", id)
+	}
+	return state, e, nil
+}
+
+// reacher probes and promotes endpoints, by itself or through other hosts.
+type reacher struct {
+	node      *peer.Node
+	databases Databases
+	state     *agreed.State
+}
+
+// probe reads the condition of an endpoint.
+func (r reacher) probe(ctx context.Context, e agreed.Endpoint) failover.Condition {
+	direct, cancel := shorten(ctx, directShare)
+	seen := r.databases.Probe(direct, r.state.Catalog.Services[e.Service], e)
+	cancel()
+	for _, helper := range r.helpers(e) {
+		if seen.Reachable || ctx.Err() != nil {
+			break
+		}
+		var answer failover.Condition
+		if err := r.node.Call(ctx, helper.ID, helper.PeerAddr, peer.KindPosition, endpointRequest{Endpoint: e.ID}, &answer); err == nil {
+			seen = answer
+		}
+	}
+	return seen
+}
+
+// promote orders an endpoint to become the primary.
+func (r reacher) promote(ctx context.Context, e agreed.Endpoint) error {
+	direct, cancel := shorten(ctx, directShare)
+	err := r.databases.Promote(direct, r.state.Catalog.Services[e.Service], e)
+	cancel()
+	for _, helper := range r.helpers(e) {
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		err = r.node.Call(ctx, helper.ID, helper.PeerAddr, peer.KindPromote, endpointRequest{Endpoint: e.ID}, nil)
+	}
+	return err
+}
+
+// helpers are entry hosts that may reach the endpoint: those in its failure
+// domain first.
+func (r reacher) helpers(e agreed.Endpoint) []agreed.Host {
+	var hosts []agreed.Host
+	for _, h := range r.state.Hosts {
+		if h.Entry && h.ID != r.node.Host() {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b agreed.Host) int {
+		if near := compareBool(b.Domain == e.Domain, a.Domain == e.Domain); near != 0 {
+			return near
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return hosts[:min(len(hosts), maxHelpers)]
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// shorten returns a context with a fraction of the time that ctx has left.
+func shorten(ctx context.Context, share int) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(deadline)/time.Duration(share))
+}
