--- a/internal/entry/replica_test.go
+++ b/internal/entry/replica_test.go
@@ -134,3 +134,19 @@
 		queryInt(t, conn, "select count(*) from records")
 	}
 }
+
+func TestReadLeavesAReplicaThatFallsSilent(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	conn := f.connect("")
+	f.waitReplicas(conn)
+	for _, s := range f.group.Servers[1:] {
+		s.Faults().Stall(true)
+	}
+	// The replicas look healthy until their monitors time out.
+	for range 20 {
+		queryInt(t, conn, "select count(*) from records")
+	}
+	for _, s := range f.group.Servers[1:] {
+		s.Faults().Stall(false)
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -72,10 +72,10 @@
 		limit = evenShare(opts.View, minConnections, func(svc note.Service) int { return svc.Connections })
 	}
 	s.setPorts()
-	observers := opts.Observers
+	observers := append([]Observer{newSilence(s.giveUpOn)}, opts.Observers...)
 	for _, port := range []any{s.router, s.positions} {
 		if o, ok := port.(Observer); ok {
-			observers = append(observers[:len(observers):len(observers)], o)
+			observers = append(observers, o)
 		}
 	}
 	s.backends = newBackends(opts.View, limit, observers)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -15,6 +15,9 @@
 // resetTimeout bounds the reset of an endpoint connection.
 const resetTimeout = 5 * time.Second
 
+// maxStatements bounds the prepared statements of one caller.
+const maxStatements = 4096
+
 // Transaction states as reported to callers.
 const (
 	txIdle   = 'I'
@@ -158,6 +161,10 @@
 	if err := s.batch.add(msg, s.statements); err != nil {
 		return err
 	}
+	if len(s.statements)+len(s.batch.parsed) > maxStatements {
+		s.batch = nil
+		return s.refuse(result.New(result.UnsupportedFeature, "more than %d prepared statements", maxStatements), false)
+	}
 	if limit := s.srv.front.MaxMessage; len(s.batch.data) > limit {
 		s.batch = nil
 		return s.refuse(result.New(result.MessageTooLarge, "a pipeline without Sync is larger than %d bytes", limit), false)
