--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -210,9 +210,16 @@
 	}
 }
 
+// maxQueued bounds the messages that wait while the driver cannot save. Further
+// ones are lost, as any message may be.
+const maxQueued = 4096
+
 // send fills in the sender's fields and queues a message. Term zero means the
 // node's own term.
 func (n *Node) send(to Member, m Message) {
+	if len(n.msgs) >= maxQueued {
+		return
+	}
 	m.From, m.FromDisk = n.cfg.Host, n.disk
 	m.To, m.ToDisk = to.Host, to.Disk
 	m.Fleet = n.hard.Fleet
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -24,7 +24,8 @@
 	benchDemand = 10
 )
 
-func newPairBench(b *testing.B, holders, keys int) *pairBench {
+// newPairBench gives each key a limit so that its demand is the given part.
+func newPairBench(b *testing.B, holders, keys int, load float64) *pairBench {
 	p := &pairBench{b: b, now: start}
 	p.owner = NewOwner(Config{}, "c0", 1, start)
 	p.owner.SetEpoch(start, 1, []string{"c0"})
@@ -32,7 +33,7 @@
 		key := fmt.Sprintf("workspace/%d", i)
 		p.keys = append(p.keys, key)
 		demand := float64(benchDemand * holders)
-		p.owner.SetLimit(start, key, Limit{Rate: 2 * demand, Burst: demand}, true)
+		p.owner.SetLimit(start, key, Limit{Rate: demand / load, Burst: demand}, true)
 	}
 	for i := range holders {
 		h := NewHolder(Config{}, fmt.Sprintf("entry-%d", i), 1)
@@ -60,7 +61,9 @@
 	for _, h := range p.holders {
 		for _, key := range p.keys {
 			h.Offer(p.now, key, 1)
-			h.Take(p.now, key, 1)
+			if !h.Take(p.now, key, 1).Granted {
+				h.Withdraw(key, 1)
+			}
 		}
 	}
 }
@@ -91,23 +94,29 @@
 // and its owner together in one second of steady load.
 func BenchmarkActivePair(b *testing.B) {
 	for _, keys := range []int{100, 1000} {
-		b.Run(fmt.Sprintf("hosts=10/keys=%d", keys), func(b *testing.B) {
-			p := newPairBench(b, 10, keys)
-			for range 5 { // settles the shares
-				p.second()
-			}
-			p.bytes = 0
-			b.ResetTimer()
-			for range b.N {
-				p.second()
-			}
-			pairs := float64(p.owner.Pairs() * b.N)
-			b.ReportMetric(float64(p.bytes)/pairs, "B/pair/s")
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/pairs, "ns/pair/s")
-		})
+		for _, load := range []float64{0.4, 0.9} {
+			benchPairs(b, keys, load)
+		}
 	}
 }
 
+func benchPairs(b *testing.B, keys int, load float64) {
+	b.Run(fmt.Sprintf("hosts=10/keys=%d/load=%.1f", keys, load), func(b *testing.B) {
+		p := newPairBench(b, 10, keys, load)
+		for range 10 { // settles the shares
+			p.second()
+		}
+		p.bytes = 0
+		b.ResetTimer()
+		for range b.N {
+			p.second()
+		}
+		pairs := float64(p.owner.Pairs() * b.N)
+		b.ReportMetric(float64(p.bytes)/pairs, "B/pair/s")
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/pairs, "ns/pair/s")
+	})
+}
+
 // BenchmarkTake measures spending a token from a share.
 func BenchmarkTake(b *testing.B) {
 	h := NewHolder(Config{}, "e", 1)
@@ -117,8 +126,10 @@
 	o.SetAuthority(start.Add(time.Hour))
 	o.SetLimit(start, "workspace/a", Limit{Rate: 1e12, Burst: 1e12}, true)
 	h.Offer(start, "workspace/a", 1)
-	for _, batch := range h.Requests(start) {
-		h.Receive(start, o.Handle(start, batch.Request))
+	for range 2 { // the first answer only names the owner's process
+		for _, batch := range h.Requests(start) {
+			h.Receive(start, o.Handle(start, batch.Request))
+		}
 	}
 	for b.Loop() {
 		h.Offer(start, "workspace/a", 1)
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -32,7 +32,8 @@
 
 type entry struct {
 	machine
-	holder *Holder
+	holder  *Holder
+	waiting []string // keys of requests that wait
 }
 
 // parcel is a message on its way.
@@ -134,6 +135,7 @@
 		}
 	}
 	e.procs++
+	e.waiting = nil
 	e.holder = NewHolder(f.cfg, e.name, e.procs)
 	e.holder.SetEpoch(e.epoch, f.owners[e.epoch])
 	for key, l := range f.limits {
@@ -234,11 +236,21 @@
 	f.send(parcel{from: p.to, to: p.from, reply: &reply})
 }
 
-// take lets an entry host offer one request for a key and try it once.
-func (f *fleet) take(e *entry, key string) bool {
-	now := e.clock(f.now)
-	e.holder.Offer(now, key, 1)
-	return f.retry(e, key)
+// take lets an entry host have one request for a key and try it once. If it
+// is not granted it waits until giveUp.
+func (f *fleet) take(e *entry, key string) {
+	e.holder.Offer(e.clock(f.now), key, 1)
+	if !f.retry(e, key) {
+		e.waiting = append(e.waiting, key)
+	}
+}
+
+// giveUp ends the requests that wait at an entry host.
+func (f *fleet) giveUp(e *entry) {
+	for _, key := range e.waiting {
+		e.holder.Withdraw(key, 1)
+	}
+	e.waiting = nil
 }
 
 func (f *fleet) retry(e *entry, key string) bool {
@@ -257,7 +269,7 @@
 func (f *fleet) enforceUnits(e *entry) {
 	for key, l := range f.limits {
 		now := e.clock(f.now)
-		if allowed, inUse := e.holder.Units(now, key); l.Rate == 0 && allowed == 0 {
+		if allowed, inUse := e.holder.Units(now, key); l.Rate == 0 && allowed == 0 && inUse > 0 {
 			e.holder.Put(now, key, inUse)
 		}
 	}
--- a/internal/quota/held.go
+++ b/internal/quota/held.go
@@ -12,6 +12,8 @@
 	demandStep = 0.25
 	// demandWindow is the time constant of the estimate of demand.
 	demandWindow = 500 * time.Millisecond
+	// catchUp is the time within which requests that wait should be served.
+	catchUp = time.Second
 	// measureInterval is the least time over which demand is measured.
 	measureInterval = 100 * time.Millisecond
 )
@@ -30,11 +32,14 @@
 	inUse   float64
 	// returned tokens await the next request.
 	returned float64
-	// over tells that the owner saw more demand than the limit.
+	// over and calm are what the owner said of the demand of all holders.
 	over bool
+	calm bool
 
 	offered  float64 // since measured
+	backlog  float64 // of requests that wait
 	measured time.Time
+	arrivals float64 // per second
 	demand   float64
 	reported float64 // demand in the latest request
 	lastUse  time.Time
@@ -55,27 +60,23 @@
 	k.returned = 0
 }
 
-// measure updates the estimate of demand, an exponential moving average.
+// measure updates the estimate of demand: an exponential moving average of the
+// arrivals, and what it takes to serve those that wait within catchUp.
 func (k *heldKey) measure(now time.Time) {
 	if k.counted {
 		k.demand = k.wanted
 		return
 	}
 	if k.units {
-		k.demand = k.inUse
-		if k.short {
-			k.demand += max(1, k.offered)
-		}
-		k.offered = 0
+		k.demand = k.inUse + k.backlog
 		return
 	}
-	elapsed := now.Sub(k.measured)
-	if elapsed < measureInterval {
-		return
+	if elapsed := now.Sub(k.measured); elapsed >= measureInterval {
+		rate := k.offered / elapsed.Seconds()
+		k.arrivals += (rate - k.arrivals) * (1 - math.Exp(-elapsed.Seconds()/demandWindow.Seconds()))
+		k.offered, k.measured = 0, now
 	}
-	rate := k.offered / elapsed.Seconds()
-	k.demand += (rate - k.demand) * (1 - math.Exp(-elapsed.Seconds()/demandWindow.Seconds()))
-	k.offered, k.measured = 0, now
+	k.demand = k.arrivals + k.backlog/catchUp.Seconds()
 }
 
 // due reports whether the owner should be asked now.
@@ -98,7 +99,11 @@
 	return a
 }
 
-func (k *heldKey) asked(now time.Time, renew time.Duration) {
+func (k *heldKey) asked(now time.Time, cfg Config) {
+	renew := cfg.Renew
+	if k.calm && k.valid(now) {
+		renew = cfg.Lease / 2
+	}
 	k.reported, k.returned, k.short = k.demand, 0, false
 	k.nextAsk = now.Add(renew)
 }
@@ -109,7 +114,7 @@
 		return
 	}
 	k.advance(now)
-	k.stamp, k.expires, k.over = stamp, expires, g.Over
+	k.stamp, k.expires, k.over, k.calm = stamp, expires, g.Over, g.Calm
 	k.returned += k.bucket.resize(now, g.Share)
 	k.bucket.add(g.Tokens)
 }
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/galenabridge/galenabridge/internal/rendezvous"
 )
 
 // Holder spends the shares of one entry host. It is not safe for concurrent
@@ -14,6 +16,7 @@
 	incarnation uint64
 	epoch       uint64
 	owners      []string
+	processes   map[string]uint64 // incarnations of the owners, by host
 	seq         uint64
 	sent        []sentRequest   // oldest first
 	units       map[string]bool // keys that are limits of units
@@ -42,7 +45,7 @@
 func NewHolder(cfg Config, host string, incarnation uint64) *Holder {
 	return &Holder{
 		cfg: cfg.withDefaults(), host: host, incarnation: incarnation,
-		units: map[string]bool{}, keys: map[string]*heldKey{},
+		processes: map[string]uint64{}, units: map[string]bool{}, keys: map[string]*heldKey{},
 	}
 }
 
@@ -63,13 +66,22 @@
 func (h *Holder) SetUnits(key string) { h.units[key] = true }
 
 // Offer notes the arrival of a request for n tokens. It is called once per
-// request, however often Take is tried for it.
+// request, however often Take is tried for it, and followed by a granted Take or
+// by Withdraw.
 func (h *Holder) Offer(now time.Time, key string, n float64) {
 	k := h.key(now, key)
 	k.offered += n
+	k.backlog += n
 	k.lastUse = now
 }
 
+// Withdraw notes that a request for n tokens gave up.
+func (h *Holder) Withdraw(key string, n float64) {
+	if k := h.keys[key]; k != nil {
+		k.backlog = max(0, k.backlog-n)
+	}
+}
+
 // Take spends n tokens, or takes n units, if the holder's share allows it.
 func (h *Holder) Take(now time.Time, key string, n float64) Decision {
 	k := h.key(now, key)
@@ -81,12 +93,14 @@
 		return Decision{Wait: askInterval, Over: k.over}
 	case k.units && k.inUse+n <= k.bucket.share.Burst:
 		k.inUse += n
+		k.backlog = max(0, k.backlog-n)
 		return Decision{Granted: true}
 	case k.units:
 		k.short = true
 		return Decision{Wait: askInterval, Over: k.over}
 	case k.bucket.level >= n:
 		k.bucket.level -= n
+		k.backlog = max(0, k.backlog-n)
 		return Decision{Granted: true}
 	}
 	k.short = true
@@ -95,7 +109,10 @@
 
 // Put returns n units.
 func (h *Holder) Put(now time.Time, key string, n float64) {
-	k := h.key(now, key)
+	k := h.keys[key]
+	if k == nil {
+		return
+	}
 	k.inUse = max(0, k.inUse-n)
 	k.lastUse = now
 }
@@ -147,7 +164,7 @@
 		kept = append(kept, k)
 		if k.due(now) {
 			b.add(k, k.ask(now))
-			k.asked(now, h.cfg.Renew)
+			k.asked(now, h.cfg)
 		}
 	}
 	clear(h.order[len(kept):])
@@ -174,7 +191,7 @@
 
 func (b *batcher) add(k *heldKey, a Ask) {
 	h := b.holder
-	owner := OwnerOf(k.name, h.owners)
+	owner := rendezvous.Owner(h.owners, k.name)
 	if owner == "" {
 		return
 	}
@@ -184,7 +201,8 @@
 		i = len(b.batches)
 		b.at[owner] = i
 		b.batches = append(b.batches, Batch{Owner: owner, Request: Request{
-			Host: h.host, Incarnation: h.incarnation, Epoch: h.epoch, Seq: h.seq,
+			Host: h.host, Incarnation: h.incarnation, Epoch: h.epoch,
+			Owner: h.processes[owner], Seq: h.seq,
 		}})
 	}
 	r := &b.batches[i].Request
@@ -211,13 +229,17 @@
 	return h.sent[i].at, true
 }
 
-// Receive applies the grants of a reply. A reply of an earlier epoch, and one
-// whose leases have already run out, changes nothing.
+// Receive applies the grants of a reply. A reply of an earlier epoch or of a
+// former process of the owner, and one whose leases have already run out,
+// changes nothing.
 func (h *Holder) Receive(now time.Time, r Reply) {
 	at, known := h.sentAt(r.Seq)
-	if !known || r.Epoch != h.epoch || r.Holder != h.incarnation {
+	if !known || r.Epoch != h.epoch || r.Holder != h.incarnation || r.Incarnation < h.processes[r.Owner] {
 		return
 	}
+	if r.Incarnation > h.processes[r.Owner] {
+		h.meet(r.Owner, r.Incarnation)
+	}
 	expires := at.Add(time.Duration(r.LeaseMS) * time.Millisecond)
 	for _, g := range r.Grants {
 		k := h.keys[g.Key]
@@ -228,5 +250,15 @@
 	}
 }
 
+// meet notes a new process of an owner and asks it for its keys at once.
+func (h *Holder) meet(owner string, incarnation uint64) {
+	h.processes[owner] = incarnation
+	for _, k := range h.order {
+		if rendezvous.Owner(h.owners, k.name) == owner {
+			k.nextAsk = time.Time{}
+		}
+	}
+}
+
 // Pairs returns the number of keys in use.
 func (h *Holder) Pairs() int { return len(h.keys) }
--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -9,6 +9,9 @@
 // share, unless the holder is short.
 const hysteresis = 0.1
 
+// calmDemand is the part of a limit below which its demand is calm.
+const calmDemand = 0.5
+
 // minBurst is the smallest useful share: a bucket must hold one token.
 const minBurst = 1
 
@@ -159,6 +162,7 @@
 	return Grant{
 		Key: k.name, ID: stamp.ID, Share: share, Tokens: tokens,
 		Over: k.demand > k.limit.capacity(),
+		Calm: k.demand < calmDemand*k.limit.capacity(),
 	}
 }
 
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/galenabridge/galenabridge/internal/rendezvous"
 )
 
 // Owner grants shares of the keys that belong to one control host. It is not
@@ -43,7 +45,7 @@
 	o.epoch, o.owners, o.since = epoch, slices.Clone(owners), now
 	clear(o.fresh)
 	for key := range o.keys {
-		if !next || OwnerOf(key, o.owners) != o.host {
+		if !next || rendezvous.Owner(o.owners, key) != o.host {
 			delete(o.keys, key)
 		}
 	}
@@ -71,15 +73,16 @@
 	}
 }
 
-// Handle answers a request. A request of another epoch, or one that arrives
-// while the host has no authority, gets no grants.
+// Handle answers a request. A request of another epoch or for another process
+// of this host, or one that arrives while the host has no authority, gets no
+// grants; its answer tells the holder which process it must address.
 func (o *Owner) Handle(now time.Time, req Request) Reply {
 	reply := Reply{
 		Owner: o.host, Epoch: o.epoch, Incarnation: o.incarnation,
 		Holder: req.Incarnation, Seq: req.Seq,
 		LeaseMS: uint32(o.cfg.Lease.Milliseconds()),
 	}
-	if req.Epoch != o.epoch || !now.Before(o.authority) {
+	if req.Epoch != o.epoch || req.Owner != o.incarnation || !now.Before(o.authority) {
 		return reply
 	}
 	for _, a := range req.Asks {
@@ -119,7 +122,7 @@
 		return k
 	}
 	limit, known := o.limits[key]
-	if !known || OwnerOf(key, o.owners) != o.host {
+	if !known || rendezvous.Owner(o.owners, key) != o.host {
 		return nil
 	}
 	quarantine := o.since.Add(o.cfg.longer(o.cfg.Authority + o.cfg.Lease))
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -39,6 +38,7 @@
 func (f *fleet) randomUse() {
 	for range takesPerStep {
 		e := f.entries[f.rng.IntN(len(f.entries))]
+		f.giveUp(e)
 		f.take(e, "workspace/a")
 		f.take(e, "workspace/a")
 		f.take(e, "workspace/b")
@@ -144,7 +144,8 @@
 		for ; next < l.fleet.now; next += time.Duration(rng.ExpFloat64() / l.rate * float64(time.Second)) {
 			n := len(l.fleet.entries)
 			e := l.fleet.entries[min(rng.IntN(n), rng.IntN(n))]
-			if !l.fleet.take(e, l.key) {
+			e.holder.Offer(e.clock(l.fleet.now), l.key, 1)
+			if !l.fleet.retry(e, l.key) {
 				l.waiting = append(l.waiting, waiting{entry: e, since: l.fleet.now})
 				continue
 			}
@@ -167,6 +168,7 @@
 			l.done(w.entry)
 		case l.fleet.now-w.since > l.patient:
 			l.refused++
+			w.entry.holder.Withdraw(l.key, 1)
 		default:
 			still = append(still, w)
 		}
@@ -219,6 +221,7 @@
 	taken := func(e *entry) float64 {
 		for range 200 {
 			f.step(stepTime)
+			f.giveUp(e)
 			f.take(e, "endpoint/x")
 		}
 		_, inUse := e.holder.Units(e.clock(f.now), "endpoint/x")
@@ -235,21 +238,3 @@
 		t.Fatalf("the second holder got %v of 4 units after the first ended", got)
 	}
 }
-
-func TestRendezvousMovesFewKeys(t *testing.T) {
-	before, after := []string{"a", "b", "c"}, []string{"a", "b", "c", "d"}
-	moved := 0
-	for i := range 4000 {
-		key := fmt.Sprint("workspace/", i)
-		from, to := OwnerOf(key, before), OwnerOf(key, after)
-		if from != to && to != "d" {
-			t.Fatalf("%s moved from %s to %s", key, from, to)
-		}
-		if from != to {
-			moved++
-		}
-	}
-	if moved < 800 || moved > 1200 {
-		t.Fatalf("%d of 4000 keys moved to the fourth owner", moved)
-	}
-}
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -9,8 +9,10 @@
 const (
 	DefaultLease     = 8 * time.Second
 	DefaultAuthority = 3 * time.Second
-	DefaultRenew     = time.Second
-	DefaultIdle      = 2 * time.Second
+	// DefaultRenew bounds how long a host that comes new to a contended key
+	// waits for the others to give way.
+	DefaultRenew = time.Second
+	DefaultIdle  = 2 * time.Second
 	// DefaultDrift is the greatest relative difference between the clock rates
 	// of two hosts.
 	DefaultDrift = 0.001
@@ -24,7 +26,8 @@
 	// Authority is how long a control host may act as owner after it was
 	// replaced without knowing, which is the length of a configuration lease.
 	Authority time.Duration
-	// Renew is the interval of requests for a key whose demand is steady.
+	// Renew is the interval of requests for a key whose demand is steady. For a
+	// key that the owner calls calm it is half the lease.
 	Renew time.Duration
 	// Idle is the time without demand after which a holder gives a share back.
 	Idle  time.Duration
@@ -84,9 +87,13 @@
 	Incarnation uint64 `cbor:"2,keyasint"`
 	// Epoch numbers the set of owners that the holder knows.
 	Epoch uint64 `cbor:"3,keyasint"`
+	// Owner is the incarnation of the owner that the holder knows. An owner
+	// believes no request that names another one: it may have been sent to a
+	// former process, and report shares that were passed on since.
+	Owner uint64 `cbor:"4,keyasint,omitempty"`
 	// Seq grows with each request of the holder.
-	Seq  uint64 `cbor:"4,keyasint"`
-	Asks []Ask  `cbor:"5,keyasint"`
+	Seq  uint64 `cbor:"5,keyasint"`
+	Asks []Ask  `cbor:"6,keyasint"`
 }
 
 // Ask is the part of a request for one key.
@@ -135,4 +142,7 @@
 	Tokens float64 `cbor:"4,keyasint,omitempty"`
 	// Over reports that the demand of all holders is above the limit.
 	Over bool `cbor:"5,keyasint,omitempty"`
+	// Calm reports that the demand is so far below the limit that a new holder
+	// can be served from what is free.
+	Calm bool `cbor:"6,keyasint,omitempty"`
 }
