Withdraw requests that give up, and report units past their lease

Cause: waiting requests now count as demand, so those that give up must be taken out; units still in use after their lease were not reported to the owner. Conclusion: demand no longer grows with abandoned requests.

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -16,7 +16,7 @@
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/peer"
-	"github.com/galenabridge/galenabridge/internal/quota"
+	"github.com/galenabridge/galenabridge/internal/rendezvous"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
 )
@@ -203,5 +203,5 @@
 
 // ownerOf returns the owner of a key in a state.
 func ownerOf(state *agreed.State, key string) string {
-	return quota.OwnerOf(key, owners(state))
+	return rendezvous.Owner(owners(state), key)
 }
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -62,6 +62,7 @@
 		deadline = now.Add(idleWait)
 	}
 	if wait, hopeless := h.hopeless(now, workspace, q, deadline); hopeless {
+		h.quota.Withdraw(key, 1)
 		return nil, rateExceeded(workspace, wait)
 	}
 	w := &waiter{deadline: deadline, ready: make(chan error, 1)}
@@ -92,6 +93,7 @@
 	if q == nil || !q.remove(w) {
 		return <-w.ready // served meanwhile
 	}
+	h.quota.Withdraw(rateKey(workspace), 1)
 	over := q.over
 	if len(q.waiters) == 0 {
 		delete(h.queues, workspace)
--- a/internal/quota/held.go
+++ b/internal/quota/held.go
@@ -90,10 +90,10 @@
 	a := Ask{
 		Key: k.name, Demand: float32(k.demand), Level: float32(k.bucket.level), Returned: k.returned,
 	}
-	if k.valid(now) {
+	if k.valid(now) || k.inUse > 0 {
 		share := k.bucket.share
 		share.Burst = max(share.Burst, k.inUse)
-		remaining := (k.expires.Sub(now) + time.Millisecond - 1).Milliseconds()
+		remaining := max(0, (k.expires.Sub(now) + time.Millisecond - 1).Milliseconds())
 		a.Held = &Held{Stamp: k.stamp, Share: share, RemainingMS: uint32(remaining)}
 	}
 	return a
--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -23,6 +23,7 @@
 // grantee is what the owner knows of one holder of a key.
 type grantee struct {
 	seq    uint64
+	heard  time.Time
 	demand float64
 	given  []given // oldest first
 	inUse  float64 // units in use, as reported
@@ -95,6 +96,7 @@
 func (k *ownedKey) report(now time.Time, g *grantee, a Ask) {
 	k.demand += float64(a.Demand) - g.demand
 	g.demand = float64(a.Demand)
+	g.heard = now
 	g.inUse = 0
 	switch {
 	case a.Release:
@@ -234,7 +236,8 @@
 		k.settle(now, g)
 		// Within the quarantine the sequence number is kept, so that a delayed
 		// report is not adopted twice.
-		if len(g.given) == 0 && !now.Before(k.quarantine) {
+		silent := now.After(g.heard.Add(k.cfg.longer(k.cfg.Lease)))
+		if len(g.given) == 0 && silent && !now.Before(k.quarantine) {
 			k.drop(id, g)
 		}
 	}
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -117,6 +117,7 @@
 	// Share includes units still in use beyond the granted ones.
 	Share Share `cbor:"2,keyasint"`
 	// RemainingMS is the time until the lease ends, in milliseconds, rounded up.
+	// Zero reports units that are still in use after the end of their lease.
 	RemainingMS uint32 `cbor:"3,keyasint"`
 }
 
