Prefer members in use when a primary is replaced

Cause: a primary that was lost while its failure domain was out waited 3 s for the catch-up of a planned switchover, and an endpoint in a domain that is out could be promoted for a longer tail that nobody had acknowledged; a second switchover then followed.

Change: a lost primary ends the planned wait. Among endpoints that hold all acknowledged writes, those in use go before longer ones, and the others are waited for up to 1 s when only one that is suspected or out of use qualifies. Former members are forgotten.

Conclusion: position decides only among equals in use, which costs no acknowledged write.

--- a/internal/failover/choose.go
+++ b/internal/failover/choose.go
@@ -88,15 +88,16 @@
 }
 
 // prefer orders contenders: not suspected first, then those in use, then the
-// highest position; ties go to failure domains in use, then to the lower id.
+// highest position; ties go to the lower id. All of them hold what was
+// acknowledged, so that only a tail without acknowledgement is weighed here.
 func prefer(a, b contender) int {
 	if n := compareBool(a.suspected, b.suspected); n != 0 {
 		return n
 	}
-	if n := b.compare(a); n != 0 {
+	if n := compareBool(a.member.unwanted(), b.member.unwanted()); n != 0 {
 		return n
 	}
-	if n := compareBool(a.member.unwanted(), b.member.unwanted()); n != 0 {
+	if n := b.compare(a); n != 0 {
 		return n
 	}
 	return cmp.Compare(a.member.Endpoint, b.member.Endpoint)
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -1,6 +1,8 @@
 package failover
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
@@ -78,6 +80,9 @@
 func (m *Machine) setView(now time.Time, v View) {
 	old := m.view.Group
 	first := !m.known
+	if !slices.Equal(old.Members, v.Group.Members) {
+		m.forgetOthers(v.Group.Members)
+	}
 	m.view, m.known = v, true
 	if first || old.Term != v.Group.Term || old.Phase != v.Group.Phase {
 		m.enterPhase()
@@ -89,6 +94,12 @@
 	}
 }
 
+// forgetOthers drops what is known of endpoints that are not members.
+func (m *Machine) forgetOthers(members []string) {
+	maps.DeleteFunc(m.reports, func(k reportKey, _ report) bool { return !slices.Contains(members, k.endpoint) })
+	maps.DeleteFunc(m.answers, func(id string, _ timedCondition) bool { return !slices.Contains(members, id) })
+}
+
 // enterPhase forgets what belonged to the former term or phase. Observations
 // survive a seal: they tell which endpoints are still suspected.
 func (m *Machine) enterPhase() {
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -368,3 +368,40 @@
 	}
 	expectNone[Choose](r)
 }
+
+func TestLostPrimaryInADomainThatIsOutIsReplacedAtOnce(t *testing.T) {
+	r := newRig(t, threeDomains)
+	r.view.Members[0].DomainOut = true
+	r.view.Members[1].DomainOut = true
+	r.send(r.view)
+	r.seeFor(time.Second, down, "a", threeDomains...)
+	r.sealed()
+	r.send(Settled{Revision: 11})
+	r.answer("b", replica(130))
+	expectNone[Choose](r)
+	r.answer("c", replica(130))
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "c"})
+}
+
+func TestDomainInUseGoesBeforeAnUnacknowledgedTail(t *testing.T) {
+	r := newRig(t, threeDomains)
+	r.view.Members[1].DomainOut = true
+	r.sealed()
+	r.send(Settled{Revision: 11})
+	r.answer("a", replica(100)) // restarted as a replica
+	r.answer("b", replica(120))
+	expectNone[Choose](r)
+	r.answer("c", replica(110))
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "c"})
+}
+
+func TestFormerMembersAreForgotten(t *testing.T) {
+	r := newRig(t, threeDomains)
+	r.seeFor(time.Second, replica(1), "c", threeDomains...)
+	r.view.Group.Members = []string{"a", "b"}
+	r.view.Members = r.view.Members[:2]
+	r.send(r.view)
+	for key := range r.m.reports {
+		t.Errorf("kept %+v", key)
+	}
+}
--- a/internal/failover/sealed.go
+++ b/internal/failover/sealed.go
@@ -44,7 +44,7 @@
 		m.majorityAt = now
 	}
 	able := m.untried(m.safe(all))
-	if _, planned := m.switchoverCause(); planned {
+	if _, planned := m.switchoverCause(); planned && !m.suspected(now, m.view.Group.Primary) {
 		able = m.successors(now, all, able)
 	}
 	if len(able) == 0 {
@@ -52,8 +52,9 @@
 		return "", false
 	}
 	best := slices.MinFunc(able, prefer)
-	if best.suspected && now.Sub(m.majorityAt) < m.cfg.SuspectGrace {
-		m.report("sealed: only a suspected endpoint qualifies; waiting for others")
+	second := best.suspected || best.member.unwanted()
+	if second && len(all) < len(m.view.Members) && now.Sub(m.majorityAt) < m.cfg.SecondBestGrace {
+		m.report("sealed: only an endpoint that is suspected or out of use qualifies; waiting for others")
 		return "", false
 	}
 	return best.member.Endpoint, true
--- a/internal/failover/types.go
+++ b/internal/failover/types.go
@@ -41,9 +41,9 @@
 	CandidateTimeout time.Duration
 	// PromoteTimeout bounds the time a candidate that answers may need.
 	PromoteTimeout time.Duration
-	// SuspectGrace is how long the choice waits for other members when only a
-	// suspected endpoint qualifies.
-	SuspectGrace time.Duration
+	// SecondBestGrace is how long the choice waits for other members when only
+	// an endpoint that is suspected or out of use qualifies.
+	SecondBestGrace time.Duration
 	// CatchUpTimeout bounds the wait of a planned switchover for a replica
 	// that holds the last position of the primary.
 	CatchUpTimeout time.Duration
@@ -64,7 +64,7 @@
 		ProposeTimeout:   time.Second,
 		CandidateTimeout: 1500 * time.Millisecond,
 		PromoteTimeout:   8 * time.Second,
-		SuspectGrace:     time.Second,
+		SecondBestGrace:  time.Second,
 		CatchUpTimeout:   3 * time.Second,
 		SwitchoverRetry:  30 * time.Second,
 		FormGrace:        3 * time.Second,
