Work out the capacity page from measured slopes

Cause: the target has to decide the design, and nothing said what it costs. Change: bridgecap measures slopes on real processes (one voter, one relay, one entry host, stand-ins; up to 800 light subscribers, 3,300 callers) and works out docs/CAPACITY.md for 2,000 hosts and 2,200 databases; make slopes, make capacity; a test keeps the page equal to its sources. Before: no page.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for users and CI. Run "make help" for a list.
-.PHONY: help build run test lint fmt check bench soak capacity
+.PHONY: help build run test lint fmt check bench soak slopes capacity
 
 BIN := bin
 SEED ?= 1
@@ -27,3 +27,9 @@
 	$(BIN)/tools/staticcheck ./...
 
 check: fmt lint build test ## all that CI runs
+
+slopes: build ## measure the slopes of the capacity page (some minutes)
+	scripts/slopes.sh docs/capacity/slopes.json
+
+capacity: build ## work out docs/CAPACITY.md from the slopes
+	$(BIN)/bridgecap render --target docs/capacity/target.json --slopes docs/capacity/slopes.json --out docs/CAPACITY.md --plots docs/capacity
--- /dev/null
+++ b/internal/capacity/page_test.go
@@ -0,0 +1,53 @@
+package capacity
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+)
+
+func load[T any](t *testing.T, path string) T {
+	t.Helper()
+	var v T
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(data, &v); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// TestPageMatchesItsSources keeps docs/CAPACITY.md equal to what the model
+// works out from the committed measurements.
+func TestPageMatchesItsSources(t *testing.T) {
+	goal := load[Goal](t, "../../docs/capacity/target.json")
+	measured := load[Measurements](t, "../../docs/capacity/slopes.json")
+	page, err := Page(goal, measured)
+	if err != nil {
+		t.Fatal(err)
+	}
+	committed, err := os.ReadFile("../../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != string(committed) {
+		t.Error("docs/CAPACITY.md is out of date: run make capacity")
+	}
+}
+
+func TestFitFindsTheLine(t *testing.T) {
+	s := Fit("x", "n", "B", []Point{{0, 5}, {10, 25}, {20, 45}})
+	if s.PerUnit != 2 || s.Base != 5 || s.R2 != 1 {
+		t.Errorf("got %+v", s)
+	}
+}
+
+func TestAMissingSlopeIsAnError(t *testing.T) {
+	goal := load[Goal](t, "../../docs/capacity/target.json")
+	if _, err := Page(goal, Measurements{}); err == nil || !strings.Contains(err.Error(), "no measurement") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -20,8 +20,7 @@
 	HostFailuresDay   float64 `json:"host_failures_per_day"`
 	PrimaryChangesDay float64 `json:"primary_changes_per_day"`
 
-	// Workspaces, KeysPerWorkspace, ActiveWorkspaces, WriteShare and HomeHosts
-	// are assumptions: the target does not state them.
+	// The fields from here on are assumptions: the target does not state them.
 	Workspaces       int `json:"assumed_workspaces"`
 	KeysPerWorkspace int `json:"assumed_keys_per_workspace"`
 	// ActiveWorkspaces is the number of workspaces that are active on one host
@@ -31,6 +30,9 @@
 	// HomeHosts is the number of entry hosts that hold connections to one
 	// database.
 	HomeHosts int `json:"assumed_home_hosts_per_database"`
+	// AnnounceInterval is the time between two announcements of an endpoint, in
+	// seconds.
+	AnnounceInterval float64 `json:"assumed_announce_interval_s"`
 }
 
 // Bounds are the limits that the users state for control work.
@@ -43,6 +45,12 @@
 	Failover      float64 `json:"failover_s"`      // seconds until a new primary serves
 }
 
+// Goal is a target with its bounds.
+type Goal struct {
+	Target Target `json:"target"`
+	Bounds Bounds `json:"bounds"`
+}
+
 const secondsPerDay = 86400
 
 // perSecond converts a number of events a day.
--- a/internal/failover/types.go
+++ b/internal/failover/types.go
@@ -23,6 +23,16 @@
 // ProbeInterval is the time between two probes of an endpoint by a watcher.
 const ProbeInterval = 250 * time.Millisecond
 
+// Load of watching.
+const (
+	// ReplicaProbeInterval is the time between two probes of a replica.
+	ReplicaProbeInterval = ProbeInterval
+	// ReportInterval is the time between two reports on an endpoint that is well.
+	ReportInterval = ProbeInterval
+	// MaxWatcherDomains bounds the failure domains that watch one endpoint.
+	MaxWatcherDomains = 1000
+)
+
 // Config holds the time limits of a Machine.
 type Config struct {
 	// SuspectAfter is how long a watcher must see an endpoint as lost before
--- a/internal/pgback/monitor.go
+++ b/internal/pgback/monitor.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// pollInterval is the time between two polls of an endpoint.
-	pollInterval = 200 * time.Millisecond
+	// PollInterval is the time between two polls of an endpoint.
+	PollInterval = 200 * time.Millisecond
 	// queryTimeout bounds one question to an endpoint.
 	queryTimeout = 2 * time.Second
 )
@@ -57,7 +57,7 @@
 
 // Run polls and answers until ctx ends.
 func (m *Monitor) Run(ctx context.Context) error {
-	ticker := time.NewTicker(pollInterval)
+	ticker := time.NewTicker(PollInterval)
 	defer ticker.Stop()
 	defer m.drop()
 	m.poll(ctx)
