Hold reads whose position is unknown during a failover

Cause: a read that has to ask the primary for its position was refused at once with no_primary while the group was sealed, although its deadline was far; and a request that had tried every endpoint found none until its deadline, even when one of them had come back.

Change: a small fix outside the policy packages, in the entry path: such a read waits within its deadline, under the same guard as a write. When nothing else is left, endpoints that were tried before may serve again.

After: the read is served once the group is active again.

Conclusion: during a failover a read is refused only by its deadline.

--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -119,6 +119,33 @@
 	}
 }
 
+// A read that cannot learn its position during a failover waits like a write.
+func TestReadIsHeldWhileItsPositionIsUnknown(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	setPhase := func(phase agreed.Phase, term uint64) {
+		f.publish(func(s *agreed.State) {
+			g := s.Groups[testService]
+			g.Phase, g.Term = phase, term
+			s.Groups[testService] = g
+		})
+	}
+	setPhase(agreed.PhaseSealed, 2)
+	conn := f.connect("")
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "select 1")
+		done <- err
+	}()
+	hurried := f.connect("galenabridge.deadline=200")
+	if _, err := hurried.Exec(testContext(t), "select 1"); err == nil {
+		t.Fatal("a read without a position was served")
+	}
+	setPhase(agreed.PhaseActive, 2)
+	if err := <-done; err != nil {
+		t.Fatalf("the held read: %v", err)
+	}
+}
+
 func TestOutcomeIsUnknownWhenTheAnswerIsLost(t *testing.T) {
 	f := newFixture(t, fixtureConfig{})
 	conn := f.connect("")
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -44,6 +44,8 @@
 		if !waitable(err) || ctx.Err() != nil {
 			return nil, err
 		}
+		// Nothing else is left: what was tried before may serve again.
+		need.Exclude = nil
 		timer := time.NewTimer(retryDelay)
 		select {
 		case <-changed:
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -183,20 +183,27 @@
 	return need
 }
 
-// require sets the position that a read must see.
+// require sets the position that a read must see. It waits until ctx ends while
+// the position cannot be known, as during a failover.
 func (s *session) require(ctx context.Context, need *Need, p purpose) error {
 	if !need.ReadOnly || need.MaxStaleness > 0 || p.kind == kindSet {
 		return nil
 	}
-	min, err := s.srv.positions.Required(ctx, s.who.service, s.who.workspace)
-	if err != nil {
-		if result.CodeOf(err) == 0 {
+	for {
+		min, err := s.srv.positions.Required(ctx, s.who.service, s.who.workspace)
+		switch {
+		case err == nil:
+			need.Min = min
+			return nil
+		case result.CodeOf(err) == 0:
 			return result.New(result.NoEndpoint, "position of the workspace: %v", err)
+		case !waitable(err) || pause(ctx, retryDelay) != nil:
+			return err
+		}
+		if err := s.guard(time.Now()); err != nil {
+			return err
 		}
-		return err
 	}
-	need.Min = min
-	return nil
 }
 
 // answerFailed answers a unit after the entry rolled the transaction back.
