Delete expired markers of request ids

Cause: a marker was deleted only when a resend met it, so the table grew for ever.

Change: outside the policy packages, in the entry path: after every 500 markers that a host writes, it deletes up to 1,000 expired ones on a connection of its own, beside the requests of callers. The table has an index by time.

After: go test -race -run ExpiredMarkers ./internal/entry sees the old one go and the recent one stay.

--- /dev/null
+++ b/internal/entry/marker_sweep.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/retry"
+)
+
+// Bounds of the deletion of expired markers.
+const (
+	// markersPerSweep is the number of markers that a host writes between two
+	// deletions. It is less than markersPerDelete, so that deletion keeps up.
+	markersPerSweep  = 500
+	markersPerDelete = 1000
+	sweepTimeout     = 5 * time.Second
+)
+
+// sweepMarkers deletes expired markers now and then, on the primary that the
+// lease is for and beside the requests of callers.
+func (s *Server) sweepMarkers(l *lease) {
+	if s.markers.Add(1)%markersPerSweep != 1 {
+		return
+	}
+	member, endpoint := l.backend, l.endpoint
+	s.spawn(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
+		defer cancel()
+		conn, err := member.pool.Acquire(ctx)
+		if err != nil {
+			return // the next sweep makes up for it
+		}
+		// The connection may still have the settings of a session.
+		_, err = conn.Query(ctx, "RESET ALL;"+deleteExpired(time.Now()))
+		conn.Session.Settings = ""
+		if err != nil {
+			s.log.Warn("marker_sweep_failed", "endpoint", endpoint, "err", err)
+		}
+		member.pool.Release(conn, err == nil)
+	})
+}
+
+func deleteExpired(now time.Time) string {
+	return fmt.Sprintf("DELETE FROM galenabridge_requests WHERE id IN "+
+		"(SELECT id FROM galenabridge_requests WHERE at < %d LIMIT %d)",
+		now.Add(-retry.MarkerTTL).UnixMilli(), markersPerDelete)
+}
--- a/internal/entry/request_id.go
+++ b/internal/entry/request_id.go
@@ -19,7 +19,8 @@
 // createMarkers makes the table of request ids. The column "at" holds Unix
 // time in milliseconds by the clock of the entry host.
 const createMarkers = "CREATE TABLE IF NOT EXISTS galenabridge_requests " +
-	"(id text PRIMARY KEY, digest text NOT NULL, at bigint NOT NULL)"
+	"(id text PRIMARY KEY, digest text NOT NULL, at bigint NOT NULL); " +
+	"CREATE INDEX IF NOT EXISTS galenabridge_requests_at ON galenabridge_requests (at)"
 
 // SQLSTATEs that the insertion of a marker meets.
 const (
@@ -157,6 +158,7 @@
 		s.abandon()
 		return retryOther, nil
 	}
+	s.srv.sweepMarkers(l)
 	if p.kind == kindBegin {
 		return doneHere, s.answerBegin(u, l)
 	}
--- a/internal/entry/request_id_test.go
+++ b/internal/entry/request_id_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 
 	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/retry"
 )
 
 func requestID(t *testing.T, conn *pgx.Conn, id string) {
@@ -101,3 +104,26 @@
 		seen[id] = p
 	}
 }
+
+func TestExpiredMarkersAreDeleted(t *testing.T) {
+	f := newFixture(t, fixtureConfig{})
+	primary := f.direct(0)
+	mustExec(t, primary, createMarkers)
+	now := time.Now()
+	for id, at := range map[string]time.Time{"old": now.Add(-retry.MarkerTTL - time.Minute), "recent": now.Add(-retry.MarkerTTL + time.Hour)} {
+		mustExec(t, primary, fmt.Sprintf("insert into galenabridge_requests values ('%s', '', %d)", id, at.UnixMilli()))
+	}
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int)")
+	requestID(t, conn, "new")
+	mustExec(t, conn, "insert into entries values (1)")
+	for end := now.Add(patience); queryInt(t, primary, "select count(*) from galenabridge_requests where id = 'old'") != 0; {
+		if time.Now().After(end) {
+			t.Fatal("the expired marker is still there")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if n := queryInt(t, primary, "select count(*) from galenabridge_requests"); n != 2 {
+		t.Errorf("%d markers are left, want the recent one and the new one", n)
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -41,6 +41,9 @@
 	tasks      sync.WaitGroup
 	draining   atomic.Bool
 
+	// markers counts the request ids that were written.
+	markers atomic.Uint64
+
 	mu       sync.Mutex
 	sessions map[uint32]*session
 	serial   uint32
