--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -70,7 +70,7 @@
 		return
 	}
 	if err := h.opts.Peer.Send(leader, h.addr(leader), kind, msg); err != nil {
-		h.log.Debug("forward_failed", "kind", kind, "err", err)
+		h.log.Debug("forward_failed", "kind", kind, "err", err.Error())
 	}
 }
 
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -39,6 +39,6 @@
 func (s *Subscriber) sendSoft(kind peer.Kind, msg any) {
 	up := s.current.Load()
 	if err := s.opts.Peer.Send(up.Host, up.Addr, kind, msg); err != nil {
-		s.log.Debug("send_failed", "control", up.Host, "kind", kind, "err", err)
+		s.log.Debug("send_failed", "control", up.Host, "kind", kind, "err", err.Error())
 	}
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -159,3 +161,59 @@
 		return err == nil && s.Settled >= out.Revision && len(s.Hosts) == 3
 	})
 }
+
+// voters returns the data folders of the active voters that the leader counts.
+func (f *fleet) voters(through string) map[string]string {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	s, err := f.hosts[through].control.Status(ctx)
+	if err != nil || s.Role != "leader" {
+		return nil
+	}
+	disks := make(map[string]string)
+	for _, c := range s.Controls {
+		if c.Voter && c.Active {
+			disks[c.Host] = c.Disk
+		}
+	}
+	return disks
+}
+
+func TestControlHostReturnsWithAnEmptyDisk(t *testing.T) {
+	f := newFleet(t, 3)
+	f.waitValid("c0", "c1", "c2")
+	f.propose("c0", testNote(1, "before"), 0)
+	wait(t, "three voters", func() bool { return len(f.voters("c0")) == 3 })
+	former := f.voters("c0")["c2"]
+	f.hosts["c2"].stop()
+	if err := os.RemoveAll(filepath.Join(f.dir, "c2")); err != nil {
+		t.Fatal(err)
+	}
+	f.propose("c0", testNote(2, "meanwhile"), 0)
+	f.start("c2")
+	wait(t, "the host votes again with another disk", func() bool {
+		now := f.voters("c0")
+		return len(now) == 3 && now["c2"] != former
+	})
+	f.hosts["c1"].stop()
+	f.propose("c0", testNote(3, "a second host is lost after the repair"), 0)
+	f.waitNote(3, "c0", "c2")
+	f.waitValid("c0", "c2")
+}
+
+func TestLostQuorumIsReportedTruthfully(t *testing.T) {
+	f := newFleet(t, 3)
+	f.waitValid("c0", "c1", "c2")
+	f.hosts["c1"].stop()
+	f.hosts["c2"].stop()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := f.hosts["c0"].control.Propose(ctx, testNote(1, "alone"))
+	if code := result.CodeOf(err); code != result.NoQuorum && code != result.NotLeader {
+		t.Fatalf("got %v", err)
+	}
+	wait(t, "the lease runs out", func() bool { return !f.hosts["c0"].valid() })
+	f.start("c1")
+	f.waitValid("c0", "c1")
+	f.propose("c1", testNote(1, "alone"), 0)
+}
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -21,7 +21,7 @@
 		return
 	}
 	if err := h.node.Step(e.message); err != nil {
-		h.log.Debug("consensus_message_refused", "peer", e.from, "err", err)
+		h.log.Debug("consensus_message_refused", "peer", e.from, "err", err.Error())
 	}
 }
 
@@ -81,7 +81,7 @@
 // nothing of theirs was sent.
 func (h *Host) saveFailed(err error) {
 	if h.saveFail == nil {
-		h.log.Error("store_save_failed", "err", err)
+		h.log.Error("store_save_failed", "err", err.Error())
 	}
 	h.saveFail = err
 }
@@ -105,7 +105,7 @@
 func (h *Host) sendAll(messages []consensus.Message) {
 	for _, m := range messages {
 		if err := h.opts.Peer.Send(m.To, h.addr(m.To), peer.KindConsensus, m); err != nil {
-			h.log.Debug("consensus_send_failed", "peer", m.To, "err", err)
+			h.log.Debug("consensus_send_failed", "peer", m.To, "err", err.Error())
 		}
 	}
 }
@@ -199,7 +199,7 @@
 	h.broker.Lead(now)
 	clear(h.lastHeld)
 	if err := h.node.ConfirmQuorum(electionConfirm); err != nil {
-		h.log.Warn("confirm_failed", "err", err)
+		h.log.Warn("confirm_failed", "err", err.Error())
 	}
 }
 
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -39,7 +39,7 @@
 // proposeDuty proposes a command whose outcome shows in the state.
 func (h *Host) proposeDuty(c agreed.Command) {
 	if _, err := h.proposeNow(c); err != nil {
-		h.log.Warn("duty_failed", "err", err)
+		h.log.Warn("duty_failed", "err", err.Error())
 	}
 }
 
@@ -56,7 +56,7 @@
 		return
 	}
 	if _, err := h.node.ProposeChange(change); err != nil {
-		h.log.Warn("member_change_failed", "host", change.Member.Host, "err", err)
+		h.log.Warn("member_change_failed", "host", change.Member.Host, "err", err.Error())
 		return
 	}
 	h.log.Info("member_change", "host", change.Member.Host, "kind", change.Kind)
--- a/internal/control/failover_driver.go
+++ b/internal/control/failover_driver.go
@@ -188,7 +188,7 @@
 		defer cancel()
 		err := reach.promote(ctx, endpoint)
 		if err != nil {
-			d.host.log.Warn("promote_failed", "service", e.Service, "endpoint", e.Endpoint, "err", err)
+			d.host.log.Warn("promote_failed", "service", e.Service, "endpoint", e.Endpoint, "err", err.Error())
 		}
 		d.report(promotionEvent{driver: d, service: e.Service, result: failover.PromotionResult{Term: e.Term, Endpoint: e.Endpoint, OK: err == nil}})
 	}()
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -83,7 +83,7 @@
 		f.cutOff[name] = true
 	}
 	for i := range n {
-		f.controls = append(f.controls, config.ControlHost{Host: fmt.Sprintf("c%d", i), Addr: freeAddr(t), Voter: true})
+		f.controls = append(f.controls, config.ControlHost{Host: fmt.Sprintf("c%d", i), Addr: f.freeAddr(), Voter: true})
 	}
 	for _, c := range f.controls {
 		f.start(c.Host)
@@ -91,13 +91,14 @@
 	return f
 }
 
-func freeAddr(t testing.TB) string {
-	l, err := port{net: newNetwork()}.Listen("127.0.0.1:0")
+// freeAddr returns an address that stays with the fleet.
+func (f *fleet) freeAddr() string {
+	r, err := f.net.reserve()
 	if err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	f.t.Cleanup(func() { _ = r.Listener.Close() })
+	return r.Addr().String()
 }
 
 func logger() *log.Logger {
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -243,7 +243,7 @@
 		h.answerProposal(index, agreed.Outcome{}, result.New(result.NoQuorum, "the control host is stopping"))
 	}
 	if err := h.store.Close(); err != nil {
-		h.log.Error("store_close_failed", "err", err)
+		h.log.Error("store_close_failed", "err", err.Error())
 	}
 }
 
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -60,7 +60,7 @@
 	h.roundEnd = now.Add(roundTimeout)
 	if h.leading {
 		if err := h.node.ConfirmQuorum(round.ID); err != nil {
-			h.log.Debug("confirm_failed", "err", err)
+			h.log.Debug("confirm_failed", "err", err.Error())
 		}
 		return
 	}
@@ -70,7 +70,7 @@
 	}
 	request := lease.Renew{Seq: round.ID, Applied: round.Applied, Relay: true, Holders: round.Holders, Base: round.Base}
 	if err := h.opts.Peer.Send(leader, h.addr(leader), peer.KindRenew, request); err != nil {
-		h.log.Debug("renew_failed", "leader", leader, "err", err)
+		h.log.Debug("renew_failed", "leader", leader, "err", err.Error())
 	}
 }
 
@@ -123,7 +123,7 @@
 			kind = peer.KindRelayOK
 		}
 		if err := h.opts.Peer.Send(a.To.Host, "", kind, a.OK); err != nil {
-			h.log.Debug("renew_answer_failed", "peer", a.To.Host, "err", err)
+			h.log.Debug("renew_answer_failed", "peer", a.To.Host, "err", err.Error())
 		}
 	}
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -78,6 +78,8 @@
 	Voter  bool   `json:"voter" cbor:"2,keyasint"`
 	Match  uint64 `json:"match" cbor:"3,keyasint"`
 	Active bool   `json:"active" cbor:"4,keyasint"`
+	// Disk is the identity of the host's data folder in hexadecimal.
+	Disk string `json:"disk" cbor:"5,keyasint"`
 }
 
 // HostStatus describes a registered host.
--- a/internal/control/network_test.go
+++ b/internal/control/network_test.go
@@ -14,10 +14,11 @@
 	mu       sync.Mutex
 	isolated map[string]bool
 	byAddr   map[string]string // listener or dialer address to host
+	reserved map[string]*reservation
 }
 
 func newNetwork() *network {
-	return &network{isolated: map[string]bool{}, byAddr: map[string]string{}}
+	return &network{isolated: map[string]bool{}, byAddr: map[string]string{}, reserved: map[string]*reservation{}}
 }
 
 func (n *network) isolate(host string, isolated bool) {
@@ -45,6 +46,9 @@
 }
 
 func (p port) Listen(addr string) (net.Listener, error) {
+	if r := p.net.reservation(addr); r != nil {
+		return r.attach(p), nil
+	}
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -53,6 +57,94 @@
 	return listener{l, p}, nil
 }
 
+// reservation keeps an address over restarts of its host, so that nobody else
+// can take it. Connections that nobody accepts are closed.
+type reservation struct {
+	net.Listener
+	mu    sync.Mutex
+	taker *attached
+}
+
+// attached is the listener of one process at a reserved address.
+type attached struct {
+	*reservation
+	port   port
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+// reserve binds a free address.
+func (n *network) reserve() (*reservation, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &reservation{Listener: l}
+	n.mu.Lock()
+	n.reserved[l.Addr().String()] = r
+	n.mu.Unlock()
+	go r.serve()
+	return r, nil
+}
+
+func (n *network) reservation(addr string) *reservation {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.reserved[addr]
+}
+
+func (r *reservation) serve() {
+	for {
+		c, err := r.Listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		taker := r.taker
+		r.mu.Unlock()
+		if taker == nil {
+			_ = c.Close()
+			continue
+		}
+		select {
+		case taker.conns <- c:
+		case <-taker.closed:
+			_ = c.Close()
+		}
+	}
+}
+
+func (r *reservation) attach(p port) net.Listener {
+	p.net.name(r.Addr().String(), p.host)
+	a := &attached{reservation: r, port: p, conns: make(chan net.Conn), closed: make(chan struct{})}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.taker = a
+	return a
+}
+
+func (a *attached) Accept() (net.Conn, error) {
+	select {
+	case c := <-a.conns:
+		return &lossyConn{Conn: c, port: a.port}, nil
+	case <-a.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (a *attached) Close() error {
+	a.once.Do(func() {
+		close(a.closed)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.taker == a {
+			a.taker = nil
+		}
+	})
+	return nil
+}
+
 func (p port) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	if p.net.cut(p.host, addr) {
 		<-ctx.Done()
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -107,13 +107,13 @@
 	if !ok {
 		var err error
 		if data, err = h.encodePush(base); err != nil {
-			h.log.Error("push_encode_failed", "err", err)
+			h.log.Error("push_encode_failed", "err", err.Error())
 			return
 		}
 		encoded[from] = data
 	}
 	if err := h.opts.Peer.Send(id.Host, sub.addr, kind, data); err != nil {
-		h.log.Debug("push_failed", "peer", id.Host, "err", err)
+		h.log.Debug("push_failed", "peer", id.Host, "err", err.Error())
 		return
 	}
 	sub.sent, sub.pushed = h.state.Revision, now
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/lease"
@@ -72,7 +73,7 @@
 		Settled:  h.broker.Settled(),
 	}
 	for _, m := range st.Members {
-		c := ControlStatus{Host: m.Host, Voter: m.Voter}
+		c := ControlStatus{Host: m.Host, Voter: m.Voter, Disk: strconv.FormatUint(m.Disk, 16)}
 		for _, f := range st.Followers {
 			if f.Disk == m.Disk {
 				c.Match, c.Active = f.Match, f.Active
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -157,7 +157,7 @@
 	s.renewed = now
 	c := s.control()
 	if err := s.opts.Peer.Send(c.Host, c.Addr, peer.KindRenew, s.holder.Renew(now, s.state.Revision)); err != nil {
-		s.log.Debug("renew_failed", "control", c.Host, "err", err)
+		s.log.Debug("renew_failed", "control", c.Host, "err", err.Error())
 	}
 }
 
@@ -193,7 +193,7 @@
 		out, err := callProposal(ctx, s.opts.Peer, c.Host, c.Addr, p)
 		switch {
 		case err != nil:
-			s.log.Debug("register_failed", "control", c.Host, "err", err)
+			s.log.Debug("register_failed", "control", c.Host, "err", err.Error())
 		case out.Code == result.PeerIncarnation:
 			s.log.Error("host_replaced", "detail", out.Detail)
 		}
@@ -233,7 +233,7 @@
 func (e snapshotEvent) handle(s *Subscriber, now time.Time) {
 	next, err := agreed.Decode(e.push.State)
 	if err != nil {
-		s.log.Warn("snapshot_refused", "err", err)
+		s.log.Warn("snapshot_refused", "err", err.Error())
 		return
 	}
 	if next.Revision > s.state.Revision {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -128,7 +128,7 @@
 		e.Detail = replyDetail(err)
 	}
 	if err := n.send(to.Host, to.Addr, e); err != nil {
-		n.opts.Logger.Debug("peer_reply_lost", "peer", to.Host, "kind", request.Kind, "err", err)
+		n.opts.Logger.Debug("peer_reply_lost", "peer", to.Host, "kind", request.Kind, "err", err.Error())
 	}
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -150,7 +150,7 @@
 			*backoff = minBackoff
 			return c
 		}
-		l.node.opts.Logger.Debug("peer_dial_failed", "peer", l.host, "addr", addr, "err", err)
+		l.node.opts.Logger.Debug("peer_dial_failed", "peer", l.host, "addr", addr, "err", err.Error())
 	}
 	l.queue.clear()
 	l.node.failCalls(l.host)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -221,7 +221,7 @@
 
 func (n *Node) malformed(host string, kind Kind, err error) {
 	n.metrics.refuse(result.PeerMalformed)
-	n.opts.Logger.Warn("peer_malformed", "peer", host, "kind", kind, "err", err)
+	n.opts.Logger.Warn("peer_malformed", "peer", host, "kind", kind, "err", err.Error())
 }
 
 func (n *Node) replaced() {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -75,7 +75,7 @@
 	c, err := n.acceptConn(w, r)
 	<-n.acceptSlots
 	if err != nil {
-		n.opts.Logger.Debug("peer_accept_failed", "remote", r.RemoteAddr, "err", err)
+		n.opts.Logger.Debug("peer_accept_failed", "remote", r.RemoteAddr, "err", err.Error())
 		return
 	}
 	l := n.link(c.peer.Host)
@@ -183,7 +183,7 @@
 		return
 	}
 	code := result.CodeOf(err)
-	n.opts.Logger.Warn("peer_refused_us", "peer", host, "code", code, "err", err)
+	n.opts.Logger.Warn("peer_refused_us", "peer", host, "code", code, "err", err.Error())
 	if code == result.PeerIncarnation {
 		n.replaced()
 	}
