Verify peer certificates with a result code; test mutual TLS

Cause: the test of mutual TLS found a data race: the HTTP server changed the TLS configuration that dialers copied. A wrong client certificate was refused below the handshake, without a result code or a count.

Package bridge uses the loader of package peer in place of its own.

Before/After: the race detector failed TestMutualTLS before; it passes now, as do certificates of another host, of another authority and a host without TLS.

--- a/bridge/host.go
+++ b/bridge/host.go
@@ -104,7 +104,7 @@
 }
 
 func (h *Host) buildPeers() error {
-	tlsConfig, err := peerTLS(h.settings.Peer.TLS)
+	tlsConfig, err := peer.LoadTLS(h.settings.Peer.TLS)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -78,7 +78,7 @@
 	if err := n.checkProof(frame.Proof, role, dialer, acceptor); err != nil {
 		return Identity{}, err
 	}
-	if err := checkCertificate(state, h.Host); err != nil {
+	if err := n.checkCertificate(state, h.Host); err != nil {
 		return Identity{}, err
 	}
 	if err := n.admit(h); err != nil {
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/tls"
+	"crypto/x509"
 
 	"github.com/galenabridge/galenabridge/internal/result"
 )
@@ -97,17 +98,26 @@
 	return nil
 }
 
-// checkCertificate binds the peer's certificate to its host name. Without TLS
-// state there is nothing to check.
-func checkCertificate(state *tls.ConnectionState, host string) error {
-	if state == nil {
+// checkCertificate verifies that the peer's certificate is signed by the fleet's
+// CA and names the host. Without TLS there is nothing to check.
+func (n *Node) checkCertificate(state *tls.ConnectionState, host string) error {
+	if n.opts.TLS == nil {
 		return nil
 	}
-	if len(state.PeerCertificates) == 0 {
+	if state == nil || len(state.PeerCertificates) == 0 {
 		return result.New(result.PeerAuth, "no certificate")
 	}
-	if err := state.PeerCertificates[0].VerifyHostname(host); err != nil {
-		return result.New(result.PeerAuth, "%v", err)
+	opts := x509.VerifyOptions{
+		DNSName:       host,
+		Roots:         n.opts.TLS.ClientCAs,
+		Intermediates: x509.NewCertPool(),
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	}
+	for _, cert := range state.PeerCertificates[1:] {
+		opts.Intermediates.AddCert(cert)
+	}
+	if _, err := state.PeerCertificates[0].Verify(opts); err != nil {
+		return result.New(result.PeerAuth, "certificate of host %q: %v", host, err)
 	}
 	return nil
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
 
@@ -39,7 +40,8 @@
 	}
 	server := &http.Server{
 		Handler:           http.HandlerFunc(n.accept),
-		TLSConfig:         n.opts.TLS,
+		TLSConfig:         n.opts.TLS.Clone(), // the server changes it
+		ErrorLog:          n.opts.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		ReadHeaderTimeout: handshakeTimeout,
 		IdleTimeout:       handshakeTimeout,
 		MaxHeaderBytes:    maxHandshake,
@@ -129,6 +131,10 @@
 	defer stop()
 	ws, state, err := n.dialWebSocket(ctx, l.host, addr)
 	if err != nil {
+		var wrong *tls.CertificateVerificationError
+		if errors.As(err, &wrong) {
+			n.metrics.refuse(result.PeerAuth)
+		}
 		return nil, err
 	}
 	ws.SetReadLimit(maxHandshake)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -54,6 +54,8 @@
 		Certificates: []tls.Certificate{cert},
 		RootCAs:      pool,
 		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
+		// The handshake of this package verifies the certificate, so that a
+		// refusal has a result code.
+		ClientAuth: tls.RequireAnyClientCert,
 	}, nil
 }
