Add metrics of the control role and of subscribers

Cause: the revision, the settled revision, the leader and the lease of a host could be seen in the status only.

Change: gauges for them, for the subscribers of a control host, and a counter of turns to another control host; package bridge passes its registry. A command with a note is copied before the leader stamps it, since its proposer may be encoding it for a second attempt. The events of the subscriber have a file of their own.

Before/After: no such metrics before; a test waits for them to follow a note.

Conclusion: a host past its lease can be alarmed on.

--- a/bridge/host.go
+++ b/bridge/host.go
@@ -142,6 +142,7 @@
 			Lease:     h.timing,
 			Logger:    h.log,
 			Databases: watch.NewProber(),
+			Registry:  h.registry,
 		})
 		h.owner = limits.NewOwner(h.peers, h.view, h.timing, h.log)
 	}
@@ -156,6 +157,7 @@
 		Lease:    h.timing,
 		Logger:   h.log,
 		View:     h.view,
+		Registry: h.registry,
 	})
 }
 
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -79,18 +79,7 @@
 func (f *fleet) bytes(names []string) float64 {
 	total := 0.0
 	for _, name := range names {
-		families, err := f.hosts[name].registry.Gather()
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		for _, family := range families {
-			if family.GetName() != "galenabridge_peer_bytes_total" {
-				continue
-			}
-			for _, m := range family.GetMetric() {
-				total += m.GetCounter().GetValue()
-			}
-		}
+		total += f.hosts[name].metric(f.t, "galenabridge_peer_bytes_total")
 	}
 	return total
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -24,8 +24,14 @@
 	f.start("e0")
 	f.start("e1")
 	f.waitValid("c0", "c1", "c2", "e0", "e1")
-	f.propose("c1", testNote(1, "first"), 0)
+	out := f.propose("c1", testNote(1, "first"), 0)
 	f.waitNote(1, "c0", "c1", "c2", "e0", "e1")
+	wait(t, "the metrics follow", func() bool {
+		e0 := f.hosts["e0"]
+		return e0.metric(t, "galenabridge_applied_revision") >= float64(out.Revision) &&
+			e0.metric(t, "galenabridge_lease_valid") == 1 &&
+			f.hosts["c0"].metric(t, "galenabridge_control_settled_revision") >= float64(out.Revision)
+	})
 }
 
 func TestResentNoteAndRacingOperators(t *testing.T) {
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -35,6 +35,7 @@
 		h.performDuties(now)
 	}
 	h.failover.tick(now)
+	h.metrics.update(h)
 }
 
 // process does the work that consensus hands out, until there is none.
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -128,13 +128,13 @@
 	if isControl {
 		h.control = control.New(control.Options{
 			Fleet: "fleet", DataDir: filepath.Join(f.dir, name), Bootstrap: true, Controls: f.controls,
-			Peer: h.peer, Lease: f.leases, Logger: logger().With("host", name), CompactEvery: 200,
+			Peer: h.peer, Lease: f.leases, Logger: logger().With("host", name), CompactEvery: 200, Registry: h.registry,
 			Databases: f.databases(name),
 		})
 	}
 	h.subscriber = control.NewSubscriber(control.SubscriberOptions{
 		Fleet: "fleet", Domain: h.domain, Entry: true, Control: isControl, Controls: f.controls,
-		Peer: h.peer, Lease: f.leases, Logger: logger().With("host", name), View: h.view,
+		Peer: h.peer, Lease: f.leases, Logger: logger().With("host", name), View: h.view, Registry: h.registry,
 	})
 	control.ServeDatabases(h.peer, h.view, watch.NewProber())
 	h.watcher = watch.NewWatcher(name, h.domain, h.view, h.subscriber.Observe)
@@ -189,6 +189,25 @@
 // valid reports whether the host may act now.
 func (h *testHost) valid() bool { return h.view.Current().Valid(time.Now()) }
 
+// metric returns the sum of all series of a metric of the host.
+func (h *testHost) metric(t testing.TB, name string) float64 {
+	t.Helper()
+	families, err := h.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	total := 0.0
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			total += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	return total
+}
+
 // leads reports whether the host believes to be the control leader.
 func (h *testHost) leads() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/config"
@@ -29,6 +30,7 @@
 	Peer      *peer.Node
 	Lease     lease.Config
 	Logger    *log.Logger
+	Registry  prometheus.Registerer
 	// Databases probes and promotes endpoints; nil disables failover.
 	Databases Databases
 	// CompactEvery is the number of applied entries between two snapshots;
@@ -45,9 +47,10 @@
 // Host is the control role of one host. Run owns all its state; other
 // goroutines reach it by events.
 type Host struct {
-	opts   Options
-	log    *log.Logger
-	events chan event
+	opts    Options
+	log     *log.Logger
+	metrics *hostMetrics
+	events  chan event
 	// snapshot of the position, for proposers in other goroutines.
 	lead atomic.Pointer[leadInfo]
 
@@ -99,7 +102,7 @@
 	if opts.Logger == nil {
 		opts.Logger = log.Default()
 	}
-	h := &Host{opts: opts, log: opts.Logger, events: make(chan event, eventBacklog)}
+	h := &Host{opts: opts, log: opts.Logger, metrics: newHostMetrics(opts.Registry), events: make(chan event, eventBacklog)}
 	// The broker outlives a restart of the task: leases that it relayed count on.
 	h.broker = lease.NewBroker(opts.Lease, startSeq())
 	h.lead.Store(&leadInfo{})
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -58,7 +58,7 @@
 		return 0, h.errNotLeader()
 	}
 	if c.ApplyNote != nil {
-		c.ApplyNote.Received = time.Now().UTC()
+		c.ApplyNote = &agreed.ApplyNote{Note: c.ApplyNote.Note, Received: time.Now().UTC()}
 	}
 	data, err := c.Encode()
 	if err != nil {
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/config"
@@ -35,6 +36,7 @@
 	Peer     *peer.Node
 	Lease    lease.Config
 	Logger   *log.Logger
+	Registry prometheus.Registerer
 	// View receives the agreed state with the lease.
 	View *view.Box
 }
@@ -46,6 +48,8 @@
 	log    *log.Logger
 	events chan subscriberEvent
 
+	metrics *subscriberMetrics
+
 	// current is the upstream, for other goroutines.
 	current atomic.Pointer[config.ControlHost]
 
@@ -70,7 +74,12 @@
 	if opts.Logger == nil {
 		opts.Logger = log.Default()
 	}
-	s := &Subscriber{opts: opts, log: opts.Logger, events: make(chan subscriberEvent, eventBacklog)}
+	s := &Subscriber{
+		opts:    opts,
+		log:     opts.Logger,
+		events:  make(chan subscriberEvent, eventBacklog),
+		metrics: newSubscriberMetrics(opts.Registry),
+	}
 	s.choose(s.firstUpstream())
 	peer.On(opts.Peer, peer.KindDelta, func(_ peer.Identity, d agreed.Delta) {
 		s.post(deltaEvent{d})
@@ -136,9 +145,11 @@
 
 // advance does what is due.
 func (s *Subscriber) advance(ctx context.Context, now time.Time) {
+	s.metrics.update(s, now)
 	if now.Sub(s.heard) > silenceTimeout {
 		s.choose((s.upstream + 1) % len(s.opts.Controls))
 		s.heard, s.renewed = now, time.Time{}
+		s.metrics.turns.Inc()
 		s.log.Info("control_host_silent", "next", s.control().Host)
 	}
 	if now.Sub(s.renewed) >= s.opts.Lease.RenewInterval {
@@ -211,90 +222,3 @@
 	}
 	s.opts.View.Publish(v)
 }
-
-// deltaEvent is a pushed delta.
-type deltaEvent struct {
-	delta agreed.Delta
-}
-
-func (e deltaEvent) handle(s *Subscriber, now time.Time) {
-	next, err := agreed.Patch(s.state, e.delta)
-	if err != nil {
-		return // a repeated push, or a gap that the next request shows
-	}
-	s.setState(now, next)
-}
-
-// snapshotEvent is a pushed snapshot.
-type snapshotEvent struct {
-	push snapshotPush
-}
-
-func (e snapshotEvent) handle(s *Subscriber, now time.Time) {
-	next, err := agreed.Decode(e.push.State)
-	if err != nil {
-		s.log.Warn("snapshot_refused", "err", err.Error())
-		return
-	}
-	if next.Revision > s.state.Revision {
-		s.setState(now, next)
-	}
-}
-
-// setState adopts a newer state and reports it at once, so that it can settle.
-func (s *Subscriber) setState(now time.Time, next *agreed.State) {
-	if next.Fleet != "" && next.Fleet != s.opts.Fleet {
-		s.log.Error("foreign_state", "fleet", next.Fleet)
-		return
-	}
-	s.state = next
-	for _, h := range next.Hosts {
-		s.opts.Peer.Observe(h.ID, h.Incarnation)
-	}
-	s.publish()
-	s.renew(now)
-}
-
-// grantEvent is an answer to a request for a lease.
-type grantEvent struct {
-	from string
-	ok   lease.RenewOK
-}
-
-func (e grantEvent) handle(s *Subscriber, now time.Time) {
-	if e.from == s.control().Host {
-		s.heard = now
-	}
-	s.holder.Granted(e.ok)
-	s.publish()
-}
-
-// leaveEvent stops all acting of this process.
-type leaveEvent struct {
-	done chan config.ControlHost // buffered
-}
-
-func (e leaveEvent) handle(s *Subscriber, _ time.Time) {
-	s.leaving = true
-	s.publish()
-	e.done <- s.control()
-}
-
-// Leave withdraws the view, for good, and takes the host out of the fleet. Call
-// it after the host has stopped to serve callers.
-func (s *Subscriber) Leave(ctx context.Context) error {
-	done := make(chan config.ControlHost, 1)
-	s.post(leaveEvent{done: done})
-	var c config.ControlHost
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case c = <-done:
-	}
-	var out agreed.Outcome
-	g := goodbye{Host: s.opts.Peer.Host(), Incarnation: s.opts.Peer.Incarnation()}
-	if err := s.opts.Peer.Call(ctx, c.Host, c.Addr, peer.KindGoodbye, g, &out); err != nil {
-		return err
-	}
-	return out.Err()
-}
--- /dev/null
+++ b/internal/control/subscriber_events.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/peer"
+)
+
+// deltaEvent is a pushed delta.
+type deltaEvent struct {
+	delta agreed.Delta
+}
+
+func (e deltaEvent) handle(s *Subscriber, now time.Time) {
+	next, err := agreed.Patch(s.state, e.delta)
+	if err != nil {
+		return // a repeated push, or a gap that the next request shows
+	}
+	s.setState(now, next)
+}
+
+// snapshotEvent is a pushed snapshot.
+type snapshotEvent struct {
+	push snapshotPush
+}
+
+func (e snapshotEvent) handle(s *Subscriber, now time.Time) {
+	next, err := agreed.Decode(e.push.State)
+	if err != nil {
+		s.log.Warn("snapshot_refused", "err", err.Error())
+		return
+	}
+	if next.Revision > s.state.Revision {
+		s.setState(now, next)
+	}
+}
+
+// setState adopts a newer state and reports it at once, so that it can settle.
+func (s *Subscriber) setState(now time.Time, next *agreed.State) {
+	if next.Fleet != "" && next.Fleet != s.opts.Fleet {
+		s.log.Error("foreign_state", "fleet", next.Fleet)
+		return
+	}
+	s.state = next
+	for _, h := range next.Hosts {
+		s.opts.Peer.Observe(h.ID, h.Incarnation)
+	}
+	s.publish()
+	s.renew(now)
+}
+
+// grantEvent is an answer to a request for a lease.
+type grantEvent struct {
+	from string
+	ok   lease.RenewOK
+}
+
+func (e grantEvent) handle(s *Subscriber, now time.Time) {
+	if e.from == s.control().Host {
+		s.heard = now
+	}
+	s.holder.Granted(e.ok)
+	s.publish()
+}
+
+// leaveEvent stops all acting of this process.
+type leaveEvent struct {
+	done chan config.ControlHost // buffered
+}
+
+func (e leaveEvent) handle(s *Subscriber, _ time.Time) {
+	s.leaving = true
+	s.publish()
+	e.done <- s.control()
+}
+
+// Leave withdraws the view, for good, and takes the host out of the fleet. Call
+// it after the host has stopped to serve callers.
+func (s *Subscriber) Leave(ctx context.Context) error {
+	done := make(chan config.ControlHost, 1)
+	s.post(leaveEvent{done: done})
+	var c config.ControlHost
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case c = <-done:
+	}
+	var out agreed.Outcome
+	g := goodbye{Host: s.opts.Peer.Host(), Incarnation: s.opts.Peer.Incarnation()}
+	if err := s.opts.Peer.Call(ctx, c.Host, c.Addr, peer.KindGoodbye, g, &out); err != nil {
+		return err
+	}
+	return out.Err()
+}
