Watch endpoints from at most five failure domains and report changes only

Change: at most five failure domains watch an endpoint, spread over regions so that a lost region leaves a majority; replicas are probed once a second; a condition that speaks against an endpoint is reported at every probe, a good one when it changes and every 5 s. Limits look at the owners once per epoch. Ruled out: three domains (a fleet of four would lose one of its watchers).

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -83,6 +83,7 @@
 	SlopeStateMemory    = "state_memory_per_workspace"
 	SlopeStateBytes     = "snapshot_bytes_per_workspace"
 	SlopeApplyCPU       = "delta_apply_seconds_per_workspace"
+	SlopeAssignCPU      = "assign_seconds_per_endpoint"
 	SlopeHostMemory     = "state_memory_per_host"
 	SlopeDBMemory       = "state_memory_per_database"
 	SlopeQuotaHolderCPU = "holder_cpu_per_pair"
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -121,8 +121,8 @@
 		},
 		{
 			Name: "watching endpoints", Mechanism: "rendezvous-chosen watchers per failure domain (008)",
-			Basis:    "probes of primaries and replicas, spread over all hosts",
-			CPU:      c.probesPerHost() * c.per(SlopeProbeCPU),
+			Basis:    "probes of primaries and replicas, spread over all hosts; assignment anew after each change",
+			CPU:      c.probesPerHost()*c.per(SlopeProbeCPU) + t.DeltasPerSecond()*float64(t.Endpoints())*c.per(SlopeAssignCPU),
 			Traffic:  c.probesPerHost()*c.per(SlopeProbeBytes) + c.observationsPerHost()*c.per(SlopeObserveBytes)/2,
 			Messages: c.probesPerHost() + c.observationsPerHost(),
 		},
--- a/internal/capacity/pure.go
+++ b/internal/capacity/pure.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/failover"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/quota"
 )
@@ -72,9 +73,41 @@
 	}
 	r.add(SlopeHostMemory, "hosts", "B", hosts)
 	r.add(SlopeDBMemory, "databases with 3 endpoints", "B", databases)
+	r.measureAssignment()
 	return nil
 }
 
+// Size of the fleet in which the assignment of watchers is measured.
+const (
+	assignHosts   = 2000
+	assignDomains = 11
+	assignRegions = 4
+)
+
+// measureAssignment times how long a host takes to find the endpoints that it
+// watches, which it does after each change of the agreed state.
+func (r *run) measureAssignment() {
+	var watchers []failover.Watcher
+	for i := range assignHosts {
+		domain := i % assignDomains
+		watchers = append(watchers, failover.Watcher{
+			Host:   fmt.Sprintf("host-%d", i),
+			Domain: fmt.Sprintf("domain-%d", domain),
+			Region: fmt.Sprintf("region-%d", domain%assignRegions),
+		})
+	}
+	var points []Point
+	for _, n := range []int{500, 2000, 6600} {
+		begin := time.Now()
+		electorate := failover.NewElectorate(watchers)
+		for i := range n {
+			electorate.Watches("host-1", "domain-1", fmt.Sprintf("endpoint-%d", i))
+		}
+		points = append(points, Point{float64(n), time.Since(begin).Seconds()})
+	}
+	r.add(SlopeAssignCPU, "endpoints at 2,000 hosts", "s", points)
+}
+
 func stateSize(state *agreed.State) (float64, error) {
 	data, err := state.Encode()
 	if err != nil {
--- a/internal/failover/electorate.go
+++ b/internal/failover/electorate.go
@@ -14,23 +14,27 @@
 type Watcher struct {
 	Host   string
 	Domain string
+	// Region is the region of the failure domain, empty when it is not known.
+	Region string
 }
 
 // Electorate knows the entry hosts whose observations count, and how many of
 // them make a majority. It is immutable.
 type Electorate struct {
 	domains []string
+	regions map[string]string // by failure domain
 	hosts   map[string][]string
 }
 
 // NewElectorate returns the electorate of the given entry hosts.
 func NewElectorate(watchers []Watcher) *Electorate {
-	e := &Electorate{hosts: make(map[string][]string)}
+	e := &Electorate{regions: make(map[string]string), hosts: make(map[string][]string)}
 	for _, w := range watchers {
 		if len(e.hosts[w.Domain]) == 0 {
 			e.domains = append(e.domains, w.Domain)
 		}
 		e.hosts[w.Domain] = append(e.hosts[w.Domain], w.Host)
+		e.regions[w.Domain] = w.Region
 	}
 	slices.Sort(e.domains)
 	for _, hosts := range e.hosts {
@@ -39,17 +43,53 @@
 	return e
 }
 
-// Watchers returns the hosts that probe the endpoint: by rendezvous hashing
-// one per failure domain, or up to three when there is only one domain.
-func (e *Electorate) Watchers(endpoint string) []Watcher {
-	n := 1
+// domainsOf returns the failure domains that watch the endpoint: all, or in a
+// large fleet MaxWatcherDomains of them by rendezvous hashing, spread evenly
+// over the regions so that the loss of one region leaves a majority.
+func (e *Electorate) domainsOf(endpoint string) []string {
+	if len(e.domains) <= MaxWatcherDomains {
+		return e.domains
+	}
+	ranked := rendezvous.Top(e.domains, endpoint, len(e.domains))
+	var chosen []string
+	taken := make(map[string]int) // by region
+	for round := 0; len(chosen) < MaxWatcherDomains; round++ {
+		for _, domain := range ranked {
+			region := e.regions[domain]
+			if taken[region] != round || slices.Contains(chosen, domain) || len(chosen) == MaxWatcherDomains {
+				continue
+			}
+			taken[region]++
+			chosen = append(chosen, domain)
+		}
+		evenOut(taken, round+1)
+	}
+	return chosen
+}
+
+// evenOut lets regions without a further failure domain pass a round.
+func evenOut(taken map[string]int, round int) {
+	for region, n := range taken {
+		taken[region] = max(n, round)
+	}
+}
+
+// perDomain is the number of watchers in one failure domain.
+func (e *Electorate) perDomain() int {
 	if len(e.domains) == 1 {
-		n = soleDomainWatchers
+		return soleDomainWatchers
 	}
+	return 1
+}
+
+// Watchers returns the hosts that probe the endpoint, by rendezvous hashing
+// one per watching failure domain, or up to three when there is only one
+// domain.
+func (e *Electorate) Watchers(endpoint string) []Watcher {
 	var chosen []Watcher
-	for _, domain := range e.domains {
-		for _, host := range rendezvous.Top(e.hosts[domain], endpoint, n) {
-			chosen = append(chosen, Watcher{Host: host, Domain: domain})
+	for _, domain := range e.domainsOf(endpoint) {
+		for _, host := range rendezvous.Top(e.hosts[domain], endpoint, e.perDomain()) {
+			chosen = append(chosen, Watcher{Host: host, Domain: domain, Region: e.regions[domain]})
 		}
 	}
 	return chosen
@@ -57,17 +97,19 @@
 
 // Watches reports whether the host is one of the endpoint's watchers.
 func (e *Electorate) Watches(host, domain, endpoint string) bool {
-	n := 1
-	if len(e.domains) == 1 {
-		n = soleDomainWatchers
+	if !slices.Contains(e.domainsOf(endpoint), domain) {
+		return false
+	}
+	if e.perDomain() == 1 {
+		return rendezvous.Owner(e.hosts[domain], endpoint) == host
 	}
-	return slices.Contains(rendezvous.Top(e.hosts[domain], endpoint, n), host)
+	return slices.Contains(rendezvous.Top(e.hosts[domain], endpoint, e.perDomain()), host)
 }
 
-// voter returns the name under which a watcher votes: its failure domain, or
-// the host itself when there is only one domain.
-func (e *Electorate) voter(host, domain string) (string, bool) {
-	if len(e.hosts[domain]) == 0 {
+// voter returns the name under which a watcher of the endpoint votes: its
+// failure domain, or the host itself when there is only one domain.
+func (e *Electorate) voter(host, domain, endpoint string) (string, bool) {
+	if !slices.Contains(e.domainsOf(endpoint), domain) {
 		return "", false
 	}
 	if len(e.domains) > 1 {
@@ -77,9 +119,9 @@
 }
 
 // majority returns the number of voters that must agree on a suspicion.
-func (e *Electorate) majority() int {
+func (e *Electorate) majority(endpoint string) int {
 	if len(e.domains) != 1 {
-		return len(e.domains)/2 + 1
+		return len(e.domainsOf(endpoint))/2 + 1
 	}
 	n := min(len(e.hosts[e.domains[0]]), soleDomainWatchers)
 	return n/2 + 1
--- a/internal/failover/fleet.go
+++ b/internal/failover/fleet.go
@@ -106,7 +106,7 @@
 	var watchers []Watcher
 	for _, h := range s.Hosts {
 		if h.Entry {
-			watchers = append(watchers, Watcher{Host: h.ID, Domain: h.Domain})
+			watchers = append(watchers, Watcher{Host: h.ID, Domain: h.Domain, Region: s.Catalog.Domains[h.Domain].Region})
 		}
 	}
 	slices.SortFunc(watchers, func(a, b Watcher) int {
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -18,7 +18,7 @@
 	effects []Effect
 }
 
-var threeDomains = []Watcher{{"h1", "d1"}, {"h2", "d2"}, {"h3", "d3"}}
+var threeDomains = []Watcher{{Host: "h1", Domain: "d1"}, {Host: "h2", Domain: "d2"}, {Host: "h3", Domain: "d3"}}
 
 func newRig(t *testing.T, watchers []Watcher) *rig {
 	t.Helper()
@@ -114,7 +114,7 @@
 }
 
 func TestOneHostOfASoleDomainIsNotEnough(t *testing.T) {
-	hosts := []Watcher{{"h1", "d1"}, {"h2", "d1"}}
+	hosts := []Watcher{{Host: "h1", Domain: "d1"}, {Host: "h2", Domain: "d1"}}
 	r := newRig(t, hosts)
 	r.seeFor(5*time.Second, down, "a", hosts[0])
 	expectNone[Seal](r)
@@ -321,7 +321,7 @@
 }
 
 func TestWatchersAreOnePerDomain(t *testing.T) {
-	e := NewElectorate([]Watcher{{"h1", "d1"}, {"h2", "d1"}, {"h3", "d2"}, {"h4", "d2"}})
+	e := NewElectorate([]Watcher{{Host: "h1", Domain: "d1"}, {Host: "h2", Domain: "d1"}, {Host: "h3", Domain: "d2"}, {Host: "h4", Domain: "d2"}})
 	spread := map[string]bool{}
 	for _, endpoint := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
 		chosen := e.Watchers(endpoint)
--- a/internal/failover/suspect.go
+++ b/internal/failover/suspect.go
@@ -21,7 +21,7 @@
 	if m.view.Electorate == nil {
 		return
 	}
-	voter, ok := m.view.Electorate.voter(o.Watcher, o.Domain)
+	voter, ok := m.view.Electorate.voter(o.Watcher, o.Domain, o.Endpoint)
 	if !ok {
 		return
 	}
@@ -73,16 +73,19 @@
 			votes++
 		}
 	}
-	return votes >= m.view.Electorate.majority()
+	return votes >= m.view.Electorate.majority(endpoint)
 }
 
 // seenWell reports whether a majority of voters reached the endpoint lately.
 func (m *Machine) seenWell(now time.Time, endpoint string) bool {
+	if m.view.Electorate == nil {
+		return false
+	}
 	votes := 0
 	for key, r := range m.reports {
-		if key.endpoint == endpoint && m.fresh(now, r) && r.lostSince.IsZero() {
+		if key.endpoint == endpoint && r.lostSince.IsZero() && now.Sub(r.at) <= m.cfg.WellTTL {
 			votes++
 		}
 	}
-	return m.view.Electorate != nil && votes >= m.view.Electorate.majority()
+	return votes >= m.view.Electorate.majority(endpoint)
 }
--- a/internal/failover/types.go
+++ b/internal/failover/types.go
@@ -26,11 +26,12 @@
 // Load of watching.
 const (
 	// ReplicaProbeInterval is the time between two probes of a replica.
-	ReplicaProbeInterval = ProbeInterval
+	ReplicaProbeInterval = time.Second
 	// ReportInterval is the time between two reports on an endpoint that is well.
-	ReportInterval = ProbeInterval
+	// Whatever speaks against an endpoint is reported at every probe.
+	ReportInterval = 5 * time.Second
 	// MaxWatcherDomains bounds the failure domains that watch one endpoint.
-	MaxWatcherDomains = 1000
+	MaxWatcherDomains = 5
 )
 
 // Config holds the time limits of a Machine.
@@ -38,8 +39,10 @@
 	// SuspectAfter is how long a watcher must see an endpoint as lost before
 	// its vote counts.
 	SuspectAfter time.Duration
-	// ObservationTTL is how long an observation counts without a newer one.
+	// ObservationTTL is how long an observation against an endpoint counts
+	// without a newer one, WellTTL one in its favour.
 	ObservationTTL time.Duration
+	WellTTL        time.Duration
 	// AskInterval is the time between two requests for positions.
 	AskInterval time.Duration
 	// AnswerTTL is how long an answer proves that an endpoint is alive.
@@ -69,6 +72,7 @@
 	return Config{
 		SuspectAfter:     3 * ProbeInterval,
 		ObservationTTL:   2 * time.Second,
+		WellTTL:          2*ReportInterval + 2*time.Second,
 		AskInterval:      100 * time.Millisecond,
 		AnswerTTL:        time.Second,
 		ProposeTimeout:   time.Second,
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -42,6 +42,7 @@
 
 	mu     sync.Mutex
 	quota  *quota.Holder
+	epoch  uint64 // of the set of owners
 	queues map[string]*queue
 	wake   chan struct{}
 }
@@ -102,7 +103,10 @@
 	}
 	usage := h.pool.Usage()
 	h.mu.Lock()
-	h.quota.SetEpoch(state.OwnersEpoch, owners(state))
+	if state.OwnersEpoch != h.epoch {
+		h.epoch = state.OwnersEpoch
+		h.quota.SetEpoch(h.epoch, owners(state))
+	}
 	for _, u := range usage {
 		h.quota.Report(now, connectionKey(u.Endpoint), float64(u.Connections), float64(u.WantedConnections))
 		h.quota.Report(now, slotKey(u.Endpoint), float64(u.Slots), float64(u.WantedSlots))
--- a/internal/limits/keys.go
+++ b/internal/limits/keys.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/failover"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/quota"
 )
@@ -35,6 +36,7 @@
 // limitsOf returns every limit that the agreed state sets.
 func limitsOf(state *agreed.State) map[string]quota.Limit {
 	all := make(map[string]quota.Limit)
+	probes := probeConnections(state)
 	for name, w := range state.Catalog.Workspaces {
 		all[rateKey(name)] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
 	}
@@ -43,23 +45,23 @@
 		if !ok {
 			continue
 		}
-		all[connectionKey(id)] = quota.Limit{Burst: float64(sharedConnections(state, service.Connections))}
+		all[connectionKey(id)] = quota.Limit{Burst: float64(max(service.Connections-probes, 1))}
 		all[slotKey(id)] = quota.Limit{Burst: float64(service.Slots)}
 	}
 	return all
 }
 
-// sharedConnections is the part of an endpoint's connections that entry hosts
-// share by need. The rest is kept for the probes: one watcher for each failure
-// domain and the control leader.
-func sharedConnections(state *agreed.State, whole int) int {
+// probeConnections is the number of an endpoint's connections that are kept for
+// probes: one watcher for each failure domain and the control leader. Entry
+// hosts share the others by need.
+func probeConnections(state *agreed.State) int {
 	domains := make(map[string]bool)
 	for _, h := range state.Hosts {
 		if h.Entry {
 			domains[h.Domain] = true
 		}
 	}
-	return max(whole-len(domains)-1, 1)
+	return min(len(domains), failover.MaxWatcherDomains) + 1
 }
 
 // owners returns the hosts among which the owners of keys are chosen.
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -34,6 +34,26 @@
 type watched struct {
 	service  note.Service
 	endpoint agreed.Endpoint
+	// primary tells that the endpoint is its group's primary, which is on the
+	// timeline unless that is zero.
+	primary  bool
+	timeline uint32
+}
+
+// interval is the time between two probes.
+func (w watched) interval() time.Duration {
+	if w.primary {
+		return failover.ProbeInterval
+	}
+	return failover.ReplicaProbeInterval
+}
+
+// lost reports whether a condition speaks against the endpoint.
+func (w watched) lost(c failover.Condition) bool {
+	if !c.Reachable || !w.primary {
+		return !c.Reachable
+	}
+	return c.InRecovery || (w.timeline != 0 && c.Timeline != w.timeline)
 }
 
 // Run probes until ctx ends.
@@ -96,33 +116,28 @@
 	if state == nil {
 		return nil
 	}
-	electorate := failover.NewElectorate(entryHosts(state))
+	electorate := failover.NewElectorate(failover.EntryHosts(state))
 	mine := make(map[string]watched)
 	for id, e := range state.Endpoints {
 		service, ok := state.Catalog.Services[e.Service]
 		if ok && electorate.Watches(w.host, w.domain, id) {
-			mine[id] = watched{service: service, endpoint: e}
+			group := state.Groups[e.Service]
+			mine[id] = watched{
+				service: service, endpoint: e,
+				primary: group.Primary == id, timeline: group.Timeline,
+			}
 		}
 	}
 	return mine
 }
 
-func entryHosts(state *agreed.State) []failover.Watcher {
-	var hosts []failover.Watcher
-	for _, h := range state.Hosts {
-		if h.Entry {
-			hosts = append(hosts, failover.Watcher{Host: h.ID, Domain: h.Domain})
-		}
-	}
-	return hosts
-}
-
 // probe observes one endpoint at every interval.
 func (w *Watcher) probe(ctx context.Context, target watched) {
-	ticker := time.NewTicker(failover.ProbeInterval)
+	ticker := time.NewTicker(target.interval())
 	defer ticker.Stop()
+	var last reported
 	for {
-		w.observe(ctx, target)
+		w.observe(ctx, target, &last)
 		select {
 		case <-ctx.Done():
 			return
@@ -131,13 +146,31 @@
 	}
 }
 
-func (w *Watcher) observe(ctx context.Context, target watched) {
+// reported is the latest report on an endpoint.
+type reported struct {
+	at        time.Time
+	condition failover.Condition
+}
+
+// due reports whether a condition must be reported: at every probe while it
+// speaks against the endpoint, when it has changed, and now and then.
+func (r reported) due(now time.Time, target watched, c failover.Condition) bool {
+	if target.lost(c) || now.Sub(r.at) >= failover.ReportInterval {
+		return true
+	}
+	c.Position, r.condition.Position = 0, 0
+	return c != r.condition
+}
+
+func (w *Watcher) observe(ctx context.Context, target watched, last *reported) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	condition := w.prober.Probe(probeCtx, target.service, target.endpoint)
-	if ctx.Err() != nil {
+	now := time.Now()
+	if ctx.Err() != nil || !last.due(now, target, condition) {
 		return
 	}
+	*last = reported{at: now, condition: condition}
 	w.report(control.Observation{
 		Service:  target.service.Name,
 		Endpoint: target.endpoint.ID,
