Test the command line: exit codes, keys, refusals, the next host

Change: tests over App.Main with a refusing and a dead host. Before: none. After: go test ./internal/cli passes.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,103 @@
+package cli
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// invoke runs the command line and returns its exit code and output.
+func invoke(args ...string) (code int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	app := &App{Stdout: &out, Stderr: &errs, Version: "test"}
+	code = app.Main(args)
+	return code, out.String(), errs.String()
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const goodNote = `{"number":1,"added":{"domains":[{"name":"osan","region":"kr-central"}]}}`
+
+func TestExitCodes(t *testing.T) {
+	good, bad := write(t, goodNote), write(t, `{"number":0}`)
+	for _, c := range []struct {
+		name string
+		args []string
+		want int
+	}{
+		{"help", []string{"--help"}, ExitOK},
+		{"help of a command", []string{"note", "apply", "--help"}, ExitOK},
+		{"no command", nil, ExitUsage},
+		{"unknown command", []string{"frobnicate"}, ExitUsage},
+		{"unknown flag", []string{"version", "--loud"}, ExitUsage},
+		{"surplus argument", []string{"version", "now"}, ExitUsage},
+		{"version", []string{"version"}, ExitOK},
+		{"missing settings", []string{"serve", "--config", "/nonexistent"}, ExitUsage},
+		{"good note", []string{"note", "check", good}, ExitOK},
+		{"bad note", []string{"note", "check", bad}, ExitRefused},
+		{"missing note", []string{"note", "check", "/nonexistent"}, ExitUsage},
+		{"nobody answers", []string{"note", "apply", "--admin", "http://127.0.0.1:1", good}, ExitUnreachable},
+		{"not a data folder", []string{"store", "verify", "/nonexistent"}, ExitFailure},
+	} {
+		if code, _, stderr := invoke(c.args...); code != c.want {
+			t.Errorf("%s: exit code %d, want %d: %s", c.name, code, c.want, stderr)
+		}
+	}
+}
+
+func TestExampleSettingsPassTheCheck(t *testing.T) {
+	_, example, _ := invoke("config", "example")
+	if code, _, stderr := invoke("config", "check", write(t, example)); code != ExitOK {
+		t.Error(stderr)
+	}
+}
+
+func TestKeyNewPrintsAMatchingPair(t *testing.T) {
+	_, out, _ := invoke("key", "new", "--workspace", "crew")
+	key, rest, ok := strings.Cut(strings.TrimPrefix(out, "key="), "\nverifier=")
+	if !ok || len(key) < 32 {
+		t.Fatalf("unexpected output %q", out)
+	}
+	if _, err := note.ParseVerifier(strings.TrimSpace(rest)); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestARefusalNamesItsCode applies a note to a host that refuses it.
+func TestARefusalNamesItsCode(t *testing.T) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusConflict)
+		_, _ = w.Write([]byte(`{"code":4001,"name":"note_conflict","detail":"number 1 is in force"}`))
+	}))
+	defer host.Close()
+	code, _, stderr := invoke("note", "apply", "--admin", host.URL, write(t, goodNote))
+	if code != ExitRefused || !strings.Contains(stderr, "GB4001") || !strings.Contains(stderr, result.Lookup(result.NoteConflict).Name) {
+		t.Errorf("exit code %d: %s", code, stderr)
+	}
+}
+
+// TestTheNextHostIsTried gives a dead address before a live one.
+func TestTheNextHostIsTried(t *testing.T) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"stamp":{"number":1,"digest":"d"},"revision":9}`))
+	}))
+	defer host.Close()
+	code, stdout, stderr := invoke("note", "apply", "--admin", "http://127.0.0.1:1", "--admin", host.URL, write(t, goodNote))
+	if code != ExitOK || !strings.Contains(stdout, "revision=9") {
+		t.Errorf("exit code %d: %s%s", code, stdout, stderr)
+	}
+}
