Poll positions apart from roles, and remember watching duties

Change: role and timeline are asked once a second, positions alone between; a watcher's probe leaves the position out; a watcher remembers its duties until hosts or regions change.

--- a/internal/capacity/entry.go
+++ b/internal/capacity/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/pgback"
 	"github.com/galenabridge/galenabridge/internal/watch"
 )
 
@@ -150,13 +151,29 @@
 		return err
 	}
 	defer proxy.close()
+	prober := watch.NewProber()
+	defer prober.Forget(func(string) bool { return false })
+	if err := r.measureQuestion(proxy, SlopeProbeCPU, SlopeProbeBytes, "probes/s", r.glance(prober)); err != nil {
+		return err
+	}
+	ask, done := r.position()
+	defer done()
+	return r.measureQuestion(proxy, SlopePositionCPU, SlopePositionBytes, "polls/s", ask)
+}
+
+// question asks the endpoint at addr once.
+type question func(addr string) error
+
+// measureQuestion asks at several rates, directly for the processor time and
+// through the proxy for the bytes.
+func (r *run) measureQuestion(proxy *countingProxy, cpuName, bytesName, variable string, ask question) error {
 	var cpu, bytes []Point
 	for _, rate := range r.plan.ProbeRates {
 		before, err := ownCPU()
 		if err != nil {
 			return err
 		}
-		if err := r.probeAt(r.system.StandinAddr, rate); err != nil {
+		if err := r.askAt(r.system.StandinAddr, rate, ask); err != nil {
 			return err
 		}
 		after, err := ownCPU()
@@ -165,37 +182,73 @@
 		}
 		cpu = append(cpu, Point{float64(rate), (after - before) / r.plan.Window.Seconds()})
 		counted := proxy.bytes.Load()
-		if err := r.probeAt(proxy.addr(), rate); err != nil {
+		if err := r.askAt(proxy.addr(), rate, ask); err != nil {
 			return err
 		}
 		bytes = append(bytes, Point{float64(rate), float64(proxy.bytes.Load()-counted) / r.plan.Window.Seconds()})
 	}
-	r.add(SlopeProbeCPU, "probes/s", "CPU s/s", cpu)
-	r.add(SlopeProbeBytes, "probes/s", "B/s", bytes)
+	r.add(cpuName, variable, "CPU s/s", cpu)
+	r.add(bytesName, variable, "B/s", bytes)
 	return nil
 }
 
-// probeAt probes the endpoint at addr at a rate for the length of a window.
-func (r *run) probeAt(addr string, rate int) error {
-	service := note.Service{
-		Name: "probe", Database: r.system.StandinDatabase,
-		User: r.system.StandinUser, Password: r.system.StandinPassword,
-	}
-	endpoint := agreed.Endpoint{ID: "probe", Service: "probe", Addr: addr}
-	prober := watch.NewProber()
-	defer prober.Forget(func(string) bool { return false })
+// askAt asks at a rate for the length of a window.
+func (r *run) askAt(addr string, rate int, ask question) error {
 	stop := make(chan struct{})
 	time.AfterFunc(r.plan.Window, func() { close(stop) })
-	lost := 0
+	var failed error
 	pace(rate, stop, func(int) {
-		if !prober.Probe(context.Background(), service, endpoint).Reachable {
-			lost++
+		if err := ask(addr); err != nil {
+			failed = err
 		}
 	})
-	if lost > 0 {
-		return errors.Errorf("%d probes were not answered", lost)
+	return failed
+}
+
+func (r *run) service() note.Service {
+	return note.Service{
+		Name: "probe", Database: r.system.StandinDatabase,
+		User: r.system.StandinUser, Password: r.system.StandinPassword,
 	}
-	return nil
+}
+
+// glance probes as a watcher does.
+func (r *run) glance(prober *watch.Prober) question {
+	return func(addr string) error {
+		endpoint := agreed.Endpoint{ID: addr, Service: "probe", Addr: addr}
+		if !prober.Glance(context.Background(), r.service(), endpoint).Reachable {
+			return errors.New("a probe was not answered")
+		}
+		return nil
+	}
+}
+
+// position asks for the replayed position as a monitor does between two
+// questions for the role.
+func (r *run) position() (ask question, done func()) {
+	conns := make(map[string]*pgback.Conn)
+	ask = func(addr string) error {
+		conn, ok := conns[addr]
+		if !ok {
+			s := r.service()
+			var err error
+			conn, err = pgback.Dial(context.Background(), pgback.Target{
+				Endpoint: addr, Addr: addr, Database: s.Database, User: s.User, Password: s.Password,
+			})
+			if err != nil {
+				return err
+			}
+			conns[addr] = conn
+		}
+		_, err := conn.Query(context.Background(), pgback.QueryReplayed)
+		return err
+	}
+	done = func() {
+		for _, conn := range conns {
+			conn.Close()
+		}
+	}
+	return ask, done
 }
 
 // countingProxy passes connections on and counts their bytes.
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -76,6 +76,8 @@
 	SlopeObserveBytes   = "leader_bytes_per_observation"
 	SlopeProbeCPU       = "host_cpu_per_probe"
 	SlopeProbeBytes     = "host_bytes_per_probe"
+	SlopePositionCPU    = "host_cpu_per_position_poll"
+	SlopePositionBytes  = "host_bytes_per_position_poll"
 	SlopeCallerMemory   = "entry_memory_per_idle_caller"
 	SlopeLoginCPU       = "entry_cpu_per_login"
 	SlopeStatementCPU   = "entry_cpu_per_statement"
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -94,6 +94,11 @@
 	return float64(c.t.Endpoints()*watchers) / failover.ReportInterval.Seconds() / float64(c.t.Hosts)
 }
 
+// hostChanges is the number of registrations and removals per second.
+func (c *modeller) hostChanges() float64 {
+	return perSecond(2 * (c.t.RestartsPerDay + c.t.HostFailuresDay))
+}
+
 // pairsPerHost is the number of quota keys that one entry host uses: the rates
 // of its active workspaces, connections and slots of its endpoints.
 func (c *modeller) pairsPerHost() float64 {
@@ -103,7 +108,9 @@
 func (c *modeller) entryRole() Role {
 	t := c.t
 	renews := 1 / lease.DefaultConfig().RenewInterval.Seconds()
-	polls := c.homeDatabases() * float64(t.EndpointsPerDatabase) / pgback.PollInterval.Seconds()
+	replicas := c.homeDatabases() * float64(t.EndpointsPerDatabase-1)
+	positions := replicas/pgback.ReplicaPollInterval.Seconds() + c.homeDatabases()/pgback.PrimaryPollInterval.Seconds()
+	roles := c.homeDatabases() * float64(t.EndpointsPerDatabase) / pgback.RolePollInterval.Seconds()
 	return Role{Name: "entry host", Count: t.Hosts, Items: []Item{
 		{
 			Name: "configuration lease", Mechanism: "one lease per host, renewed through a relay (003)",
@@ -121,17 +128,17 @@
 		},
 		{
 			Name: "watching endpoints", Mechanism: "rendezvous-chosen watchers per failure domain (008)",
-			Basis:    "probes of primaries and replicas, spread over all hosts; assignment anew after each change",
-			CPU:      c.probesPerHost()*c.per(SlopeProbeCPU) + t.DeltasPerSecond()*float64(t.Endpoints())*c.per(SlopeAssignCPU),
+			Basis:    "probes of primaries and replicas, spread over all hosts; assignment anew when hosts change",
+			CPU:      c.probesPerHost()*c.per(SlopeProbeCPU) + c.hostChanges()*float64(t.Endpoints())*c.per(SlopeAssignCPU),
 			Traffic:  c.probesPerHost()*c.per(SlopeProbeBytes) + c.observationsPerHost()*c.per(SlopeObserveBytes)/2,
 			Messages: c.probesPerHost() + c.observationsPerHost(),
 		},
 		{
 			Name: "positions of endpoints in use", Mechanism: "monitor per endpoint of the home set (007, 010)",
 			Basis:    "databases at home here, each endpoint polled",
-			CPU:      polls * c.per(SlopeProbeCPU),
-			Traffic:  polls * c.per(SlopeProbeBytes),
-			Messages: polls,
+			CPU:      positions*c.per(SlopePositionCPU) + roles*c.per(SlopeProbeCPU),
+			Traffic:  positions*c.per(SlopePositionBytes) + roles*c.per(SlopeProbeBytes),
+			Messages: positions + roles,
 		},
 		{
 			Name: "quota leases", Mechanism: "holder, one request per owner with all keys that are due (005)",
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -54,6 +54,9 @@
 	// Peers asks the other entry hosts for session positions; nil makes reads
 	// wait for the primary's position when there are other hosts.
 	Peers Peers
+	// GatherTimeout bounds the wait for their answers; zero means the default of
+	// package session.
+	GatherTimeout time.Duration
 	// Cancels forwards cancel requests for other hosts; nil drops them.
 	Cancels CancelForwarder
 	// Baseline serves requests in order of arrival and on the primary only, as
--- a/internal/entry/position_task.go
+++ b/internal/entry/position_task.go
@@ -71,7 +71,7 @@
 		shared: p, service: service,
 		inbox:    make(chan positionMessage, positionInbox),
 		done:     make(chan struct{}),
-		machine:  pos.NewService(positionConfig()),
+		machine:  pos.NewService(positionConfig(p.gatherTimeout)),
 		reads:    make(map[uint64]chan readResult),
 		replicas: make(map[string]pgback.Status),
 	}
@@ -79,9 +79,12 @@
 
 // positionConfig lets a round begin as soon as the last one has ended: rounds
 // are paced by their round trip, and reads that arrive meanwhile share the next.
-func positionConfig() pos.Config {
+func positionConfig(gatherTimeout time.Duration) pos.Config {
 	cfg := pos.DefaultConfig()
 	cfg.Interval = 0
+	if gatherTimeout > 0 {
+		cfg.GatherTimeout = gatherTimeout
+	}
 	return cfg
 }
 
--- a/internal/entry/positions.go
+++ b/internal/entry/positions.go
@@ -35,6 +35,9 @@
 	// current reads the position of an endpoint that is a primary.
 	current func(ctx context.Context, endpoint string) (pgback.Status, error)
 
+	// gatherTimeout replaces the default when it is set.
+	gatherTimeout time.Duration
+
 	lastID atomic.Uint64
 
 	mu       sync.Mutex
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -101,6 +101,7 @@
 	}
 	if s.positions == nil {
 		s.shared = newSharedPositions(s.opts.View, s.opts.Settings.Host, s.opts.Peers, s.PrimaryStatus)
+		s.shared.gatherTimeout = s.opts.GatherTimeout
 		s.positions = s.shared
 	}
 	if s.router == nil {
--- a/internal/pgback/monitor.go
+++ b/internal/pgback/monitor.go
@@ -6,9 +6,15 @@
 	"time"
 )
 
+// Intervals between two questions of a monitor. Role and timeline change far
+// less often than positions; a primary is also asked on demand.
+const (
+	ReplicaPollInterval = 200 * time.Millisecond
+	PrimaryPollInterval = 400 * time.Millisecond
+	RolePollInterval    = time.Second
+)
+
 const (
-	// PollInterval is the time between two polls of an endpoint.
-	PollInterval = 200 * time.Millisecond
 	// queryTimeout bounds one question to an endpoint.
 	queryTimeout = 2 * time.Second
 )
@@ -22,6 +28,8 @@
 	publish func(Status)
 	last    atomic.Pointer[Status]
 	conn    *Conn
+	// roleAsked is when role and timeline were last asked for.
+	roleAsked time.Time
 }
 
 type question struct {
@@ -57,7 +65,7 @@
 
 // Run polls and answers until ctx ends.
 func (m *Monitor) Run(ctx context.Context) error {
-	ticker := time.NewTicker(PollInterval)
+	ticker := time.NewTicker(ReplicaPollInterval)
 	defer ticker.Stop()
 	defer m.drop()
 	m.poll(ctx)
@@ -93,8 +101,22 @@
 	}
 }
 
+// poll asks for what is due: role, timeline and position, or the position alone.
 func (m *Monitor) poll(ctx context.Context) {
-	s := m.read(ctx, readStatus)
+	now := time.Now()
+	last := m.last.Load()
+	var s Status
+	switch {
+	case last == nil || last.Err != nil || now.Sub(m.roleAsked) >= RolePollInterval-ReplicaPollInterval/2:
+		s = m.read(ctx, readStatus)
+		m.roleAsked = now
+	case last.InRecovery:
+		s = m.read(ctx, last.replayedAnew)
+	case now.Sub(last.Asked) >= PrimaryPollInterval-ReplicaPollInterval/2:
+		s = m.read(ctx, last.positionsAnew)
+	default:
+		return
+	}
 	m.last.Store(&s)
 	if m.publish != nil && ctx.Err() == nil {
 		m.publish(s)
--- a/internal/pgback/status.go
+++ b/internal/pgback/status.go
@@ -10,11 +10,13 @@
 
 // Queries for the endpoint's own functions.
 const (
-	queryRole     = "SELECT pg_is_in_recovery(); SELECT timeline_id FROM pg_control_checkpoint()"
-	queryPrimary  = "SELECT pg_current_wal_lsn(); SELECT application_name, flush_lsn FROM pg_stat_replication"
-	queryReplayed = "SELECT pg_last_wal_replay_lsn()"
+	queryRole    = "SELECT pg_is_in_recovery(); SELECT timeline_id FROM pg_control_checkpoint()"
+	queryPrimary = "SELECT pg_current_wal_lsn(); SELECT application_name, flush_lsn FROM pg_stat_replication"
 )
 
+// QueryReplayed asks a replica for its position.
+const QueryReplayed = "SELECT pg_last_wal_replay_lsn()"
+
 // Status is the state of an endpoint as it reported it.
 type Status struct {
 	Endpoint string
@@ -63,9 +65,25 @@
 	return s, err
 }
 
+// replayedAnew returns the status of a replica with its position read anew.
+func (s *Status) replayedAnew(ctx context.Context, c *Conn) (Status, error) {
+	next := *s
+	next.Asked = time.Now()
+	err := next.readReplayed(ctx, c)
+	return next, err
+}
+
+// positionsAnew returns the status of a primary with its positions read anew.
+func (s *Status) positionsAnew(ctx context.Context, c *Conn) (Status, error) {
+	next := *s
+	next.Asked = time.Now()
+	err := next.readPositions(ctx, c)
+	return next, err
+}
+
 // readReplayed asks a replica for its position.
 func (s *Status) readReplayed(ctx context.Context, c *Conn) error {
-	results, err := c.Query(ctx, queryReplayed)
+	results, err := c.Query(ctx, QueryReplayed)
 	if err != nil {
 		return err
 	}
--- a/internal/watch/prober.go
+++ b/internal/watch/prober.go
@@ -47,10 +47,22 @@
 // Probe implements control.Databases. An endpoint that does not answer before
 // ctx ends is not reachable.
 func (p *Prober) Probe(ctx context.Context, service note.Service, e agreed.Endpoint) failover.Condition {
+	return p.ask(ctx, service, e, readCondition)
+}
+
+// Glance is like Probe but leaves the position out, which saves a round trip.
+func (p *Prober) Glance(ctx context.Context, service note.Service, e agreed.Endpoint) failover.Condition {
+	return p.ask(ctx, service, e, readRole)
+}
+
+func (p *Prober) ask(
+	ctx context.Context, service note.Service, e agreed.Endpoint,
+	read func(context.Context, *pgback.Conn) (failover.Condition, error),
+) failover.Condition {
 	var c failover.Condition
 	err := p.with(ctx, service, e, func(conn *pgback.Conn) error {
 		var err error
-		c, err = readCondition(ctx, conn)
+		c, err = read(ctx, conn)
 		return err
 	})
 	if err != nil {
@@ -152,6 +164,16 @@
 }
 
 func readCondition(ctx context.Context, conn *pgback.Conn) (failover.Condition, error) {
+	c, err := readRole(ctx, conn)
+	if err != nil {
+		return c, err
+	}
+	c.Position, err = readPosition(ctx, conn, c.InRecovery)
+	return c, err
+}
+
+// readRole asks for role and timeline.
+func readRole(ctx context.Context, conn *pgback.Conn) (failover.Condition, error) {
 	c := failover.Condition{Reachable: true}
 	rows, err := conn.Query(ctx, queryCondition)
 	if err != nil {
@@ -171,8 +193,7 @@
 		return c, errors.Wrap(err, "timeline")
 	}
 	c.Timeline = uint32(timeline)
-	c.Position, err = readPosition(ctx, conn, c.InRecovery)
-	return c, err
+	return c, nil
 }
 
 func readPosition(ctx context.Context, conn *pgback.Conn, inRecovery bool) (uint64, error) {
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -23,6 +24,11 @@
 	view   view.Source
 	report func(control.Observation)
 	prober *Prober
+	// duties remembers the assignment of endpoints; it holds as long as the
+	// registered hosts and the regions do.
+	duties  map[string]bool
+	hosts   uint64 // revision of the last change of the hosts
+	regions map[string]string
 }
 
 // NewWatcher returns a watcher that passes its observations to report.
@@ -116,11 +122,20 @@
 	if state == nil {
 		return nil
 	}
-	electorate := failover.NewElectorate(failover.EntryHosts(state))
+	w.forgetDuties(state)
+	var electorate *failover.Electorate
 	mine := make(map[string]watched)
 	for id, e := range state.Endpoints {
+		duty, known := w.duties[id]
+		if !known {
+			if electorate == nil {
+				electorate = failover.NewElectorate(failover.EntryHosts(state))
+			}
+			duty = electorate.Watches(w.host, w.domain, id)
+			w.duties[id] = duty
+		}
 		service, ok := state.Catalog.Services[e.Service]
-		if ok && electorate.Watches(w.host, w.domain, id) {
+		if ok && duty {
 			group := state.Groups[e.Service]
 			mine[id] = watched{
 				service: service, endpoint: e,
@@ -131,6 +146,19 @@
 	return mine
 }
 
+// forgetDuties drops the remembered assignment when what it rests on changed.
+func (w *Watcher) forgetDuties(state *agreed.State) {
+	regions := make(map[string]string, len(state.Catalog.Domains))
+	for name, domain := range state.Catalog.Domains {
+		regions[name] = domain.Region
+	}
+	if w.duties != nil && w.hosts == state.HostsChanged && maps.Equal(regions, w.regions) {
+		return
+	}
+	w.duties = make(map[string]bool, len(state.Endpoints))
+	w.hosts, w.regions = state.HostsChanged, regions
+}
+
 // probe observes one endpoint at every interval.
 func (w *Watcher) probe(ctx context.Context, target watched) {
 	ticker := time.NewTicker(target.interval())
@@ -165,7 +193,7 @@
 func (w *Watcher) observe(ctx context.Context, target watched, last *reported) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	condition := w.prober.Probe(probeCtx, target.service, target.endpoint)
+	condition := w.prober.Glance(probeCtx, target.service, target.endpoint)
 	now := time.Now()
 	if ctx.Err() != nil || !last.due(now, target, condition) {
 		return
