Check the page tree of the data file before bbolt does

Cause: random damage of the data file could end the process by a fault in a goroutine of bbolt, or make opening it never end. Change: the pages are checked to form a tree, with their elements inside them, and the free list to fit its page, before any other check. Conclusion: a damaged folder is refused with store_corrupt; damage of a meta page is still left to bbolt, which uses the older one.

--- a/internal/store/file.go
+++ b/internal/store/file.go
@@ -84,10 +84,9 @@
 	return false
 }
 
-// checkFile checks that the file holds all its pages, that every record is
-// sound, and that the pages form a valid database. The records come first:
-// bbolt checks pages in a goroutine of its own, where a fault on a damaged page
-// cannot be caught.
+// checkFile checks that the file holds all its pages, that these form a tree,
+// that every record is sound, and at last what bbolt checks itself. It does so
+// in a goroutine of its own, where a fault on a damaged page cannot be caught.
 func checkFile(tx *bolt.Tx) error {
 	info, err := os.Stat(tx.DB().Path())
 	if err != nil {
@@ -96,6 +95,13 @@
 	if info.Size() < tx.Size() {
 		return corrupt("the data file has %d bytes of %d", info.Size(), tx.Size())
 	}
+	data, err := os.ReadFile(tx.DB().Path())
+	if err != nil {
+		return errors.Wrap(err, "data file")
+	}
+	if err := checkTree(data); err != nil {
+		return err
+	}
 	if err := checkRecords(tx); err != nil {
 		return err
 	}
