--- a/internal/localfleet/run.go
+++ b/internal/localfleet/run.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/pkg/errors"
 
+	"github.com/galenabridge/galenabridge/internal/control"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/standin"
 )
@@ -217,6 +218,13 @@
 	return c, err
 }
 
+// Control returns the state of the control hosts as a host shows it.
+func (f *Fleet) Control(ctx context.Context, h *Host) (control.Status, error) {
+	var s control.Status
+	err := request(ctx, http.MethodGet, "http://"+h.Settings.Admin.Listen+"/v1/status", nil, &s)
+	return s, err
+}
+
 // SetFaults sets fault switches of an endpoint.
 func (e *Endpoint) SetFaults(ctx context.Context, r standin.FaultRequest) error {
 	body, err := json.Marshal(r)
