Report errors against the catalog together with field errors

Cause: a note with a wrong field hid its unknown references until the field was mended (seen by hand: a withdrawn service that is not in force was not named). Change: the admin interface and note check report both kinds at once; note apply leaves the check to the host. Before: only the 4 field errors of the note were named. After: the new test finds field and reference errors in one answer; tests of cli and note pass. Conclusion: all errors at once holds for references as well.

--- a/internal/admin/notes.go
+++ b/internal/admin/notes.go
@@ -27,7 +27,7 @@
 		WriteError(w, result.New(result.MessageTooLarge, "read the note: %v", err))
 		return
 	}
-	n, problems := note.Parse(data)
+	n, problems := s.check(data)
 	if note.HasErrors(problems) {
 		WriteError(w, result.New(result.NoteInvalid, "the note has errors; nothing of it was applied"), problems...)
 		return
@@ -49,6 +49,21 @@
 	})
 }
 
+// check decodes a note and finds its errors. When a field is wrong, the errors
+// against the catalog in force are reported with it.
+func (s *Server) check(data []byte) (note.Note, []note.Problem) {
+	n, problems := note.Decode(data)
+	if len(problems) > 0 {
+		return n, problems
+	}
+	problems = n.Check()
+	state := s.opts.View.Current().State
+	if note.HasErrors(problems) && state != nil {
+		_, problems = state.Catalog.Apply(n)
+	}
+	return n, problems
+}
+
 // state returns the agreed state, or answers that there is none yet.
 func (s *Server) state(w http.ResponseWriter) *agreed.State {
 	v := s.opts.View.Current()
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -133,3 +133,21 @@
 }
 
 func quiet() *log.Logger { return log.New(io.Discard) }
+
+// TestFieldAndReferenceErrorsComeTogether sends a note with a wrong field that
+// also withdraws what is not in force.
+func TestFieldAndReferenceErrorsComeTogether(t *testing.T) {
+	box := view.NewBox()
+	box.Publish(view.View{State: agreed.New()})
+	s := &Server{opts: Options{View: box}}
+	_, problems := s.check([]byte(`{"number":1,"added":{"domains":[{"name":""}]},"withdrawn":{"keys":["x"]}}`))
+	paths := make(map[string]bool)
+	for _, p := range problems {
+		paths[p.Path] = true
+	}
+	for _, want := range []string{"added.domains[0].name", "added.domains[0].region", "withdrawn.keys[0]"} {
+		if !paths[want] {
+			t.Errorf("no problem at %s: %v", want, problems)
+		}
+	}
+}
--- a/internal/cli/note.go
+++ b/internal/cli/note.go
@@ -27,14 +27,23 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
-// read parses the note and prints its problems. It fails when any is an error.
-func (f *noteFile) read(app *App) (note.Note, []byte, error) {
+// data returns the contents of the file.
+func (f *noteFile) data() ([]byte, error) {
 	data, err := os.ReadFile(f.Args.File)
 	if err != nil {
-		return note.Note{}, nil, exitWith(ExitUsage, err)
+		return nil, exitWith(ExitUsage, err)
 	}
-	n, problems := note.Parse(data)
-	return n, data, report(app, problems)
+	return data, nil
+}
+
+// decode reads the note without checking its fields.
+func (f *noteFile) decode(app *App) (note.Note, error) {
+	data, err := f.data()
+	if err != nil {
+		return note.Note{}, err
+	}
+	n, problems := note.Decode(data)
+	return n, report(app, problems)
 }
 
 func report(app *App, problems []note.Problem) error {
@@ -63,21 +72,21 @@
 }
 
 func (c *noteCheckCommand) run(app *App) error {
-	n, _, err := c.read(app)
+	n, err := c.decode(app)
 	if err != nil {
 		return err
 	}
+	problems := n.Check()
 	if c.Admin != "" {
 		options := adminOptions{Admin: []string{c.Admin}}
 		current, err := options.catalog()
 		if err != nil {
 			return err
 		}
-		if _, problems := current.Apply(n); len(problems) > 0 {
-			if err := report(app, problems); err != nil {
-				return err
-			}
-		}
+		_, problems = current.Apply(n)
+	}
+	if err := report(app, problems); err != nil {
+		return err
 	}
 	fmt.Fprintf(app.Stdout, "number=%d digest=%s ok\n", n.Number, note.Digest(n))
 	return nil
@@ -97,7 +106,7 @@
 }
 
 func (c *noteApplyCommand) run(app *App) error {
-	_, data, err := c.read(app)
+	data, err := c.data()
 	if err != nil {
 		return err
 	}
@@ -137,7 +146,7 @@
 }
 
 func (c *noteDiffCommand) run(app *App) error {
-	n, _, err := c.read(app)
+	n, err := c.decode(app)
 	if err != nil {
 		return err
 	}
--- a/internal/note/parse.go
+++ b/internal/note/parse.go
@@ -11,10 +11,19 @@
 // MaxNoteBytes is the largest release note that Parse accepts.
 const MaxNoteBytes = 4 << 20
 
-// Parse decodes a release note and checks each field on its own. Unknown fields
-// and text after the note are errors. The problems are sorted by path; the note
-// is meaningful only when there are none.
+// Parse decodes a release note and checks each field on its own. The problems
+// are sorted by path; the note is meaningful only when there are none.
 func Parse(data []byte) (Note, []Problem) {
+	n, problems := Decode(data)
+	if len(problems) > 0 {
+		return n, problems
+	}
+	return n, n.Check()
+}
+
+// Decode decodes a release note without checking its fields. Unknown fields and
+// text after the note are errors.
+func Decode(data []byte) (Note, []Problem) {
 	if len(data) > MaxNoteBytes {
 		return Note{}, []Problem{{Path: "", Reason: "the note is larger than 4 MiB"}}
 	}
@@ -27,7 +36,7 @@
 	if _, err := dec.Token(); err != io.EOF {
 		return Note{}, []Problem{{Path: "", Reason: "text after the note"}}
 	}
-	return n, n.Check()
+	return n, nil
 }
 
 // Digest returns the lower-case hexadecimal SHA-256 of the note's canonical
