Give every host a floor of slots and connections; show committed voters only

(2) TestSecondHostLostRightAfterRepair killed the second host before the repair: status showed a voter as active that a new leader had not heard yet, and membership changes that were not committed. Change: (1) an entry host may use one slot and two connections of an endpoint without a lease, the rest is leased by the peak of demand; the floors of connections are part of the cap. Ruled out: an election fault; the repaired host had never joined the group.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -31,7 +31,10 @@
 	snapshot *transfer
 	active   bool // answered since the last check of the quorum
 	recent   bool // answered in the interval before that
-	round    uint64
+	// heard is set once the follower has answered this leader, which counts it as
+	// active before that to give it the time to answer.
+	heard bool
+	round uint64
 }
 
 func (n *Node) becomeLeader() {
@@ -166,7 +169,7 @@
 	var all []FollowerStatus
 	for disk, p := range l.progress {
 		if disk != self {
-			all = append(all, FollowerStatus{Member: p.member, Match: p.match, Active: p.active || p.recent})
+			all = append(all, FollowerStatus{Member: p.member, Match: p.match, Active: p.heard && p.live()})
 		}
 	}
 	slices.SortFunc(all, func(a, b FollowerStatus) int { return compareMembers(a.Member, b.Member) })
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -87,7 +87,7 @@
 		Term: n.hard.Term, Leader: n.leader.Host,
 		First: n.log.prevIndex + 1, Last: n.log.last(),
 		Commit: n.log.commit, Applied: n.log.applied, Snapshot: n.log.snap.Index,
-		Members: slices.Clone(n.members), Voter: n.isVoter(), Rejoin: n.rejoin,
+		Members: slices.Clone(n.log.membersAt(n.log.commit)), Voter: n.isVoter(), Rejoin: n.rejoin,
 	}
 	if n.role == Leader {
 		s.Followers = n.lead.status(n.disk)
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -159,12 +159,14 @@
 	Role  Role
 	Term  uint64
 	// Leader is the host of the known leader, empty for none.
-	Leader    string
-	First     uint64
-	Last      uint64
-	Commit    uint64
-	Applied   uint64
-	Snapshot  uint64
+	Leader   string
+	First    uint64
+	Last     uint64
+	Commit   uint64
+	Applied  uint64
+	Snapshot uint64
+	// Members is the committed membership: a change that a majority does not have
+	// yet is not shown, since the loss of its leader could undo it.
 	Members   []Member
 	Voter     bool
 	Rejoin    bool
--- a/internal/entry/backends.go
+++ b/internal/entry/backends.go
@@ -144,13 +144,21 @@
 	}()
 }
 
-// stats returns the state of the pools in use by endpoint.
-func (b *backends) stats() map[string]pgback.Stats {
+// poolUse is the use of one endpoint's connections.
+type poolUse struct {
+	service  string
+	endpoint string
+	open     int
+	peak     int
+}
+
+// poolUse lists the endpoints in use, with their peaks since the last call.
+func (b *backends) poolUse() []poolUse {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	all := make(map[string]pgback.Stats, len(b.members))
+	all := make([]poolUse, 0, len(b.members))
 	for id, member := range b.members {
-		all[id] = member.pool.Stats()
+		all = append(all, poolUse{service: member.service, endpoint: id, open: member.pool.Stats().Open, peak: member.pool.TakePeak()})
 	}
 	return all
 }
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -60,8 +60,11 @@
 type endpointGate struct {
 	slots func() int
 
-	mu      sync.Mutex
-	queue   *admit.Queue
+	mu    sync.Mutex
+	queue *admit.Queue
+	// peak is the greatest number of requests that ran or waited at once since
+	// use was last called.
+	peak    int
 	current int
 	lastID  uint64
 	waiting map[uint64]chan error
@@ -81,6 +84,7 @@
 	e.apply(e.queue.Arrive(now, admit.Request{
 		ID: id, Workspace: a.Workspace, Weight: a.Weight, Class: a.Class, Deadline: a.Deadline,
 	}))
+	e.peak = max(e.peak, e.queue.Running()+e.queue.Waiting())
 	e.mu.Unlock()
 	select {
 	case err := <-turn:
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -9,16 +9,16 @@
 // Usage implements limits.Pool.
 func (s *Server) Usage() []limits.Usage {
 	var all []limits.Usage
-	for endpoint, stats := range s.backends.stats() {
+	for _, use := range s.backends.poolUse() {
 		// The monitor has a connection of its own.
 		u := limits.Usage{
-			Endpoint:          endpoint,
-			Connections:       stats.Open + 1,
-			WantedConnections: stats.Open - stats.Idle + stats.Waiting + 1,
+			Service:           use.service,
+			Endpoint:          use.endpoint,
+			Connections:       use.open + 1,
+			WantedConnections: use.peak + 1,
 		}
 		if gate, ok := s.gate.(*QueueGate); ok {
-			running, waiting := gate.load(endpoint)
-			u.Slots, u.WantedSlots = running, running+waiting
+			u.Slots, u.WantedSlots = gate.use(use.endpoint)
 		}
 		all = append(all, u)
 	}
@@ -33,9 +33,9 @@
 	}
 }
 
-// load returns the requests that run on an endpoint and those that wait for its
-// slots.
-func (g *QueueGate) load(endpoint string) (running, waiting int) {
+// use returns the requests that run on an endpoint, and the greatest number
+// that ran or waited at once since the last call.
+func (g *QueueGate) use(endpoint string) (running, peak int) {
 	g.mu.Lock()
 	e, ok := g.gates[endpoint]
 	g.mu.Unlock()
@@ -44,7 +44,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.queue.Running(), e.queue.Waiting()
+	peak = max(e.peak, e.queue.Running()+e.queue.Waiting())
+	e.peak = 0
+	return e.queue.Running(), peak
 }
 
 // resize follows changed numbers of slots.
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -16,11 +16,13 @@
 
 // Usage is what a host does with one endpoint.
 type Usage struct {
+	Service  string
 	Endpoint string
-	// Connections are open, WantedConnections open or asked for.
+	// Connections are open, WantedConnections the most that were lent or asked for
+	// at once since the last report.
 	Connections       int
 	WantedConnections int
-	// Slots are taken, WantedSlots taken or asked for.
+	// Slots are taken, WantedSlots the most that were taken or asked for.
 	Slots       int
 	WantedSlots int
 }
@@ -40,11 +42,15 @@
 	log   *log.Logger
 	pool  Pool
 
-	mu     sync.Mutex
-	quota  *quota.Holder
-	epoch  uint64 // of the set of owners
-	queues map[string]*queue
-	wake   chan struct{}
+	mu    sync.Mutex
+	quota *quota.Holder
+	epoch uint64 // of the set of owners
+	// floors are the connections that need no lease, by service.
+	floors map[string]int
+	// followed is the state from which the floors are.
+	followed *agreed.State
+	queues   map[string]*queue
+	wake     chan struct{}
 }
 
 // NewHolder returns a Holder and registers its handler with the peer node. Call
@@ -64,18 +70,43 @@
 func (h *Holder) SetPool(p Pool) { h.pool = p }
 
 // Connections returns how many connections to an endpoint the host may have.
-func (h *Holder) Connections(_, endpoint string) int { return h.units(connectionKey(endpoint)) }
-
-// Slots returns how many statements the host may run at once on an endpoint.
-func (h *Holder) Slots(_, endpoint string) int { return h.units(slotKey(endpoint)) }
+func (h *Holder) Connections(service, endpoint string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.floors[service] + h.units(connectionKey(endpoint))
+}
 
-func (h *Holder) units(key string) int {
+// Slots returns how many statements the host may run at once on an endpoint. A
+// host without a lease may run one, so the hosts together may run more than the
+// endpoint's slots when more hosts than that are active.
+func (h *Holder) Slots(_, endpoint string) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return max(h.units(slotKey(endpoint)), floorSlots)
+}
+
+func (h *Holder) units(key string) int {
 	allowed, _ := h.quota.Units(time.Now(), key)
 	return int(allowed)
 }
 
+// follow takes over a change of the agreed state. The caller holds the lock.
+func (h *Holder) follow(state *agreed.State) {
+	if state == h.followed {
+		return
+	}
+	h.followed = state
+	size := sizeOf(state)
+	h.floors = make(map[string]int, len(state.Catalog.Services))
+	for name, service := range state.Catalog.Services {
+		h.floors[name] = size.floor(service.Connections)
+	}
+	if state.OwnersEpoch != h.epoch {
+		h.epoch = state.OwnersEpoch
+		h.quota.SetEpoch(h.epoch, owners(state))
+	}
+}
+
 // Run asks owners for shares and serves waiting requests until ctx ends.
 func (h *Holder) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
@@ -103,12 +134,10 @@
 	}
 	usage := h.pool.Usage()
 	h.mu.Lock()
-	if state.OwnersEpoch != h.epoch {
-		h.epoch = state.OwnersEpoch
-		h.quota.SetEpoch(h.epoch, owners(state))
-	}
+	h.follow(state)
 	for _, u := range usage {
-		h.quota.Report(now, connectionKey(u.Endpoint), float64(u.Connections), float64(u.WantedConnections))
+		floor := h.floors[u.Service]
+		h.quota.Report(now, connectionKey(u.Endpoint), float64(max(u.Connections-floor, 0)), float64(max(u.WantedConnections-floor, 0)))
 		h.quota.Report(now, slotKey(u.Endpoint), float64(u.Slots), float64(u.WantedSlots))
 	}
 	batches := h.quota.Requests(now)
--- a/internal/limits/keys.go
+++ b/internal/limits/keys.go
@@ -36,7 +36,7 @@
 // limitsOf returns every limit that the agreed state sets.
 func limitsOf(state *agreed.State) map[string]quota.Limit {
 	all := make(map[string]quota.Limit)
-	probes := probeConnections(state)
+	size := sizeOf(state)
 	for name, w := range state.Catalog.Workspaces {
 		all[rateKey(name)] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
 	}
@@ -45,23 +45,59 @@
 		if !ok {
 			continue
 		}
-		all[connectionKey(id)] = quota.Limit{Burst: float64(max(service.Connections-probes, 1))}
+		all[connectionKey(id)] = quota.Limit{Burst: float64(size.sharedConnections(service.Connections))}
 		all[slotKey(id)] = quota.Limit{Burst: float64(service.Slots)}
 	}
 	return all
 }
 
-// probeConnections is the number of an endpoint's connections that are kept for
-// probes: one watcher for each failure domain and the control leader. Entry
-// hosts share the others by need.
-func probeConnections(state *agreed.State) int {
+// What an entry host may use of an endpoint without a lease, so that a request
+// on a quiet host does not wait for one.
+const (
+	// floorConnections are one connection for the monitor and one for requests.
+	floorConnections = 2
+	floorSlots       = 1
+)
+
+// fleetSize is what the shares of connections depend on.
+type fleetSize struct {
+	entryHosts int
+	domains    int // failure domains with entry hosts
+}
+
+func sizeOf(state *agreed.State) fleetSize {
+	var size fleetSize
 	domains := make(map[string]bool)
 	for _, h := range state.Hosts {
 		if h.Entry {
+			size.entryHosts++
 			domains[h.Domain] = true
 		}
 	}
-	return min(len(domains), failover.MaxWatcherDomains) + 1
+	size.domains = len(domains)
+	return size
+}
+
+// available is the number of an endpoint's connections that entry hosts may
+// use. The others are for probes: one watcher for each watching failure domain
+// and the control leader.
+func (f fleetSize) available(connections int) int {
+	probes := min(f.domains, failover.MaxWatcherDomains) + 1
+	return max(connections-probes, 1)
+}
+
+// floor is the number of connections that each entry host may have without a
+// lease. It is zero when the endpoint has too few for all.
+func (f fleetSize) floor(connections int) int {
+	if f.available(connections) < floorConnections*f.entryHosts {
+		return 0
+	}
+	return floorConnections
+}
+
+// sharedConnections is the number of connections that are leased by need.
+func (f fleetSize) sharedConnections(connections int) int {
+	return f.available(connections) - f.floor(connections)*f.entryHosts
 }
 
 // owners returns the hosts among which the owners of keys are chosen.
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -205,3 +205,34 @@
 func ownerOf(state *agreed.State, key string) string {
 	return rendezvous.Owner(owners(state), key)
 }
+
+// TestFloorsAndSharesFitTheCap adds up what all hosts may use of an endpoint.
+func TestFloorsAndSharesFitTheCap(t *testing.T) {
+	for connections := 1; connections <= 60; connections++ {
+		for hosts := 1; hosts <= 20; hosts++ {
+			size := fleetSize{entryHosts: hosts, domains: min(hosts, 4)}
+			floors := size.floor(connections) * hosts
+			shared := size.sharedConnections(connections)
+			if shared < 0 || floors+shared > max(connections-size.domains-1, 1) {
+				t.Errorf("%d connections, %d hosts: floors %d, shared %d", connections, hosts, floors, shared)
+			}
+		}
+	}
+}
+
+// TestAQuietHostNeedsNoLease asks for the units of a host that no owner has
+// answered.
+func TestAQuietHostNeedsNoLease(t *testing.T) {
+	f := newFleet(t, 0, 2)
+	f.state.Catalog.Services = map[string]note.Service{"s": {Name: "s", Connections: 30, Slots: 5}}
+	holder := f.hosts["entry-0"].holder
+	holder.mu.Lock()
+	holder.follow(f.state)
+	holder.mu.Unlock()
+	if n := holder.Connections("s", "e"); n != floorConnections {
+		t.Errorf("%d connections", n)
+	}
+	if n := holder.Slots("s", "e"); n != floorSlots {
+		t.Errorf("%d slots", n)
+	}
+}
--- a/internal/pgback/pool.go
+++ b/internal/pgback/pool.go
@@ -35,6 +35,8 @@
 	waiters []*waiter
 	lastErr error
 	closed  bool
+	// peak is the greatest number of lent and wanted connections since TakePeak.
+	peak int
 }
 
 type waiter struct {
@@ -83,6 +85,21 @@
 	return Stats{Limit: p.limit, Open: p.open, Idle: len(p.idle), Waiting: len(p.waiters), LastError: p.lastErr}
 }
 
+// wanted is the number of connections that are lent or waited for.
+func (p *Pool) wanted() int {
+	return p.open - p.dialing - len(p.idle) + len(p.waiters)
+}
+
+// TakePeak returns the greatest number of connections that were lent or waited
+// for at once since the last call.
+func (p *Pool) TakePeak() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peak := max(p.peak, p.wanted())
+	p.peak = 0
+	return peak
+}
+
 // Acquire lends a connection, waiting until one is free or ctx ends.
 func (p *Pool) Acquire(ctx context.Context) (*Conn, error) {
 	p.mu.Lock()
@@ -91,11 +108,13 @@
 		return nil, ErrPoolClosed
 	}
 	if conn := p.pop(time.Now()); conn != nil {
+		p.peak = max(p.peak, p.wanted())
 		p.mu.Unlock()
 		return conn, nil
 	}
 	w := &waiter{ready: make(chan grant, 1)}
 	p.waiters = append(p.waiters, w)
+	p.peak = max(p.peak, p.wanted())
 	p.grow()
 	p.mu.Unlock()
 
