Ask replicas and owners at once when a request waits for them

Cause: replicas' positions were up to 200 ms old, so most reads after a write went to the primary; a host without a share of a rate waited for the next tick.

--- a/internal/entry/backends.go
+++ b/internal/entry/backends.go
@@ -144,6 +144,17 @@
 	}()
 }
 
+// nudge asks the replicas of a service for their positions.
+func (b *backends) nudge(service, primary string) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for id, member := range b.members {
+		if member.service == service && id != primary {
+			member.monitor.Nudge()
+		}
+	}
+}
+
 // poolUse is the use of one endpoint's connections.
 type poolUse struct {
 	service  string
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -76,6 +76,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if need.ReadOnly && s.srv.isPrimary(need.Service, endpoint) {
+		// No replica is known to have the position: later reads need news of them.
+		s.srv.backends.nudge(need.Service, endpoint)
+	}
 	member, err := s.srv.backends.get(endpoint)
 	if err != nil {
 		return nil, result.New(result.NoEndpoint, "%v", err)
@@ -168,3 +172,9 @@
 	group := v.State.Groups[l.service]
 	return group.Term == l.term && group.Phase == agreed.PhaseActive && group.Primary == l.endpoint
 }
+
+// isPrimary reports whether the endpoint is the primary of its group.
+func (s *Server) isPrimary(service, endpoint string) bool {
+	state := s.opts.View.Current().State
+	return state != nil && state.Groups[service].Primary == endpoint
+}
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -47,6 +47,8 @@
 	epoch uint64 // of the set of owners
 	// floors are the connections that need no lease, by service.
 	floors map[string]int
+	// asked is when the last round began.
+	asked time.Time
 	// followed is the state from which the floors are.
 	followed *agreed.State
 	queues   map[string]*queue
@@ -122,10 +124,25 @@
 		case <-h.wake:
 		case <-timer.C:
 		}
-		timer.Reset(h.serve(time.Now()))
+		now := time.Now()
+		timer.Reset(h.serve(now))
+		if h.waiting() && now.Sub(h.asked) >= urgentInterval {
+			h.round(now)
+		}
 	}
 }
 
+// urgentInterval is the least time between two rounds while requests wait: a
+// host that has no share of a rate yet does not wait for the next tick.
+const urgentInterval = 10 * time.Millisecond
+
+// waiting reports whether requests wait for tokens.
+func (h *Holder) waiting() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.queues) > 0
+}
+
 // round reports the use of units and sends the requests that are due.
 func (h *Holder) round(now time.Time) {
 	state := h.view.Current().State
@@ -134,6 +151,7 @@
 	}
 	usage := h.pool.Usage()
 	h.mu.Lock()
+	h.asked = now
 	h.follow(state)
 	for _, u := range usage {
 		floor := h.floors[u.Service]
--- a/internal/pgback/monitor.go
+++ b/internal/pgback/monitor.go
@@ -28,6 +28,8 @@
 	publish func(Status)
 	last    atomic.Pointer[Status]
 	conn    *Conn
+	// nudge holds a token when a poll is wanted before the next tick.
+	nudge chan struct{}
 	// roleAsked is when role and timeline were last asked for.
 	roleAsked time.Time
 }
@@ -40,7 +42,7 @@
 // NewMonitor returns a monitor that passes each status to publish. Run must be
 // called for it to work.
 func NewMonitor(target Target, publish func(Status)) *Monitor {
-	return &Monitor{target: target, ask: make(chan question), publish: publish}
+	return &Monitor{target: target, ask: make(chan question), publish: publish, nudge: make(chan struct{}, 1)}
 }
 
 // Last returns the last status, or nil when there is none yet.
@@ -75,6 +77,8 @@
 			return ctx.Err()
 		case <-ticker.C:
 			m.poll(ctx)
+		case <-m.nudge:
+			m.pollEarly(ctx)
 		case q := <-m.ask:
 			m.answer(ctx, m.gather(q))
 		}
@@ -101,6 +105,25 @@
 	}
 }
 
+// Nudge asks for a poll soon: somebody waits for a replica to catch up.
+func (m *Monitor) Nudge() {
+	select {
+	case m.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// minPollInterval bounds the rate of polls that are asked for.
+const minPollInterval = 10 * time.Millisecond
+
+// pollEarly polls a replica between two ticks.
+func (m *Monitor) pollEarly(ctx context.Context) {
+	last := m.last.Load()
+	if last != nil && last.InRecovery && time.Since(last.Asked) >= minPollInterval {
+		m.poll(ctx)
+	}
+}
+
 // poll asks for what is due: role, timeline and position, or the position alone.
 func (m *Monitor) poll(ctx context.Context) {
 	now := time.Now()
