--- a/bridge/run.go
+++ b/bridge/run.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, goodbyeTimeout)
 	defer cancel()
 	if err := h.subscriber.Leave(ctx); err != nil {
-		h.log.Warn("deregister_failed", "err", err)
+		h.log.Warn("deregister_failed", "err", err.Error())
 	}
 	h.log.Info("shutdown_end")
 	return errShutdown
@@ -93,6 +93,6 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(h.settings.Entry.DrainTimeout))
 	defer cancel()
 	if err := h.entry.Drain(ctx); err != nil {
-		h.log.Warn("drain_incomplete", "err", err)
+		h.log.Warn("drain_incomplete", "err", err.Error())
 	}
 }
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
 	defer cancel()
 	if err := s.opts.Cancels.Forward(ctx, host, c); err != nil {
-		s.log.Warn("cancel_not_forwarded", "host", host, "err", err)
+		s.log.Warn("cancel_not_forwarded", "host", host, "err", err.Error())
 	}
 }
 
@@ -54,7 +54,7 @@
 func (s *Server) cancelOn(conn *pgback.Conn) {
 	s.spawn(func() {
 		if err := conn.Cancel(); err != nil {
-			s.log.Warn("cancel_failed", "endpoint", conn.Target.Endpoint, "err", err)
+			s.log.Warn("cancel_failed", "endpoint", conn.Target.Endpoint, "err", err.Error())
 		}
 	})
 }
--- a/internal/entry/marker_sweep.go
+++ b/internal/entry/marker_sweep.go
@@ -35,7 +35,7 @@
 		_, err = conn.Query(ctx, "RESET ALL;"+deleteExpired(time.Now()))
 		conn.Session.Settings = ""
 		if err != nil {
-			s.log.Warn("marker_sweep_failed", "endpoint", endpoint, "err", err)
+			s.log.Warn("marker_sweep_failed", "endpoint", endpoint, "err", err.Error())
 		}
 		member.pool.Release(conn, err == nil)
 	})
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -172,7 +172,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return err
 		case errors.As(err, &netErr):
-			s.log.Warn("accept_failed", "err", err)
+			s.log.Warn("accept_failed", "err", err.Error())
 			if pause(ctx, acceptPause) != nil {
 				return ctx.Err()
 			}
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -168,7 +168,7 @@
 	for _, b := range batches {
 		addr := state.Hosts[b.Owner].PeerAddr
 		if err := h.peers.Send(b.Owner, addr, peer.KindQuota, b.Request); err != nil {
-			h.log.Debug("quota_request_failed", "peer", b.Owner, "err", err)
+			h.log.Debug("quota_request_failed", "peer", b.Owner, "err", err.Error())
 		}
 	}
 }
--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -83,7 +83,7 @@
 	o.quota.SetAuthority(o.view.Current().ValidUntil)
 	reply := o.quota.Handle(now, r.request)
 	if err := o.peers.Send(r.from.Host, r.from.Addr, peer.KindQuotaOK, reply); err != nil {
-		o.log.Debug("quota_reply_failed", "peer", r.from.Host, "err", err)
+		o.log.Debug("quota_reply_failed", "peer", r.from.Host, "err", err.Error())
 	}
 }
 
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -47,7 +48,7 @@
 	for i := 0; ; {
 		answer, err := s.post(ctx, client, s.opts.Admins[i%len(s.opts.Admins)])
 		if err != nil {
-			s.opts.Logger.Debug("standin_announce_failed", "id", s.opts.ID, "err", err)
+			s.opts.Logger.Debug("standin_announce_failed", "id", s.opts.ID, "err", err.Error())
 			i++
 		} else {
 			s.learn(ctx, answer)
@@ -123,11 +124,11 @@
 	}
 	newer, err := s.replacedBy(ctx, answer.PrimaryAddr)
 	if err != nil || !newer {
-		s.opts.Logger.Debug("standin_primary_named", "id", s.opts.ID, "primary", answer.Primary, "err", err)
+		s.opts.Logger.Debug("standin_primary_named", "id", s.opts.ID, "primary", answer.Primary, "err", fmt.Sprint(err))
 		return
 	}
 	if err := s.demote(answer.PrimaryAddr); err != nil {
-		s.opts.Logger.Error("standin_demote_failed", "id", s.opts.ID, "err", err)
+		s.opts.Logger.Error("standin_demote_failed", "id", s.opts.ID, "err", err.Error())
 	}
 }
 
--- a/internal/standin/receiver.go
+++ b/internal/standin/receiver.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		if err := s.followOnce(ctx, upstream, changed); err != nil {
-			s.opts.Logger.Debug("standin_follow_failed", "id", s.opts.ID, "upstream", upstream, "err", err)
+			s.opts.Logger.Debug("standin_follow_failed", "id", s.opts.ID, "upstream", upstream, "err", err.Error())
 		}
 		if err := waitChange(ctx, nil, nil, followRetry); err != nil {
 			return err
--- a/internal/standin/sender.go
+++ b/internal/standin/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -66,7 +67,7 @@
 	err := s.stream(ctx, request)
 	s.conn.Close()
 	<-ctx.Done()
-	s.srv.opts.Logger.Debug("standin_stream_ended", "id", s.srv.opts.ID, "replica", sb.id, "err", err)
+	s.srv.opts.Logger.Debug("standin_stream_ended", "id", s.srv.opts.ID, "replica", sb.id, "err", fmt.Sprint(err))
 	return errGoodbye
 }
 
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -91,7 +91,7 @@
 		if time.Since(start) >= steadyRun {
 			wait = minBackoff
 		}
-		t.log.Error("task_failed", "task", c.name, "err", err, "restart_in", wait)
+		t.log.Error("task_failed", "task", c.name, "err", err.Error(), "restart_in", wait)
 		t.backoff(ctx, wait)
 		wait = min(2*wait, maxBackoff)
 	}
