Share the CBOR settings; state the placement of voters rightly

Cause: packages agreed and peer held the same encoder and decoder settings; the capacity page promised a quorum for five voters in any three regions, which three voters in one region would break. Change: internal/codec holds the settings, with the bounds of each package as before; the page asks for at most two voters in a region.

--- a/internal/agreed/command.go
+++ b/internal/agreed/command.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenabridge/galenabridge/internal/codec"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
@@ -112,41 +112,14 @@
 	return Outcome{Code: e.Code, Detail: e.Detail}
 }
 
-// Bounds of a decoded state or command.
-const (
-	maxElements = 4 << 20 // items of one array or map
-	maxNesting  = 16      // levels
-)
+// maxElements bounds the items of one decoded array or map.
+const maxElements = 4 << 20
 
 var (
-	encMode = newEncMode()
-	decMode = newDecMode()
+	encMode = codec.Deterministic()
+	decMode = codec.Strict(maxElements)
 )
 
-func newEncMode() cbor.EncMode {
-	opts := cbor.CoreDetEncOptions()
-	opts.Time = cbor.TimeRFC3339Nano
-	mode, err := opts.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func newDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-		MaxNestedLevels:  maxNesting,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Encode encodes a command for the log.
 func (c Command) Encode() ([]byte, error) {
 	data, err := encMode.Marshal(c)
--- a/internal/capacity/text.go
+++ b/internal/capacity/text.go
@@ -61,9 +61,10 @@
 endpoint in the region is written to. Groups whose primary stood there are
 failed over when a majority of their endpoints is on the other side; a group with
 its majority inside the cut region waits, since promoting a minority could lose
-acknowledged records. With five voters in at least three regions the other
-side always has a quorum. If the four regions lose each other all at once, no
-side has a quorum and all keyed work stops until two of the larger ones meet.
+acknowledged records. With five voters, at most two of them in one region, the
+other side always has a quorum. If the four regions lose each other all at once, no
+side has a quorum and all keyed work stops until regions with three of the
+voters reach each other.
 
 ## What misses, and what is not built
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -3,17 +3,15 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/galenabridge/galenabridge/internal/codec"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
 // MaxMessage is the largest message accepted from a peer, in bytes.
 const MaxMessage = 64 << 20
 
-// Bounds of one decoded message.
-const (
-	maxElements = 1 << 20 // items of one array or map
-	maxNesting  = 16      // levels
-)
+// maxElements bounds the items of one decoded array or map.
+const maxElements = 1 << 20
 
 // envelope carries one message.
 type envelope struct {
@@ -29,35 +27,10 @@
 }
 
 var (
-	encMode = newEncMode()
-	decMode = newDecMode()
+	encMode = codec.Deterministic()
+	decMode = codec.Strict(maxElements)
 )
 
-func newEncMode() cbor.EncMode {
-	opts := cbor.CoreDetEncOptions()
-	opts.Time = cbor.TimeRFC3339Nano
-	mode, err := opts.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func newDecMode() cbor.DecMode {
-	opts := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-		MaxNestedLevels:  maxNesting,
-	}
-	mode, err := opts.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Marshal encodes the body of a message.
 func Marshal(msg any) ([]byte, error) {
 	return encMode.Marshal(msg)
