Measure leases by a clock that counts suspension

Cause: leases and shares were measured by Go's monotonic clock, which stands still while a machine is suspended, so that a process that wakes up would still think its lease valid. Change: package clock reads CLOCK_BOOTTIME; view.Valid reads it itself, so no caller can pass a time taken before a pause. Control, limits and the views of tests use it.

--- a/bridge/admin.go
+++ b/bridge/admin.go
@@ -1,8 +1,6 @@
 package bridge
 
 import (
-	"time"
-
 	"github.com/galenabridge/galenabridge/internal/admin"
 	"github.com/galenabridge/galenabridge/internal/announce"
 )
@@ -27,5 +25,5 @@
 
 // healthy tells the balancer whether to send callers to this host.
 func (h *Host) healthy() bool {
-	return h.accepting.Load() && h.view.Current().Valid(time.Now())
+	return h.accepting.Load() && h.view.Current().Valid()
 }
--- a/internal/admin/notes.go
+++ b/internal/admin/notes.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/note"
@@ -71,7 +70,7 @@
 		WriteError(w, result.New(result.NoConfigLease, "the host has not heard from the control hosts yet"))
 		return nil
 	}
-	w.Header().Set("Galenabridge-Lease-Valid", leaseText(v.Valid(time.Now())))
+	w.Header().Set("Galenabridge-Lease-Valid", leaseText(v.Valid()))
 	return v.State
 }
 
--- a/internal/capacity/subscribers.go
+++ b/internal/capacity/subscribers.go
@@ -48,7 +48,7 @@
 	}
 	deadline := time.Now().Add(settleTimeout)
 	for _, m := range s.members {
-		for !m.view.Current().Valid(time.Now()) {
+		for !m.view.Current().Valid() {
 			if time.Now().After(deadline) {
 				return errors.Errorf("%d subscribers did not all get a lease in %s", n, settleTimeout)
 			}
--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,27 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+func TestNowGrowsAndCarriesNoMonotonicReading(t *testing.T) {
+	first := Now()
+	if first != first.Round(0) {
+		t.Error("the time carries a reading of the monotonic clock")
+	}
+	if second := Now(); second.Before(first) {
+		t.Errorf("%v after %v", second, first)
+	}
+	if Since(first) < 0 || Until(first) > 0 {
+		t.Error("since and until have the wrong sign")
+	}
+}
+
+func TestDeadlineKeepsTheRemainingTime(t *testing.T) {
+	const left = time.Hour
+	got := Until(Deadline(time.Now().Add(left)))
+	if got > left || got < left-time.Minute {
+		t.Errorf("%v left of %v", got, left)
+	}
+}
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/consensus"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -99,7 +100,7 @@
 		return err
 	}
 	h.log.Info("snapshot_installed", "index", snap.Index, "revision", state.Revision)
-	h.setState(time.Now(), state)
+	h.setState(clock.Now(), state)
 	return nil
 }
 
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -187,7 +187,7 @@
 }
 
 // valid reports whether the host may act now.
-func (h *testHost) valid() bool { return h.view.Current().Valid(time.Now()) }
+func (h *testHost) valid() bool { return h.view.Current().Valid() }
 
 // metric returns the sum of all series of a metric of the host.
 func (h *testHost) metric(t testing.TB, name string) float64 {
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/config"
 	"github.com/galenabridge/galenabridge/internal/consensus"
 	"github.com/galenabridge/galenabridge/internal/lease"
@@ -134,11 +135,11 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			h.tick(time.Now())
+			h.tick(clock.Now())
 		case e := <-h.events:
 			h.drain(e)
 		}
-		if err := h.process(time.Now()); err != nil {
+		if err := h.process(clock.Now()); err != nil {
 			return err
 		}
 	}
@@ -150,11 +151,11 @@
 // drain handles an event and those that wait behind it, so that one sync of the
 // store serves many proposals.
 func (h *Host) drain(e event) {
-	e.handle(h, time.Now())
+	e.handle(h, clock.Now())
 	for range drainBatch {
 		select {
 		case e = <-h.events:
-			e.handle(h, time.Now())
+			e.handle(h, clock.Now())
 		default:
 			return
 		}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -60,7 +60,7 @@
 // update sets the metrics to the state of the subscriber.
 func (m *subscriberMetrics) update(s *Subscriber, now time.Time) {
 	m.applied.Set(float64(s.state.Revision))
-	m.valid.Set(boolValue(s.opts.View.Current().Valid(now)))
+	m.valid.Set(boolValue(s.opts.View.Current().Valid()))
 }
 
 func newGauge(name, help string) prometheus.Gauge {
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/config"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/peer"
@@ -102,7 +103,7 @@
 
 // Run follows the state until ctx ends, then withdraws the view.
 func (s *Subscriber) Run(ctx context.Context) error {
-	now := time.Now()
+	now := clock.Now()
 	if s.state == nil {
 		s.state = agreed.New()
 	}
@@ -113,13 +114,13 @@
 	ticker := time.NewTicker(subscriberTick)
 	defer ticker.Stop()
 	for {
-		s.advance(ctx, time.Now())
+		s.advance(ctx, clock.Now())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		case e := <-s.events:
-			e.handle(s, time.Now())
+			e.handle(s, clock.Now())
 		}
 	}
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -66,7 +66,7 @@
 
 // sameTerm reports whether the lease's term is still the group's.
 func sameTerm(v view.View, l *lease) bool {
-	return termHolds(view.View{State: v.State, ValidUntil: farFuture}, l, time.Time{})
+	return termHolds(view.View{State: v.State, ValidUntil: farFuture}, l)
 }
 
 var farFuture = time.Unix(1<<40, 0)
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/config"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -121,13 +122,13 @@
 	next.Groups = maps.Clone(next.Groups)
 	change(&next)
 	f.state = next
-	f.box.Publish(view.View{State: &next, Settled: next.Revision, ValidUntil: time.Now().Add(time.Hour)})
+	f.box.Publish(view.View{State: &next, Settled: next.Revision, ValidUntil: clock.Now().Add(time.Hour)})
 }
 
 // expire ends the configuration lease.
 func (f *fixture) expire() {
 	v := f.box.Current()
-	v.ValidUntil = time.Now()
+	v.ValidUntil = clock.Now()
 	f.box.Publish(v)
 }
 
--- a/internal/entry/identity.go
+++ b/internal/entry/identity.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -55,9 +54,9 @@
 }
 
 // guard reports why a statement may not be sent now.
-func (s *session) guard(now time.Time) error {
+func (s *session) guard() error {
 	v := s.srv.opts.View.Current()
-	if !v.Valid(now) {
+	if !v.Valid() {
 		return result.New(result.NoConfigLease, "the configuration lease ended")
 	}
 	host, registered := v.State.Hosts[s.srv.opts.Settings.Host]
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -56,7 +56,7 @@
 		if ctx.Err() != nil {
 			return nil, err
 		}
-		if err := s.guard(time.Now()); err != nil {
+		if err := s.guard(); err != nil {
 			return nil, err
 		}
 	}
@@ -113,8 +113,7 @@
 
 // recheck makes sure that the endpoint may still be used after the wait.
 func (s *session) recheck(l *lease, need Need) error {
-	now := time.Now()
-	if err := s.guard(now); err != nil {
+	if err := s.guard(); err != nil {
 		return err
 	}
 	group := s.srv.opts.View.Current().State.Groups[l.service]
@@ -165,8 +164,8 @@
 }
 
 // termHolds reports whether the host may act on the lease's term now.
-func termHolds(v view.View, l *lease, now time.Time) bool {
-	if !v.Valid(now) {
+func termHolds(v view.View, l *lease) bool {
+	if !v.Valid() {
 		return false
 	}
 	group := v.State.Groups[l.service]
--- a/internal/entry/login.go
+++ b/internal/entry/login.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sort"
-	"time"
 
 	"github.com/galenabridge/galenabridge/internal/pgfront"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -85,7 +84,7 @@
 	if err := ses.authenticate(startup); err != nil {
 		return nil, err
 	}
-	if err := ses.guard(time.Now()); err != nil {
+	if err := ses.guard(); err != nil {
 		return nil, err
 	}
 	if err := ses.parameters(startup.Parameters); err != nil {
@@ -106,7 +105,7 @@
 // authenticate checks the key against the agreed state.
 func (s *session) authenticate(startup *pgfront.Startup) error {
 	v := s.srv.opts.View.Current()
-	if !v.Valid(time.Now()) {
+	if !v.Valid() {
 		return result.New(result.NoConfigLease, "the configuration lease ended")
 	}
 	s.who = identity{workspace: startup.Workspace, service: startup.Service}
--- a/internal/entry/position_task.go
+++ b/internal/entry/position_task.go
@@ -218,7 +218,7 @@
 		group := state.Groups[t.service]
 		l := &lease{service: t.service, endpoint: group.Primary, term: group.Term}
 		status, err := t.shared.current(ctx, group.Primary)
-		if err == nil && termHolds(t.shared.view.Current(), l, time.Now()) {
+		if err == nil && termHolds(t.shared.view.Current(), l) {
 			answer.OK = true
 			answer.Position = pos.Position{Term: group.Term, LSN: status.LSN}
 		}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -277,7 +277,7 @@
 		r.returnLease()
 		return doneHere, err
 	}
-	holds := termHolds(s.srv.opts.View.Current(), r.l, time.Now())
+	holds := termHolds(s.srv.opts.View.Current(), r.l)
 	r.returnLease()
 	err := r.termEnded()
 	if holds {
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -41,7 +41,7 @@
 // Pick implements Router.
 func (r *TableRouter) Pick(now time.Time, need Need) (string, error) {
 	v := r.view.Current()
-	if !v.Valid(now) {
+	if !v.Valid() {
 		return "", result.New(result.NoConfigLease, "the configuration lease ended")
 	}
 	r.mu.Lock()
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return result.New(result.OutcomeUnknown, "waiting for a majority of the group: %v", errors.Cause(err))
 	}
-	if !termHolds(s.srv.opts.View.Current(), r.l, time.Now()) {
+	if !termHolds(s.srv.opts.View.Current(), r.l) {
 		return r.termEnded()
 	}
 	s.srv.positions.Acked(r.l.service, s.who.workspace, position)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -117,7 +117,7 @@
 		need = Need{Service: s.who.service}
 	}
 	for first := true; ; first = false {
-		if err := s.guard(time.Now()); err != nil {
+		if err := s.guard(); err != nil {
 			return s.refuse(err, u.sync)
 		}
 		if err := s.require(ctx, &need, p); err != nil {
@@ -149,14 +149,13 @@
 
 // continueOn sends the unit on the lease of the transaction in progress.
 func (s *session) continueOn(u *unit, p purpose, timing *timing) error {
-	now := time.Now()
 	v := s.srv.opts.View.Current()
 	switch err := s.who.check(v); {
 	case err != nil:
 		return err
-	case !v.Valid(now):
+	case !v.Valid():
 		return s.refuse(result.New(result.NoConfigLease, "the configuration lease ended; the transaction is rolled back"), u.sync)
-	case s.lease.primary && !termHolds(v, s.lease, now):
+	case s.lease.primary && !termHolds(v, s.lease):
 		return s.refuse(result.New(result.EndpointLost, "endpoint %s is not the primary any more", s.lease.endpoint), u.sync)
 	}
 	_, err := s.sendUnit(u, p, timing, nil)
@@ -200,7 +199,7 @@
 		case !waitable(err) || pause(ctx, retryDelay) != nil:
 			return err
 		}
-		if err := s.guard(time.Now()); err != nil {
+		if err := s.guard(); err != nil {
 			return err
 		}
 	}
--- a/internal/entry/simple.go
+++ b/internal/entry/simple.go
@@ -24,7 +24,7 @@
 // Pick implements Router.
 func (r *PrimaryRouter) Pick(now time.Time, need Need) (string, error) {
 	v := r.view.Current()
-	if !v.Valid(now) {
+	if !v.Valid() {
 		return "", result.New(result.NoConfigLease, "the lease ended")
 	}
 	group, ok := v.State.Groups[need.Service]
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/quota"
@@ -88,7 +89,7 @@
 }
 
 func (h *Holder) units(key string) int {
-	allowed, _ := h.quota.Units(time.Now(), key)
+	allowed, _ := h.quota.Units(clock.Now(), key)
 	return int(allowed)
 }
 
@@ -120,11 +121,11 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			h.round(time.Now())
+			h.round(clock.Now())
 		case <-h.wake:
 		case <-timer.C:
 		}
-		now := time.Now()
+		now := clock.Now()
 		timer.Reset(h.serve(now))
 		if h.waiting() && now.Sub(h.asked) >= urgentInterval {
 			h.round(now)
@@ -175,7 +176,7 @@
 
 func (h *Holder) receive(r quota.Reply) {
 	h.mu.Lock()
-	h.quota.Receive(time.Now(), r)
+	h.quota.Receive(clock.Now(), r)
 	h.mu.Unlock()
 	h.pool.Resize()
 	h.notify()
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/peer"
@@ -104,7 +105,7 @@
 // publish gives all hosts the present state with a lease that outlasts the test.
 func (f *fleet) publish() {
 	for _, h := range f.hosts {
-		h.view.Publish(view.View{State: f.state, ValidUntil: time.Now().Add(testTimeout)})
+		h.view.Publish(view.View{State: f.state, ValidUntil: clock.Now().Add(testTimeout)})
 	}
 }
 
--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/quota"
@@ -55,7 +56,7 @@
 
 // Run grants quotas until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
-	now := time.Now()
+	now := clock.Now()
 	// A restarted task has forgotten its grants and counts as a new process.
 	o.quota = quota.NewOwner(quotaConfig(o.cfg), o.peers.Host(), uint64(now.UnixNano()), now)
 	o.state, o.limits, o.started = nil, map[string]quota.Limit{}, now
@@ -63,15 +64,15 @@
 	defer ticker.Stop()
 	for {
 		changed := o.view.Changed()
-		o.follow(time.Now())
+		o.follow(clock.Now())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
 		case <-ticker.C:
-			o.quota.Tick(time.Now())
+			o.quota.Tick(clock.Now())
 		case r := <-o.requests:
-			o.answer(time.Now(), r)
+			o.answer(clock.Now(), r)
 		}
 	}
 }
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
@@ -46,7 +47,7 @@
 func (h *Holder) offer(ctx context.Context, workspace string) (*waiter, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	key := rateKey(workspace)
 	h.quota.Offer(now, key, 1)
 	q := h.queues[workspace]
@@ -57,9 +58,9 @@
 		q = &queue{}
 		h.queues[workspace] = q
 	}
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = now.Add(idleWait)
+	deadline := now.Add(idleWait)
+	if end, ok := ctx.Deadline(); ok {
+		deadline = clock.Deadline(end)
 	}
 	if wait, hopeless := h.hopeless(now, workspace, q, deadline); hopeless {
 		h.quota.Withdraw(key, 1)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/clock"
 )
 
 // View is the agreed state at one revision with its lease.
@@ -15,13 +16,14 @@
 	State *agreed.State
 	// Settled is a revision that every holder of a valid lease has applied.
 	Settled uint64
-	// ValidUntil is the end of the lease on this process's monotonic clock.
+	// ValidUntil is the end of the lease on the scale of package clock.
 	ValidUntil time.Time
 }
 
-// Valid reports whether the host may act on the view at now.
-func (v View) Valid(now time.Time) bool {
-	return v.State != nil && now.Before(v.ValidUntil)
+// Valid reports whether the host may act on the view now. Look at it after
+// whatever may have held the process up, and before a byte is sent.
+func (v View) Valid() bool {
+	return v.State != nil && clock.Now().Before(v.ValidUntil)
 }
 
 // Source yields the current view.
