Agree on whole catalogs, incarnations of endpoints and fences

Cause: the platform sends whole configurations of which the highest version wins, endpoints that reuse identities and addresses, and orders to promote that may run late. Change: note.Document states a catalog and names every fault; commands put_catalog, set_domain and retire_endpoint; endpoints carry born, seq, slots and leaving, with tombstones; each choice of a candidate names its chooser and attempt, so that its log index is a fence of its own.

--- a/internal/agreed/apply.go
+++ b/internal/agreed/apply.go
@@ -55,6 +55,12 @@
 		return activateGroup(s, index, c.ActivateGroup)
 	case c.NameFleet != nil:
 		return nameFleet(s, c.NameFleet)
+	case c.PutCatalog != nil:
+		return putCatalog(s, index, c.PutCatalog)
+	case c.SetDomain != nil:
+		return setDomain(s, c.SetDomain.Domain)
+	case c.RetireEndpoint != nil:
+		return retireEndpoint(s, index, c.RetireEndpoint)
 	default:
 		return nil, refuse(result.UnsupportedFeature, "the command is empty or unknown to this version")
 	}
--- /dev/null
+++ b/internal/agreed/apply_catalog.go
@@ -0,0 +1,60 @@
+package agreed
+
+import (
+	"maps"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+)
+
+// putCatalog puts a whole catalog in force. An equal or lower number than the
+// one in force is acknowledged and changes nothing, so that an operator may
+// send again what was not answered.
+func putCatalog(s *State, index uint64, c *PutCatalog) (*State, Outcome) {
+	current := s.Catalog.Stamp
+	if c.Document.Number <= current.Number {
+		return nil, Outcome{Stamp: &current, Repeated: true}
+	}
+	next := copyOf(s)
+	next.Catalog = note.Catalog{
+		Stamp:      note.Stamp{Number: c.Document.Number},
+		Workspaces: orEmpty(c.Catalog.Workspaces),
+		Keys:       orEmpty(c.Catalog.Keys),
+		Services:   orEmpty(c.Catalog.Services),
+		Domains:    s.Catalog.Domains,
+		Routes:     orEmpty(c.Catalog.Routes),
+
+		IdleTransaction: c.Catalog.IdleTransaction,
+	}
+	next.Document = c.Document
+	next.matchGroups(index)
+	return next, Outcome{Stamp: &next.Catalog.Stamp}
+}
+
+func orEmpty[T any](m map[string]T) map[string]T {
+	if m == nil {
+		return map[string]T{}
+	}
+	return m
+}
+
+// setDomain takes a failure domain out of use or back.
+func setDomain(s *State, d note.Domain) (*State, Outcome) {
+	if known, ok := s.Catalog.Domains[d.Name]; ok && known == d {
+		return nil, Outcome{}
+	}
+	next := copyOf(s)
+	next.Catalog.Domains = maps.Clone(s.Catalog.Domains)
+	if next.Catalog.Domains == nil {
+		next.Catalog.Domains = make(map[string]note.Domain)
+	}
+	next.Catalog.Domains[d.Name] = d
+	return next, Outcome{}
+}
+
+// ForSubscriber returns the state as entry hosts get it, without what only
+// control hosts answer from.
+func (s *State) ForSubscriber() *State {
+	next := copyOf(s)
+	next.Document.Source = nil
+	return next
+}
--- a/internal/agreed/apply_group.go
+++ b/internal/agreed/apply_group.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
@@ -11,6 +12,9 @@
 // write before it is acknowledged. It counts the endpoints that the release
 // note asks for, so that a group with missing members does not lower it.
 func (s *State) Quorum(service string) int {
+	if s.Catalog.Services[service].Ack == note.AckReplicas {
+		return 1
+	}
 	size := max(s.Catalog.Services[service].Endpoints, len(s.Groups[service].Members))
 	return size/2 + 1
 }
@@ -24,34 +28,6 @@
 	return next
 }
 
-// putEndpoint adds or changes an endpoint. A group takes no more members than
-// the release note gives it.
-func putEndpoint(s *State, index uint64, e Endpoint) (*State, Outcome) {
-	g, ok := s.Groups[e.Service]
-	if !ok {
-		return nil, refuse(result.UnknownService, "endpoint %q belongs to service %q, which no release note names", e.ID, e.Service)
-	}
-	known, exists := s.Endpoints[e.ID]
-	switch {
-	case e.ID == "" || e.Addr == "":
-		return nil, refuse(result.GroupConflict, "an endpoint has an identity and an address")
-	case exists && known == e:
-		return nil, Outcome{}
-	case exists && known.Service != e.Service:
-		return nil, refuse(result.GroupConflict, "endpoint %q is a member of service %q", e.ID, known.Service)
-	case !exists && len(g.Members) >= s.Catalog.Services[e.Service].Endpoints:
-		return nil, refuse(result.GroupConflict, "the group of service %q has all its %d endpoints", e.Service, len(g.Members))
-	}
-	if !exists {
-		g.Members = append(slices.Clone(g.Members), e.ID)
-		slices.Sort(g.Members)
-	}
-	next := s.withGroup(g, index)
-	next.Endpoints = maps.Clone(s.Endpoints)
-	next.Endpoints[e.ID] = e
-	return next, Outcome{}
-}
-
 // removeEndpoint removes a member that is neither the primary nor the candidate
 // of its group.
 func removeEndpoint(s *State, index uint64, c *RemoveEndpoint) (*State, Outcome) {
@@ -86,11 +62,16 @@
 	if g.Phase != PhaseActive || g.Term != c.Term {
 		return nil, termConflict(g, c.Term)
 	}
+	return s.withGroup(sealed(g, c.Reason), index), Outcome{}
+}
+
+// sealed returns the group after the end of its term.
+func sealed(g Group, reason string) Group {
 	g.Term++
 	g.Phase = PhaseSealed
-	g.Candidate = ""
-	g.Reason = c.Reason
-	return s.withGroup(g, index), Outcome{}
+	g.Candidate, g.Chooser, g.Attempt = "", 0, 0
+	g.Reason = reason
+	return g
 }
 
 // chooseGroup records the candidate of a sealed term.
@@ -105,10 +86,10 @@
 	if !slices.Contains(g.Members, c.Candidate) {
 		return nil, refuse(result.GroupConflict, "endpoint %q is not a member of service %q", c.Candidate, c.Service)
 	}
-	if g.Candidate == c.Candidate {
+	if g.Candidate == c.Candidate && g.Chooser == c.Chooser && g.Attempt >= c.Attempt {
 		return nil, Outcome{}
 	}
-	g.Candidate = c.Candidate
+	g.Candidate, g.Chooser, g.Attempt = c.Candidate, c.Chooser, c.Attempt
 	return s.withGroup(g, index), Outcome{}
 }
 
@@ -138,7 +119,7 @@
 	g.Primary = c.Primary
 	g.Timeline = c.Timeline
 	g.Phase = PhaseActive
-	g.Candidate = ""
+	g.Candidate, g.Chooser, g.Attempt = "", 0, 0
 	g.Reason = ""
 	return s.withGroup(g, index), Outcome{}
 }
--- a/internal/agreed/command.go
+++ b/internal/agreed/command.go
@@ -21,6 +21,29 @@
 	ChooseGroup    *ChooseGroup    `cbor:"7,keyasint,omitempty"`
 	ActivateGroup  *ActivateGroup  `cbor:"8,keyasint,omitempty"`
 	NameFleet      *NameFleet      `cbor:"9,keyasint,omitempty"`
+	PutCatalog     *PutCatalog     `cbor:"10,keyasint,omitempty"`
+	SetDomain      *SetDomain      `cbor:"11,keyasint,omitempty"`
+	RetireEndpoint *RetireEndpoint `cbor:"12,keyasint,omitempty"`
+}
+
+// PutCatalog replaces the whole catalog, but for the failure domains, when its
+// number is higher than the one in force. Any other number changes nothing.
+type PutCatalog struct {
+	Document Document     `cbor:"1,keyasint"`
+	Catalog  note.Catalog `cbor:"2,keyasint"`
+}
+
+// SetDomain takes a failure domain out of use or back.
+type SetDomain struct {
+	Domain note.Domain `cbor:"1,keyasint"`
+}
+
+// RetireEndpoint removes an endpoint that has left. A group whose active
+// primary leaves is sealed.
+type RetireEndpoint struct {
+	ID string `cbor:"1,keyasint"`
+	// Born names the process that left; zero means the present one.
+	Born uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // ApplyNote puts a release note in force.
@@ -68,6 +91,9 @@
 	Service   string `cbor:"1,keyasint"`
 	Term      uint64 `cbor:"2,keyasint"`
 	Candidate string `cbor:"3,keyasint"`
+	// Chooser and Attempt tell choices apart; see Group.
+	Chooser uint64 `cbor:"4,keyasint,omitempty"`
+	Attempt uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ActivateGroup puts the primary of a sealed or forming group in force.
--- a/internal/agreed/delta.go
+++ b/internal/agreed/delta.go
@@ -35,6 +35,22 @@
 	HostsChanged uint64 `cbor:"13,keyasint,omitempty"`
 	// OwnersEpoch numbers the set of control hosts after the change.
 	OwnersEpoch uint64 `cbor:"14,keyasint,omitempty"`
+	// Catalog is set when a whole catalog was put in force: what is not in a map
+	// of its own.
+	Catalog *CatalogHead         `cbor:"15,keyasint,omitempty"`
+	Routes  *Changes[note.Route] `cbor:"16,keyasint,omitempty"`
+	Retired *Changes[Retired]    `cbor:"17,keyasint,omitempty"`
+}
+
+// CatalogHead is the part of a catalog that is not in maps.
+type CatalogHead struct {
+	Stamp           note.Stamp `cbor:"1,keyasint"`
+	IdleTransaction int64      `cbor:"2,keyasint,omitempty"`
+	Document        uint64     `cbor:"3,keyasint,omitempty"`
+}
+
+func headOf(s *State) CatalogHead {
+	return CatalogHead{Stamp: s.Catalog.Stamp, IdleTransaction: s.Catalog.IdleTransaction, Document: s.Document.Number}
 }
 
 // ErrGap is returned by Patch when the delta does not start at the state.
@@ -57,6 +73,12 @@
 
 		HostsChanged: to.HostsChanged,
 		OwnersEpoch:  to.OwnersEpoch,
+
+		Routes:  diffMap(from.Catalog.Routes, to.Catalog.Routes),
+		Retired: diffMap(from.Retired, to.Retired),
+	}
+	if head := headOf(to); to.Document.Number != from.Document.Number {
+		d.Catalog = &head
 	}
 	for _, stamp := range to.History {
 		if stamp.Number > from.Catalog.Stamp.Number {
@@ -111,6 +133,13 @@
 	next.Groups = patchMap(s.Groups, d.Groups)
 	next.HostsChanged = d.HostsChanged
 	next.OwnersEpoch = d.OwnersEpoch
+	next.Catalog.Routes = patchMap(s.Catalog.Routes, d.Routes)
+	next.Retired = patchMap(s.Retired, d.Retired)
+	if d.Catalog != nil {
+		next.Catalog.Stamp = d.Catalog.Stamp
+		next.Catalog.IdleTransaction = d.Catalog.IdleTransaction
+		next.Document = Document{Number: d.Catalog.Document}
+	}
 	return next, nil
 }
 
--- /dev/null
+++ b/internal/agreed/document_test.go
@@ -0,0 +1,133 @@
+package agreed
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+func putDocument(number uint64, services ...string) Command {
+	c := note.Catalog{Services: map[string]note.Service{}, Routes: map[string]note.Route{}}
+	for _, name := range services {
+		c.Services[name] = note.Service{Name: name, Ack: note.AckReplicas}
+		c.Routes["db-"+name] = note.Route{Name: name, Database: "db-" + name, Service: name, Timeout: 1}
+	}
+	return Command{PutCatalog: &PutCatalog{Document: Document{Number: number, Source: []byte("text")}, Catalog: c}}
+}
+
+func announce(id, addr string, born, seq uint64) Command {
+	return Command{PutEndpoint: &PutEndpoint{Endpoint: Endpoint{ID: id, Service: "logs", Addr: addr, Domain: "a", Born: born, Seq: seq}}}
+}
+
+// run applies commands and returns the last state with all outcomes.
+func runDocument(t *testing.T, commands ...Command) (*State, []Outcome) {
+	t.Helper()
+	s := New()
+	var outcomes []Outcome
+	for i, c := range commands {
+		next, out := Apply(s, uint64(i+1), c)
+		if next.Revision != s.Revision {
+			patched, err := Patch(s.ForSubscriber(), Diff(s, next))
+			if err != nil || !reflect.DeepEqual(patched.Catalog, next.Catalog) || !reflect.DeepEqual(patched.Endpoints, next.Endpoints) {
+				t.Fatalf("command %d: the delta does not lead to the state: %v", i, err)
+			}
+		}
+		s = next
+		outcomes = append(outcomes, out)
+	}
+	return s, outcomes
+}
+
+func TestTheHighestDocumentIsInForce(t *testing.T) {
+	s, out := runDocument(t, putDocument(4, "logs"), putDocument(9, "logs", "more"), putDocument(9, "other"), putDocument(5, "logs"))
+	if s.Catalog.Stamp.Number != 9 || len(s.Catalog.Services) != 2 || s.Document.Number != 9 {
+		t.Errorf("state %+v", s.Catalog)
+	}
+	for i, o := range out {
+		if o.Code != 0 || o.Repeated != (i >= 2) {
+			t.Errorf("command %d: %+v", i, o)
+		}
+	}
+}
+
+func TestDomainsOutliveADocument(t *testing.T) {
+	out := Command{SetDomain: &SetDomain{Domain: note.Domain{Name: "a", Region: "r", Out: true}}}
+	s, _ := runDocument(t, putDocument(1, "logs"), out, putDocument(2, "logs"))
+	if !s.Catalog.Domains["a"].Out {
+		t.Error("the domain is back in use")
+	}
+}
+
+func TestLateAnnouncementsReviveNothing(t *testing.T) {
+	leave := Command{RetireEndpoint: &RetireEndpoint{ID: "e1", Born: 10}}
+	s, out := runDocument(t, putDocument(1, "logs"),
+		announce("e1", "x:1", 10, 5), leave,
+		announce("e1", "x:1", 10, 6), // after it left
+		announce("e2", "x:1", 20, 1), // a younger one at the address
+		announce("e0", "x:1", 15, 9), // an older one at the address
+		announce("e2", "y:1", 20, 3),
+		announce("e2", "x:1", 20, 2), // overtaken
+		announce("e1", "z:1", 30, 1), // the same identity started again
+	)
+	refused := map[int]bool{3: true, 5: true, 7: true}
+	for i, o := range out {
+		if (o.Code == result.GroupConflict) != refused[i] {
+			t.Errorf("command %d: %+v", i, o)
+		}
+	}
+	if len(s.Endpoints) != 2 || s.Endpoints["e2"].Addr != "y:1" || s.Endpoints["e1"].Born != 30 {
+		t.Errorf("endpoints %+v", s.Endpoints)
+	}
+}
+
+func TestAnAddressGoesToTheYoungestEndpoint(t *testing.T) {
+	s, _ := runDocument(t, putDocument(1, "logs"), announce("e1", "x:1", 10, 5), announce("e2", "x:1", 20, 1))
+	if _, ok := s.Endpoints["e1"]; ok || len(s.Groups["logs"].Members) != 1 {
+		t.Errorf("endpoints %+v, group %+v", s.Endpoints, s.Groups["logs"])
+	}
+}
+
+func TestAGroupIsSealedWhenItsPrimaryLeaves(t *testing.T) {
+	s, _ := runDocument(t, putDocument(1, "logs"), announce("e1", "x:1", 10, 5), announce("e2", "y:1", 10, 5),
+		Command{ActivateGroup: &ActivateGroup{Service: "logs", Term: 1, Primary: "e1", Timeline: 1}},
+		Command{RetireEndpoint: &RetireEndpoint{ID: "e1"}})
+	g := s.Groups["logs"]
+	if g.Phase != PhaseSealed || g.Term != 2 || len(g.Members) != 1 {
+		t.Errorf("group %+v", g)
+	}
+}
+
+func TestAnotherAttemptGetsAnotherFence(t *testing.T) {
+	choose := func(chooser, attempt uint64) Command {
+		return Command{ChooseGroup: &ChooseGroup{Service: "logs", Term: 2, Candidate: "e2", Chooser: chooser, Attempt: attempt}}
+	}
+	commands := []Command{
+		putDocument(1, "logs"), announce("e1", "x:1", 10, 5), announce("e2", "y:1", 10, 5),
+		{ActivateGroup: &ActivateGroup{Service: "logs", Term: 1, Primary: "e1", Timeline: 1}},
+		{SealGroup: &SealGroup{Service: "logs", Term: 1}},
+		choose(3, 1),
+	}
+	var fences []uint64
+	for _, next := range []Command{choose(3, 1), choose(3, 2), choose(5, 1)} {
+		s, _ := runDocument(t, commands...)
+		commands = append(commands, next)
+		fences = append(fences, s.Groups["logs"].Changed)
+	}
+	s, _ := runDocument(t, commands...)
+	fences = append(fences, s.Groups["logs"].Changed)
+	if fences[0] != fences[1] || fences[2] <= fences[1] || fences[3] <= fences[2] {
+		t.Errorf("fences %v", fences)
+	}
+}
+
+func TestRetiredEndpointsAreBounded(t *testing.T) {
+	var all map[string]Retired
+	for i := range uint64(2 * RetiredLimit) {
+		all = retire(all, string(rune('a'+i)), Retired{Born: i, At: i})
+	}
+	if len(all) != RetiredLimit {
+		t.Errorf("%d entries", len(all))
+	}
+}
--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -27,6 +27,37 @@
 	Service string `json:"service" cbor:"2,keyasint"`
 	Addr    string `json:"addr" cbor:"3,keyasint"`
 	Domain  string `json:"domain" cbor:"4,keyasint"`
+	// Born orders the processes that use one identity or one address, as the
+	// Unix time of the process's start in milliseconds; zero when not told.
+	Born uint64 `json:"born,omitempty" cbor:"5,keyasint,omitempty"`
+	// Seq numbers the announcement that last changed the record.
+	Seq uint64 `json:"seq,omitempty" cbor:"6,keyasint,omitempty"`
+	// Slots is the number of statements that the endpoint runs at once; zero
+	// when the service tells it.
+	Slots int `json:"slots,omitempty" cbor:"7,keyasint,omitempty"`
+	// Leaving: the endpoint gets no new work.
+	Leaving bool `json:"leaving,omitempty" cbor:"8,keyasint,omitempty"`
+}
+
+// same reports whether two records differ at most in their announcement.
+func (e Endpoint) same(o Endpoint) bool {
+	e.Seq, o.Seq = 0, 0
+	return e == o
+}
+
+// Retired remembers an endpoint that left, so that a late announcement of it
+// is recognised.
+type Retired struct {
+	Born uint64 `json:"born" cbor:"1,keyasint"`
+	// At is the revision at which it left.
+	At uint64 `json:"at" cbor:"2,keyasint"`
+}
+
+// Document is the source of the catalog when it was put in force as a whole.
+type Document struct {
+	Number uint64 `json:"number" cbor:"1,keyasint"`
+	// Source is what the operator sent. Only control hosts keep it.
+	Source []byte `json:"source,omitempty" cbor:"2,keyasint,omitempty"`
 }
 
 // Phase is the state of a database group.
@@ -59,6 +90,11 @@
 	// before the choice. The choose command sets it; seal and activate clear it.
 	// A group activates only with its candidate as the primary.
 	Candidate string `json:"candidate,omitempty" cbor:"9,keyasint,omitempty"`
+	// Chooser is the control leader's consensus term in which the candidate was
+	// chosen, and Attempt numbers the choices of a sealed term. The revision in
+	// Changed is the fence of the promotion that the chooser may order.
+	Chooser uint64 `json:"chooser,omitempty" cbor:"10,keyasint,omitempty"`
+	Attempt uint64 `json:"attempt,omitempty" cbor:"11,keyasint,omitempty"`
 	// Reason tells why the group is not active.
 	Reason string `json:"reason,omitempty" cbor:"8,keyasint,omitempty"`
 }
@@ -82,4 +118,8 @@
 	// OwnersEpoch grows by one with each change of the set of control hosts,
 	// among which the owners of quotas are chosen.
 	OwnersEpoch uint64 `json:"owners_epoch,omitempty" cbor:"10,keyasint,omitempty"`
+	// Document is the source of the catalog, empty when release notes made it.
+	Document Document `json:"document,omitzero" cbor:"11,keyasint,omitzero"`
+	// Retired are endpoints that left, by identity.
+	Retired map[string]Retired `json:"retired,omitempty" cbor:"12,keyasint,omitempty"`
 }
--- a/internal/note/apply.go
+++ b/internal/note/apply.go
@@ -44,6 +44,9 @@
 		Keys:       cloneMap(c.Keys),
 		Services:   cloneMap(c.Services),
 		Domains:    cloneMap(c.Domains),
+		Routes:     maps.Clone(c.Routes),
+
+		IdleTransaction: c.IdleTransaction,
 	}
 }
 
--- /dev/null
+++ b/internal/note/document_test.go
@@ -0,0 +1,60 @@
+package note
+
+import (
+	"testing"
+)
+
+func document() Document {
+	return Document{
+		Number:     7,
+		Services:   []Service{{Name: "logs", Ack: AckReplicas}},
+		Routes:     []Route{{Name: "r", Database: "launch", Service: "logs", Path: "/", Policy: ReadPrimary, Timeout: 1000}},
+		Workspaces: []Workspace{{Name: "crew", Rate: 10, Burst: 10}},
+		Keys:       []Key{{ID: "k1", Workspace: "crew"}, {ID: "k2", Workspace: "crew"}},
+	}
+}
+
+func TestDocumentStatesACatalog(t *testing.T) {
+	c, problems := document().Catalog()
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	if c.Routes["launch"].Service != "logs" || len(c.Keys) != 2 {
+		t.Errorf("catalog %+v", c)
+	}
+}
+
+// TestEveryFaultOfADocumentIsNamed puts one fault at a time into a document.
+func TestEveryFaultOfADocumentIsNamed(t *testing.T) {
+	faults := map[string]func(d *Document){
+		"unknown service": func(d *Document) { d.Routes[0].Service = "gone" },
+		"same place": func(d *Document) {
+			d.Routes = append(d.Routes, Route{Name: "s", Database: "launch", Service: "logs", Path: "/", Policy: ReadPrimary, Timeout: 1})
+		},
+		"no timeout":       func(d *Document) { d.Routes[0].Timeout = 0 },
+		"unknown policy":   func(d *Document) { d.Routes[0].Policy = "any" },
+		"no database":      func(d *Document) { d.Routes[0].Database = "" },
+		"shared key":       func(d *Document) { d.Keys[1].ID = "k1" },
+		"unknown tenant":   func(d *Document) { d.Keys[0].Workspace = "nobody" },
+		"service twice":    func(d *Document) { d.Services = append(d.Services, d.Services[0]) },
+		"nameless service": func(d *Document) { d.Services = append(d.Services, Service{}) },
+	}
+	for name, plant := range faults {
+		t.Run(name, func(t *testing.T) {
+			d := document()
+			plant(&d)
+			if _, problems := d.Catalog(); !HasErrors(problems) {
+				t.Error("the fault was not found")
+			}
+		})
+	}
+}
+
+func TestTheRouteWithTheLeastPathServesADatabase(t *testing.T) {
+	d := document()
+	d.Routes = append([]Route{{Name: "s", Database: "launch", Service: "logs", Path: "/deep", Policy: ReadPrimary, Timeout: 1}}, d.Routes...)
+	c, problems := d.Catalog()
+	if HasErrors(problems) || c.Routes["launch"].Name != "r" {
+		t.Errorf("%v, route %q", problems, c.Routes["launch"].Name)
+	}
+}
--- a/internal/note/types.go
+++ b/internal/note/types.go
@@ -56,6 +56,62 @@
 	Password string `json:"password" cbor:"7,keyasint"`
 	// Leaving takes the service out of use: it gets no new work.
 	Leaving bool `json:"leaving,omitempty" cbor:"8,keyasint,omitempty"`
+	// Ack tells when the service's own endpoints acknowledge a commit.
+	Ack AckPolicy `json:"ack,omitempty" cbor:"9,keyasint,omitempty"`
+	// SyncReplicas is the number of replicas that have received a commit before
+	// it is acknowledged, under AckReplicas.
+	SyncReplicas int `json:"sync_replicas,omitempty" cbor:"10,keyasint,omitempty" validate:"gte=0"`
+}
+
+// AckPolicy names who sees to it that an acknowledged commit outlives its
+// primary.
+type AckPolicy string
+
+// Policies of acknowledgement.
+const (
+	// AckMajority: the entry host waits until a majority of the group has the
+	// commit. It is the default.
+	AckMajority AckPolicy = ""
+	// AckReplicas: the primary waits for SyncReplicas replicas by itself; with
+	// none, a commit may be lost with its primary.
+	AckReplicas AckPolicy = "replicas"
+)
+
+// OpenGroup is the number of Endpoints of a service whose group takes every
+// endpoint that announces itself.
+const OpenGroup = 0
+
+// ReadPolicy tells what a read on a route must see.
+type ReadPolicy string
+
+// Read policies.
+const (
+	// ReadPrimary: every commit acknowledged before the read.
+	ReadPrimary ReadPolicy = "primary"
+	// ReadBounded: every commit acknowledged longer ago than the route's age.
+	ReadBounded ReadPolicy = "bounded"
+	// ReadOwnWrites: the same, and every commit of the session itself.
+	ReadOwnWrites ReadPolicy = "own_writes"
+)
+
+// Route is a database name that callers connect to.
+type Route struct {
+	Name     string `json:"name" cbor:"1,keyasint"`
+	Database string `json:"database" cbor:"2,keyasint"`
+	Service  string `json:"service" cbor:"3,keyasint"`
+	// Path tells routes of one database name apart. Statements have no path, so
+	// the route with the least one serves the name.
+	Path   string     `json:"path,omitempty" cbor:"4,keyasint,omitempty"`
+	Policy ReadPolicy `json:"policy" cbor:"5,keyasint"`
+	// MaxStaleness is the age in milliseconds that a read may have; zero asks
+	// for every acknowledged commit.
+	MaxStaleness int64 `json:"max_staleness_ms,omitempty" cbor:"6,keyasint,omitempty"`
+	// Timeout bounds one statement, Target the whole operation, in milliseconds.
+	Timeout int64 `json:"timeout_ms" cbor:"7,keyasint"`
+	Target  int64 `json:"target_ms,omitempty" cbor:"8,keyasint,omitempty"`
+	Class   Class `json:"class" cbor:"9,keyasint"`
+	// Open lets callers in without a key.
+	Open bool `json:"open,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Domain is a failure domain.
@@ -110,4 +166,9 @@
 	Keys       map[string]Key       `json:"keys" cbor:"3,keyasint"`
 	Services   map[string]Service   `json:"services" cbor:"4,keyasint"`
 	Domains    map[string]Domain    `json:"domains" cbor:"5,keyasint"`
+	// Routes are the routes by database name.
+	Routes map[string]Route `json:"routes,omitempty" cbor:"6,keyasint,omitempty"`
+	// IdleTransaction is the time in milliseconds after which a transaction
+	// without a statement may be ended; zero means never.
+	IdleTransaction int64 `json:"idle_transaction_ms,omitempty" cbor:"7,keyasint,omitempty"`
 }
