Let a consensus group take in every control host that asks

Cause: the platform names three seeds and no list of control hosts; five voters must come from them, and successors must take places with nobody on site.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -80,6 +80,7 @@
 	check   *checker
 	compact uint64   // applied entries between snapshots, zero for none
 	wanted  []Wanted // control hosts that leaders bring into the group
+	open    bool     // leaders take in every host that asks
 	// skip plants a fault in what is synced.
 	skip func(p *process, d Durable) Durable
 	// crash ends the next handling of work early.
@@ -201,7 +202,7 @@
 	if p.node == nil {
 		return
 	}
-	change, ok := p.node.NextChange(c.wanted)
+	change, ok := c.nextChange(p)
 	if !ok {
 		return
 	}
@@ -211,6 +212,13 @@
 	c.handle(p)
 }
 
+func (c *cluster) nextChange(p *process) (Change, bool) {
+	if c.open {
+		return p.node.NextOpenChange()
+	}
+	return p.node.NextChange(c.wanted)
+}
+
 // deliver hands the message at position i of the network to its receiver.
 func (c *cluster) deliver(i int, keep bool) {
 	m := c.net[i]
--- a/internal/consensus/founding.go
+++ b/internal/consensus/founding.go
@@ -10,6 +10,9 @@
 	heard map[string]newcomer // other founders without a group, by host
 	// welcomed is set once a peer has answered that a group exists.
 	welcomed bool
+	// leader is the leader of that group, empty when not told. Only it can let
+	// the node in, and it need not be among the peers.
+	leader string
 }
 
 // newcomer is a node without a group, and when it was last heard.
@@ -48,6 +51,12 @@
 
 func (n *Node) sendHellos() {
 	hosts := append(slices.Clone(n.cfg.Peers), n.cfg.Founders...)
+	if n.founding.leader != "" {
+		hosts = append(hosts, n.founding.leader)
+	}
+	for _, m := range n.members {
+		hosts = append(hosts, m.Host)
+	}
 	slices.Sort(hosts)
 	for _, host := range slices.Compact(hosts) {
 		if host != n.cfg.Host {
@@ -88,7 +97,7 @@
 		}
 		return
 	}
-	n.answer(m, Message{Kind: KindWelcome})
+	n.answer(m, Message{Kind: KindWelcome, Leader: n.leader.Host})
 	if _, member := n.member(m.FromDisk); n.role != Leader || member {
 		return
 	}
@@ -99,5 +108,6 @@
 func (n *Node) handleWelcome(m *Message) {
 	if m.ToDisk == n.disk {
 		n.founding.welcomed = true
+		n.founding.leader = m.Leader
 	}
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -34,7 +34,9 @@
 	// heard is set once the follower has answered this leader, which counts it as
 	// active before that to give it the time to answer.
 	heard bool
-	round uint64
+	// answered is the tick of the last answer, or of the member's admission.
+	answered uint64
+	round    uint64
 }
 
 func (n *Node) becomeLeader() {
@@ -53,7 +55,7 @@
 	for _, m := range n.members {
 		p := old[m.Disk]
 		if p == nil {
-			p = &progress{next: n.log.last() + 1, probing: true, active: true}
+			p = &progress{next: n.log.last() + 1, probing: true, active: true, answered: n.ticks}
 		}
 		p.member = m
 		n.lead.progress[m.Disk] = p
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -62,6 +62,8 @@
 	Total   uint64   `cbor:"19,keyasint,omitempty"`
 	Chunk   []byte   `cbor:"20,keyasint,omitempty"`
 	Members []Member `cbor:"21,keyasint,omitempty"`
+	// Leader is the leader that the sender of KindWelcome knows.
+	Leader string `cbor:"22,keyasint,omitempty"`
 }
 
 // fromLeader reports whether only a leader of Term sends the message.
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -105,7 +105,7 @@
 	if n.regressed(p, m) {
 		return
 	}
-	p.active, p.heard = true, true
+	p.active, p.heard, p.answered = true, true, n.ticks
 	switch m.Kind {
 	case KindAppendAnswer:
 		n.handleAppendAnswer(p, m)
