Follow control hosts from seeds, and read the document linearizably

Cause: hosts on the platform know three seeds only, and a read of the configuration must be the newest or refused. Change: settings name seeds in place of control hosts; subscribers follow the control hosts of the agreed state, their own failure domain first; Host.Document answers after a quorum round. Result: go test ./internal/control ./internal/peer ./internal/config passes.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,7 +33,11 @@
 	Entry   *Entry   `json:"entry,omitempty"`
 	Control *Control `json:"control,omitempty"`
 	// Controls lists the control hosts by identity and peer address.
-	Controls []ControlHost `json:"controls" validate:"required,min=1,dive"`
+	Controls []ControlHost `json:"controls,omitempty" validate:"required_without=Seeds,dive"`
+	// Seeds are peer addresses of some control hosts, in place of Controls: every
+	// control host that asks is then taken in, and the identity of a host is its
+	// peer address.
+	Seeds []string `json:"seeds,omitempty" validate:"omitempty,dive,ipport"`
 	Log      Log           `json:"log"`
 }
 
@@ -76,6 +80,15 @@
 	Bootstrap bool `json:"bootstrap,omitempty"`
 }
 
+// SeedHosts returns the control hosts that the seeds name.
+func SeedHosts(seeds []string) []ControlHost {
+	hosts := make([]ControlHost, 0, len(seeds))
+	for _, addr := range seeds {
+		hosts = append(hosts, ControlHost{Host: addr, Addr: addr, Voter: true})
+	}
+	return hosts
+}
+
 // ControlHost names a control host.
 type ControlHost struct {
 	Host string `json:"host" validate:"required,max=63"`
@@ -157,6 +170,9 @@
 	if s.Peer.Advertise == "" {
 		s.Peer.Advertise = s.Peer.Listen
 	}
+	if s.Host == "" && len(s.Seeds) > 0 {
+		s.Host = s.Peer.Advertise
+	}
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
@@ -221,12 +237,21 @@
 		}
 		listed = listed || c.Host == s.Host
 	}
+	if len(s.Seeds) > 0 {
+		return append(problems, s.checkEntry()...)
+	}
 	if voters == 0 {
 		problems = append(problems, "controls: at least one control host votes")
 	}
 	if s.Control != nil && !listed {
 		problems = append(problems, fmt.Sprintf("controls: control host %q is not listed", s.Host))
 	}
+	return append(problems, s.checkEntry()...)
+}
+
+// checkEntry checks what depends on several settings of callers and peers.
+func (s *Settings) checkEntry() []string {
+	var problems []string
 	if s.Entry != nil && s.Entry.RequireTLS && s.Entry.TLS == nil {
 		problems = append(problems, "entry.require_tls: no certificate is set")
 	}
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -154,6 +154,7 @@
 func (h *Host) rejoin() error {
 	h.log.Warn("data_folder_outdated", "action", "joining anew")
 	h.stopLeading()
+	h.reads.failAll()
 	if err := h.store.Reset(); err != nil {
 		return err
 	}
@@ -210,6 +211,7 @@
 		return
 	}
 	h.leading, h.confirmed = false, false
+	h.reads.failAll()
 	h.broker.Abort()
 	h.failover.stop()
 	h.failover = nil
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -46,20 +46,27 @@
 // changeMembers brings the members of the consensus group nearer to the control
 // hosts of the settings.
 func (h *Host) changeMembers() {
-	wanted := make([]consensus.Wanted, 0, len(h.opts.Controls))
-	for _, c := range h.opts.Controls {
-		wanted = append(wanted, consensus.Wanted{Host: c.Host, Voter: c.Voter})
-	}
-	slices.SortFunc(wanted, func(a, b consensus.Wanted) int { return cmp.Compare(a.Host, b.Host) })
-	change, ok := h.node.NextChange(wanted)
+	change, ok := h.nextChange()
 	if !ok {
 		return
 	}
 	if _, err := h.node.ProposeChange(change); err != nil {
-		h.log.Warn("member_change_failed", "host", change.Member.Host, "err", err.Error())
+		h.log.Warn("member_change_failed", "peer", change.Member.Host, "err", err.Error())
 		return
 	}
-	h.log.Info("member_change", "host", change.Member.Host, "kind", change.Kind)
+	h.log.Info("member_change", "peer", change.Member.Host, "kind", change.Kind)
+}
+
+func (h *Host) nextChange() (consensus.Change, bool) {
+	if h.opts.Open {
+		return h.node.NextOpenChange()
+	}
+	wanted := make([]consensus.Wanted, 0, len(h.opts.Controls))
+	for _, c := range h.opts.Controls {
+		wanted = append(wanted, consensus.Wanted{Host: c.Host, Voter: c.Voter})
+	}
+	slices.SortFunc(wanted, func(a, b consensus.Wanted) int { return cmp.Compare(a.Host, b.Host) })
+	return h.node.NextChange(wanted)
 }
 
 // ageHosts removes hosts whose lease ran out some time ago. While a host may
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -32,6 +32,7 @@
 	peer.OnCall(n, peer.KindProposal, h.serveProposal)
 	peer.OnCall(n, peer.KindStatus, h.serveStatus)
 	peer.OnCall(n, peer.KindGoodbye, h.serveGoodbye)
+	peer.OnCall(n, peer.KindDocument, h.serveDocument)
 }
 
 // goodbyeEvent ends the lease and the subscription of a process.
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -28,6 +28,9 @@
 	// Bootstrap founds a new fleet from the voters among Controls.
 	Bootstrap bool
 	Controls  []config.ControlHost
+	// Open takes in every control host that asks; Controls are then the seeds,
+	// and the identity of a host is its peer address.
+	Open bool
 	Peer      *peer.Node
 	Lease     lease.Config
 	Logger    *log.Logger
@@ -63,6 +66,7 @@
 
 	subscribers map[lease.ID]*subscription
 	proposals   map[uint64]pendingProposal
+	reads       reads
 	announced   map[string]announced
 	// floors are the positions needed to join a group, by service.
 	floors map[string]joinFloor
@@ -200,6 +204,7 @@
 	h.broker.Abort()
 	h.subscribers = make(map[lease.ID]*subscription)
 	h.proposals = make(map[uint64]pendingProposal)
+	h.reads = newReads()
 	h.announced = make(map[string]announced)
 	h.floors = make(map[string]joinFloor)
 	h.lastHeld = make(map[lease.ID]time.Time)
@@ -229,14 +234,19 @@
 		Host: h.opts.Peer.Host(),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	founder := false
 	for _, c := range h.opts.Controls {
 		if c.Host != cfg.Host {
 			cfg.Peers = append(cfg.Peers, c.Host)
 		}
 		if c.Voter && h.opts.Bootstrap {
 			cfg.Founders = append(cfg.Founders, c.Host)
+			founder = founder || c.Host == cfg.Host
 		}
 	}
+	if h.opts.Open && !founder {
+		cfg.Founders = nil // a host beside the seeds waits to be let in
+	}
 	return cfg
 }
 
@@ -246,6 +256,7 @@
 	for index := range h.proposals {
 		h.answerProposal(index, agreed.Outcome{}, result.New(result.NoQuorum, "the control host is stopping"))
 	}
+	h.reads.failAll()
 	if err := h.store.Close(); err != nil {
 		h.log.Error("store_close_failed", "err", err.Error())
 	}
@@ -253,10 +264,8 @@
 
 // addr returns the peer address of a control host, empty when unknown.
 func (h *Host) addr(host string) string {
-	for _, c := range h.opts.Controls {
-		if c.Host == host {
-			return c.Addr
-		}
+	if addr := h.controlAddr(host); addr != "" {
+		return addr
 	}
 	return h.state.Hosts[host].PeerAddr
 }
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -85,15 +85,18 @@
 // confirmAll takes the confirmations of a leader's quorum. They follow the
 // application of all entries committed before.
 func (h *Host) confirmAll(now time.Time, rd consensus.Ready) {
-	for range rd.Dropped {
-		h.broker.Abort()
+	for _, id := range rd.Dropped {
+		if !h.failRead(id) {
+			h.broker.Abort()
+		}
 	}
 	for _, c := range rd.Confirmed {
 		if !h.leading || c.Term != h.term {
+			h.failRead(c.ID)
 			continue
 		}
 		h.becomeConfirmed(now)
-		if c.ID != electionConfirm {
+		if c.ID != electionConfirm && !h.finishRead(c.ID) {
 			h.answerRound(c.ID, h.state.Revision, h.settle(now))
 		}
 	}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -126,7 +126,7 @@
 	if base != nil {
 		return peer.Marshal(agreed.Diff(base, h.state))
 	}
-	state, err := h.state.Encode()
+	state, err := h.state.ForSubscriber().Encode()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -34,7 +34,10 @@
 	Entry    bool
 	Control  bool
 	Controls []config.ControlHost
-	Peer     *peer.Node
+	// Open follows the control hosts of the agreed state beside Controls, which
+	// are then seeds.
+	Open bool
+	Peer *peer.Node
 	Lease    lease.Config
 	Logger   *log.Logger
 	Registry prometheus.Registerer
@@ -54,9 +57,12 @@
 	// current is the upstream, for other goroutines.
 	current atomic.Pointer[config.ControlHost]
 
-	state    *agreed.State
-	holder   *lease.Holder
-	upstream int
+	state  *agreed.State
+	holder *lease.Holder
+	// known are the control hosts that the state and the settings name.
+	known []config.ControlHost
+	// homed is set once a control host of the own failure domain was chosen.
+	homed bool
 	// heard is when the upstream last granted a lease, or was chosen.
 	heard      time.Time
 	renewed    time.Time
@@ -81,6 +87,7 @@
 		events:  make(chan subscriberEvent, eventBacklog),
 		metrics: newSubscriberMetrics(opts.Registry),
 	}
+	s.learn(agreed.New())
 	s.choose(s.firstUpstream())
 	peer.On(opts.Peer, peer.KindDelta, func(_ peer.Identity, d agreed.Delta) {
 		s.post(deltaEvent{d})
@@ -108,6 +115,7 @@
 		s.state = agreed.New()
 	}
 	s.holder = lease.NewHolder(s.opts.Lease, startSeq())
+	s.learn(s.state)
 	s.choose(s.firstUpstream())
 	s.heard, s.renewed, s.leaving = now, time.Time{}, false
 	defer s.opts.View.Publish(view.View{})
@@ -125,30 +133,17 @@
 	}
 }
 
-// firstUpstream prefers the control role of the same host. Other hosts spread
-// over the control hosts by their incarnation.
-func (s *Subscriber) firstUpstream() int {
-	for i, c := range s.opts.Controls {
-		if c.Host == s.opts.Peer.Host() {
-			return i
-		}
-	}
-	return int(s.opts.Peer.Incarnation() % uint64(len(s.opts.Controls)))
-}
+// control is the upstream.
+func (s *Subscriber) control() config.ControlHost { return *s.current.Load() }
 
 // choose makes a control host the upstream.
-func (s *Subscriber) choose(i int) {
-	s.upstream = i
-	s.current.Store(&s.opts.Controls[i])
-}
-
-func (s *Subscriber) control() config.ControlHost { return s.opts.Controls[s.upstream] }
+func (s *Subscriber) choose(c config.ControlHost) { s.current.Store(&c) }
 
 // advance does what is due.
 func (s *Subscriber) advance(ctx context.Context, now time.Time) {
 	s.metrics.update(s, now)
 	if now.Sub(s.heard) > silenceTimeout {
-		s.choose((s.upstream + 1) % len(s.opts.Controls))
+		s.choose(s.nextUpstream())
 		s.heard, s.renewed = now, time.Time{}
 		s.metrics.turns.Inc()
 		s.log.Info("control_host_silent", "next", s.control().Host)
--- a/internal/control/subscriber_events.go
+++ b/internal/control/subscriber_events.go
@@ -46,6 +46,8 @@
 		return
 	}
 	s.state = next
+	s.learn(next)
+	s.goHome(now)
 	for _, h := range next.Hosts {
 		s.opts.Peer.Observe(h.ID, h.Incarnation)
 	}
@@ -53,6 +55,35 @@
 	s.renew(now)
 }
 
+// goHome turns once to a control host of the own failure domain.
+func (s *Subscriber) goHome(now time.Time) {
+	if !s.opts.Open || s.homed {
+		return
+	}
+	if c, ok := s.nearest(); ok {
+		s.homed = true
+		s.choose(c)
+		s.heard = now
+	}
+}
+
+// seedsEvent replaces the seeds.
+type seedsEvent struct {
+	seeds []config.ControlHost
+}
+
+func (e seedsEvent) handle(s *Subscriber, _ time.Time) {
+	s.opts.Controls = e.seeds
+	s.learn(s.state)
+}
+
+// SetSeeds replaces the seeds of an open fleet, as after a reload of settings.
+func (s *Subscriber) SetSeeds(seeds []config.ControlHost) {
+	if s.opts.Open && len(seeds) > 0 {
+		s.post(seedsEvent{seeds: seeds})
+	}
+}
+
 // grantEvent is an answer to a request for a lease.
 type grantEvent struct {
 	from string
--- /dev/null
+++ b/internal/control/upstream.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/rendezvous"
+)
+
+// learn notes the control hosts that the host may follow: those of the
+// settings, and in an open fleet those of the agreed state before them.
+func (s *Subscriber) learn(state *agreed.State) {
+	if !s.opts.Open {
+		s.known = s.opts.Controls
+		return
+	}
+	known := make([]config.ControlHost, 0, len(s.opts.Controls))
+	for _, h := range state.Hosts {
+		if h.Control {
+			known = append(known, config.ControlHost{Host: h.ID, Addr: h.PeerAddr})
+		}
+	}
+	slices.SortFunc(known, func(a, b config.ControlHost) int {
+		return cmp.Or(s.distance(state, a.Host)-s.distance(state, b.Host), cmp.Compare(a.Host, b.Host))
+	})
+	for _, seed := range s.opts.Controls {
+		if !slices.ContainsFunc(known, func(c config.ControlHost) bool { return c.Host == seed.Host }) {
+			known = append(known, seed)
+		}
+	}
+	s.known = known
+}
+
+// distance orders control hosts: this host, those of its failure domain, others.
+func (s *Subscriber) distance(state *agreed.State, host string) int {
+	switch {
+	case host == s.opts.Peer.Host():
+		return 0
+	case state.Hosts[host].Domain == s.opts.Domain:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// firstUpstream prefers the control role of the same host. Other hosts spread
+// over the control hosts.
+func (s *Subscriber) firstUpstream() config.ControlHost {
+	for _, c := range s.known {
+		if c.Host == s.opts.Peer.Host() {
+			return c
+		}
+	}
+	return s.known[s.opts.Peer.Incarnation()%uint64(len(s.known))]
+}
+
+// nextUpstream returns the control host after the present one.
+func (s *Subscriber) nextUpstream() config.ControlHost {
+	at := slices.IndexFunc(s.known, func(c config.ControlHost) bool { return c.Host == s.control().Host })
+	return s.known[(at+1)%len(s.known)]
+}
+
+// nearest returns a control host in the failure domain of this one, if there is
+// any, so that pushes and leases stay inside of it.
+func (s *Subscriber) nearest() (config.ControlHost, bool) {
+	var near []string
+	for _, c := range s.known {
+		if s.distance(s.state, c.Host) < 2 {
+			near = append(near, c.Host)
+		}
+	}
+	chosen := rendezvous.Owner(near, s.opts.Peer.Host())
+	at := slices.IndexFunc(s.known, func(c config.ControlHost) bool { return c.Host == chosen })
+	if at < 0 {
+		return config.ControlHost{}, false
+	}
+	return s.known[at], true
+}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -21,6 +21,7 @@
 	KindGoodbye  Kind = 15
 	KindAnnounce Kind = 16
 	KindStatus   Kind = 17
+	KindDocument Kind = 18
 
 	KindObservation Kind = 30
 	KindPosition    Kind = 31
@@ -55,6 +56,7 @@
 	KindGoodbye:     {"goodbye", false},
 	KindAnnounce:    {"announce", true},
 	KindStatus:      {"status", false},
+	KindDocument:    {"document", false},
 	KindObservation: {"observation", true},
 	KindPosition:    {"position", false},
 	KindPromote:     {"promote", false},
