Give each order to promote its own fence from the log

Cause: on the platform an order to promote may run seconds after it was left unanswered; a reused fence, or an activation beside an order that may still run, would put two primaries in force. Change: a choice names chooser and attempt, its revision is the fence; each leader chooses anew before it orders; a fenced group activates only after its latest order was accepted. Groups whose endpoints acknowledge by themselves choose the highest position heard within 300 ms.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,7 +38,7 @@
 	// control host that asks is then taken in, and the identity of a host is its
 	// peer address.
 	Seeds []string `json:"seeds,omitempty" validate:"omitempty,dive,ipport"`
-	Log      Log           `json:"log"`
+	Log   Log      `json:"log"`
 }
 
 // Peer holds the settings for messages between hosts.
--- a/internal/control/failover_driver.go
+++ b/internal/control/failover_driver.go
@@ -23,8 +23,8 @@
 	// Probe reads the condition of an endpoint after the call.
 	Probe(ctx context.Context, service note.Service, e agreed.Endpoint) failover.Condition
 	// Promote orders an endpoint to become the primary. It is harmless on a
-	// primary.
-	Promote(ctx context.Context, service note.Service, e agreed.Endpoint) error
+	// primary. The error tells why the order was not accepted.
+	Promote(ctx context.Context, o failover.Order) (failover.OrderOutcome, error)
 }
 
 // failoverDriver runs the decisions of package failover on a confirmed leader.
@@ -37,9 +37,8 @@
 	ticked  time.Time
 	changed bool
 	leaving map[string]bool
-	// probing and promoting hold the endpoints with a request on its way.
-	probing   map[string]bool
-	promoting map[string]bool
+	// probing holds the endpoints with a request on its way.
+	probing map[string]bool
 	// results are effects of events that arrived while consensus was busy.
 	results []commandResult
 }
@@ -52,14 +51,15 @@
 
 func newFailoverDriver(h *Host) *failoverDriver {
 	ctx, cancel := context.WithCancel(context.Background())
+	cfg := failover.DefaultConfig()
+	cfg.Fenced, cfg.Chooser = h.opts.Fenced, h.term
 	return &failoverDriver{
-		host:      h,
-		fleet:     failover.NewFleet(failover.DefaultConfig()),
-		ctx:       ctx,
-		cancel:    cancel,
-		changed:   true,
-		probing:   make(map[string]bool),
-		promoting: make(map[string]bool),
+		host:    h,
+		fleet:   failover.NewFleet(cfg),
+		ctx:     ctx,
+		cancel:  cancel,
+		changed: true,
+		probing: make(map[string]bool),
 	}
 }
 
@@ -131,7 +131,9 @@
 		case failover.Seal:
 			d.propose(now, e.Service, agreed.Command{SealGroup: &agreed.SealGroup{Service: e.Service, Term: e.Term, Reason: e.Reason}})
 		case failover.Choose:
-			d.propose(now, e.Service, agreed.Command{ChooseGroup: &agreed.ChooseGroup{Service: e.Service, Term: e.Term, Candidate: e.Candidate}})
+			d.propose(now, e.Service, agreed.Command{ChooseGroup: &agreed.ChooseGroup{
+				Service: e.Service, Term: e.Term, Candidate: e.Candidate, Chooser: e.Chooser, Attempt: e.Attempt,
+			}})
 		case failover.Activate:
 			d.propose(now, e.Service, agreed.Command{ActivateGroup: &agreed.ActivateGroup{Service: e.Service, Term: e.Term, Primary: e.Primary, Timeline: e.Timeline}})
 		case failover.AskPositions:
@@ -154,7 +156,7 @@
 }
 
 func (d *failoverDriver) reacher() reacher {
-	return reacher{node: d.host.opts.Peer, databases: d.host.opts.Databases, state: d.host.state}
+	return reacher{node: d.host.opts.Peer, databases: d.host.opts.Databases, state: d.host.state, fenced: d.host.opts.Fenced}
 }
 
 // ask probes endpoints, each at most once at a time.
@@ -178,19 +180,20 @@
 func (d *failoverDriver) promote(e failover.Promote) {
 	reach := d.reacher()
 	endpoint, ok := d.host.state.Endpoints[e.Endpoint]
-	if !ok || d.promoting[e.Endpoint] {
+	if !ok {
 		return
 	}
-	d.promoting[e.Endpoint] = true
-	d.host.log.Info("promote", "service", e.Service, "endpoint", e.Endpoint, "term", e.Term)
+	d.host.log.Info("promote", "service", e.Service, "endpoint", e.Endpoint, "term", e.Term, "fence", e.Fence)
 	go func() {
 		ctx, cancel := context.WithTimeout(d.ctx, promoteTimeout)
 		defer cancel()
-		err := reach.promote(ctx, endpoint)
+		outcome, err := reach.promote(ctx, endpoint, e.Fence)
 		if err != nil {
-			d.host.log.Warn("promote_failed", "service", e.Service, "endpoint", e.Endpoint, "err", err.Error())
+			d.host.log.Warn("promote_failed", "service", e.Service, "endpoint", e.Endpoint, "fence", e.Fence, "err", err.Error())
 		}
-		d.report(promotionEvent{driver: d, service: e.Service, result: failover.PromotionResult{Term: e.Term, Endpoint: e.Endpoint, OK: err == nil}})
+		d.report(promotionEvent{driver: d, service: e.Service, result: failover.PromotionResult{
+			Term: e.Term, Endpoint: e.Endpoint, Fence: e.Fence, Outcome: outcome,
+		}})
 	}()
 }
 
@@ -228,7 +231,6 @@
 	if e.driver != h.failover {
 		return
 	}
-	delete(e.driver.promoting, e.result.Endpoint)
 	e.driver.run(now, e.driver.fleet.Step(now, e.service, e.result))
 }
 
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -56,8 +56,8 @@
 	return failover.Condition{}
 }
 
-func (unreachable) Promote(context.Context, note.Service, agreed.Endpoint) error {
-	return errors.New("no route to the endpoint")
+func (unreachable) Promote(context.Context, failover.Order) (failover.OrderOutcome, error) {
+	return failover.OrderRefused, errors.New("no route to the endpoint")
 }
 
 // testHost is one running process of a host.
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -30,13 +30,15 @@
 	Controls  []config.ControlHost
 	// Open takes in every control host that asks; Controls are then the seeds,
 	// and the identity of a host is its peer address.
-	Open bool
-	Peer      *peer.Node
-	Lease     lease.Config
-	Logger    *log.Logger
-	Registry  prometheus.Registerer
+	Open     bool
+	Peer     *peer.Node
+	Lease    lease.Config
+	Logger   *log.Logger
+	Registry prometheus.Registerer
 	// Databases probes and promotes endpoints; nil disables failover.
 	Databases Databases
+	// Fenced: orders to promote may be carried out late, and fail by their fence.
+	Fenced bool
 	// CompactEvery is the number of applied entries between two snapshots;
 	// zero selects DefaultCompactEvery.
 	CompactEvery uint64
--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -24,6 +24,8 @@
 // endpointRequest asks a host to probe or promote an endpoint.
 type endpointRequest struct {
 	Endpoint string `cbor:"1,keyasint"`
+	// Fence is that of an order to promote.
+	Fence uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // ServeDatabases lets the control leader probe and promote endpoints through
@@ -46,7 +48,8 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 		defer cancel()
-		return struct{}{}, databases.Promote(ctx, state.Catalog.Services[e.Service], e)
+		_, err = databases.Promote(ctx, failover.Order{Service: state.Catalog.Services[e.Service], Endpoint: e, Fence: r.Fence})
+		return struct{}{}, err
 	})
 }
 
@@ -67,6 +70,8 @@
 	node      *peer.Node
 	databases Databases
 	state     *agreed.State
+	// fenced orders are given by the leader alone, once.
+	fenced bool
 }
 
 // probe reads the condition of an endpoint.
@@ -87,17 +92,27 @@
 }
 
 // promote orders an endpoint to become the primary.
-func (r reacher) promote(ctx context.Context, e agreed.Endpoint) error {
+func (r reacher) promote(ctx context.Context, e agreed.Endpoint, fence uint64) (failover.OrderOutcome, error) {
+	if r.fenced {
+		return r.databases.Promote(ctx, r.order(e, fence))
+	}
 	direct, cancel := shorten(ctx, directShare)
-	err := r.databases.Promote(direct, r.state.Catalog.Services[e.Service], e)
+	_, err := r.databases.Promote(direct, r.order(e, fence))
 	cancel()
 	for _, helper := range r.helpers(e) {
 		if err == nil || ctx.Err() != nil {
 			break
 		}
-		err = r.node.Call(ctx, helper.ID, helper.PeerAddr, peer.KindPromote, endpointRequest{Endpoint: e.ID}, nil)
+		err = r.node.Call(ctx, helper.ID, helper.PeerAddr, peer.KindPromote, endpointRequest{Endpoint: e.ID, Fence: fence}, nil)
+	}
+	if err != nil {
+		return failover.OrderRefused, err
 	}
-	return err
+	return failover.OrderAccepted, nil
+}
+
+func (r reacher) order(e agreed.Endpoint, fence uint64) failover.Order {
+	return failover.Order{Service: r.state.Catalog.Services[e.Service], Endpoint: e, Fence: fence}
 }
 
 // helpers are entry hosts that may reach the endpoint: those in its failure
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -36,8 +36,8 @@
 	Controls []config.ControlHost
 	// Open follows the control hosts of the agreed state beside Controls, which
 	// are then seeds.
-	Open bool
-	Peer *peer.Node
+	Open     bool
+	Peer     *peer.Node
 	Lease    lease.Config
 	Logger   *log.Logger
 	Registry prometheus.Registerer
--- a/internal/failover/active.go
+++ b/internal/failover/active.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/galenabridge/galenabridge/internal/note"
 )
 
 // watch seals the term of an active group when its primary is lost or has to
@@ -59,6 +61,9 @@
 // hasSuccessor reports whether a majority of members is well and one of them
 // could take over from the primary.
 func (m *Machine) hasSuccessor(now time.Time) bool {
+	if m.view.Ack == note.AckReplicas {
+		return m.hasReplicaInUse(now)
+	}
 	well, successor := 0, false
 	for _, member := range m.view.Members {
 		if !m.seenWell(now, member.Endpoint) {
@@ -72,6 +77,17 @@
 	return successor && well >= m.majority()
 }
 
+// hasReplicaInUse reports whether a member that nobody suspects could take over.
+// Members of such a group are not probed while nothing is wrong.
+func (m *Machine) hasReplicaInUse(now time.Time) bool {
+	for _, member := range m.view.Members {
+		if member.Endpoint != m.view.Group.Primary && !member.unwanted() && !m.suspected(now, member.Endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
 // form activates a new group once its members show one primary.
 func (m *Machine) form(now time.Time) {
 	m.ask(now)
--- a/internal/failover/choose.go
+++ b/internal/failover/choose.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/galenabridge/galenabridge/internal/note"
 )
 
 // contender is a member whose position counts in the choice of a primary.
@@ -21,8 +23,18 @@
 	return cmp.Compare(c.condition.Position, d.condition.Position)
 }
 
-// majority returns the number of members that make a majority of the group.
+// majority returns the number of members whose positions prove that no
+// acknowledged commit is missing from the highest one. With endpoints that
+// acknowledge by themselves these are enough replicas to meet every set of
+// SyncReplicas; without synchronous replicas nothing can be proved, and one
+// will do.
 func (m *Machine) majority() int {
+	if m.view.Ack == note.AckReplicas {
+		if m.view.SyncReplicas == 0 {
+			return 1
+		}
+		return max(len(m.view.Members)-m.view.SyncReplicas, 1)
+	}
 	return max(m.view.Size, len(m.view.Members))/2 + 1
 }
 
@@ -50,6 +62,8 @@
 	switch {
 	case c.InRecovery:
 		return true
+	case m.cfg.Fenced && c.Timeline > g.Timeline:
+		return true // a late order of this term has promoted it
 	case endpoint == g.Candidate:
 		return true
 	case endpoint == g.Primary:
@@ -73,6 +87,10 @@
 // included. Any other majority shares a member with that one.
 func (m *Machine) safe(all []contender) []contender {
 	var found []contender
+	if m.view.Ack == note.AckReplicas {
+		best := slices.MaxFunc(all, contender.compare)
+		return without(all, func(c contender) bool { return c.compare(best) < 0 })
+	}
 	for _, c := range all {
 		covered := 0
 		for _, d := range all {
@@ -87,6 +105,19 @@
 	return found
 }
 
+// mayImprove reports whether to wait for members that have not answered: each
+// may hold commits that no other has. Nobody waits for a member that is
+// suspected.
+func (m *Machine) mayImprove(now time.Time, all []contender) bool {
+	if m.view.Ack != note.AckReplicas || now.Sub(m.majorityAt) >= m.cfg.BestGrace {
+		return false
+	}
+	return slices.ContainsFunc(m.view.Members, func(member Member) bool {
+		heard := slices.ContainsFunc(all, func(c contender) bool { return c.member.Endpoint == member.Endpoint })
+		return !heard && !m.suspected(now, member.Endpoint)
+	})
+}
+
 // prefer orders contenders: not suspected first, then those in use, then the
 // highest position; ties go to the lower id. All of them hold what was
 // acknowledged, so that only a tail without acknowledgement is weighed here.
--- a/internal/failover/fleet.go
+++ b/internal/failover/fleet.go
@@ -88,6 +88,9 @@
 		Size:       s.Catalog.Services[service].Endpoints,
 		Electorate: electorate,
 		Leaving:    s.Catalog.Services[service].Leaving,
+
+		Ack:          s.Catalog.Services[service].Ack,
+		SyncReplicas: s.Catalog.Services[service].SyncReplicas,
 	}
 	for _, id := range group.Members {
 		domain := s.Endpoints[id].Domain
@@ -95,7 +98,7 @@
 			Endpoint:  id,
 			Domain:    domain,
 			DomainOut: s.Catalog.Domains[domain].Out,
-			Leaving:   f.leaving[id],
+			Leaving:   f.leaving[id] || s.Endpoints[id].Leaving,
 		})
 	}
 	return v
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -32,8 +32,13 @@
 	majorityAt time.Time
 	// candidateAt is when this machine first saw the candidate recorded.
 	candidateAt time.Time
-	// promoted is when Promote was last emitted.
-	promoted time.Time
+	// promoted is when Promote was last emitted, under the fence ordered;
+	// accepted is the fence of the last order that was accepted, unanswered that
+	// of one that got no answer.
+	promoted   time.Time
+	ordered    uint64
+	accepted   uint64
+	unanswered uint64
 	// avoid lists candidates of this term that failed to be promoted.
 	avoid map[string]bool
 	// switched is when a planned switchover was last begun.
@@ -89,7 +94,8 @@
 	}
 	if first || old.Candidate != v.Group.Candidate {
 		m.candidateAt = now
-		m.promoted = time.Time{}
+	}
+	if first || old.Changed != v.Group.Changed {
 		m.busyUntil = time.Time{}
 	}
 }
@@ -122,10 +128,17 @@
 
 func (m *Machine) promotionDone(r PromotionResult) {
 	g := m.view.Group
-	if r.OK || r.Term != g.Term || r.Endpoint != g.Candidate {
+	if r.Term != g.Term || r.Endpoint != g.Candidate || r.Fence != g.Changed {
 		return
 	}
-	m.avoid[r.Endpoint] = true
+	switch r.Outcome {
+	case OrderAccepted:
+		m.accepted = r.Fence
+	case OrderUnknown:
+		m.unanswered = r.Fence
+	case OrderRefused:
+		m.avoid[r.Endpoint] = true
+	}
 }
 
 func (m *Machine) commandDone(now time.Time, r CommandResult) {
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -67,7 +67,8 @@
 
 // commit takes the proposed choice into the view.
 func (r *rig) commit(c Choose) {
-	r.view.Group.Candidate = c.Candidate
+	r.view.Group.Candidate, r.view.Group.Chooser = c.Candidate, c.Chooser
+	r.view.Group.Attempt++
 	r.view.Group.Changed++
 	r.send(r.view)
 }
@@ -170,11 +171,11 @@
 	r.answer("b", replica(100))
 	expectNone[Choose](r)
 	r.answer("c", replica(120))
-	expect(r, Choose{Service: "s", Term: 2, Candidate: "c"})
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "c", Attempt: 1})
 	expectNone[Promote](r)
 	r.commit(Choose{Candidate: "c"})
-	expect(r, Promote{Service: "s", Term: 2, Endpoint: "c"})
-	r.send(PromotionResult{Term: 2, Endpoint: "c", OK: true})
+	expect(r, Promote{Service: "s", Term: 2, Endpoint: "c", Fence: 12})
+	r.send(PromotionResult{Term: 2, Endpoint: "c", Fence: 12, Outcome: OrderAccepted})
 	r.answer("c", replica(120))
 	expectNone[Activate](r)
 	r.answer("c", primary(2, 121))
@@ -216,7 +217,7 @@
 	r.send(Settled{Revision: 11})
 	r.answer("a", primary(1, 130))
 	r.answer("b", replica(100))
-	expect(r, Choose{Service: "s", Term: 2, Candidate: "a"})
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "a", Attempt: 1})
 	r.commit(Choose{Candidate: "a"})
 	r.answer("a", primary(1, 130))
 	expect(r, Activate{Service: "s", Term: 2, Primary: "a", Timeline: 1})
@@ -231,7 +232,7 @@
 	r.answer("b", replica(100))
 	expectNone[Choose](r)
 	r.answer("c", replica(90))
-	expect(r, Choose{Service: "s", Term: 2, Candidate: "b"})
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "b", Attempt: 1})
 }
 
 func TestCandidateThatDiesIsReplaced(t *testing.T) {
@@ -246,7 +247,7 @@
 		r.answer("b", replica(100))
 		r.pass(100 * time.Millisecond)
 	}
-	expect(r, Choose{Service: "s", Term: 2, Candidate: "a"})
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "a", Attempt: 2})
 	expectNone[Activate](r)
 }
 
@@ -257,7 +258,7 @@
 	r.m = New(DefaultConfig()) // settled is unknown to the new leader
 	r.effects = nil
 	r.send(r.view)
-	expect(r, Promote{Service: "s", Term: 2, Endpoint: "c"})
+	expect(r, Promote{Service: "s", Term: 2, Endpoint: "c", Fence: 11})
 	r.answer("c", primary(2, 121))
 	expect(r, Activate{Service: "s", Term: 2, Primary: "c", Timeline: 2})
 }
@@ -291,7 +292,7 @@
 	r.answer("c", replica(100))
 	expectNone[Choose](r)
 	r.answer("b", replica(130))
-	expect(r, Choose{Service: "s", Term: 2, Candidate: "b"})
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "b", Attempt: 1})
 }
 
 func TestSwitchoverWaitIsBounded(t *testing.T) {
@@ -305,7 +306,7 @@
 		r.answer("c", replica(100))
 		r.pass(100 * time.Millisecond)
 	}
-	expect(r, Choose{Service: "s", Term: 2, Candidate: "b"})
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "b", Attempt: 1})
 }
 
 func TestFormingNeedsOnePrimary(t *testing.T) {
@@ -356,7 +357,7 @@
 	c.Timeline = 2
 	r.answer("b", replica(500)) // a tail of timeline 1 that was never agreed
 	r.answer("c", c)
-	expect(r, Choose{Service: "s", Term: 2, Candidate: "c"})
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "c", Attempt: 1})
 }
 
 func TestAnswersOfAnotherTermAreIgnored(t *testing.T) {
@@ -380,7 +381,7 @@
 	r.answer("b", replica(130))
 	expectNone[Choose](r)
 	r.answer("c", replica(130))
-	expect(r, Choose{Service: "s", Term: 2, Candidate: "c"})
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "c", Attempt: 1})
 }
 
 func TestDomainInUseGoesBeforeAnUnacknowledgedTail(t *testing.T) {
@@ -392,7 +393,7 @@
 	r.answer("b", replica(120))
 	expectNone[Choose](r)
 	r.answer("c", replica(110))
-	expect(r, Choose{Service: "s", Term: 2, Candidate: "c"})
+	expect(r, Choose{Service: "s", Term: 2, Candidate: "c", Attempt: 1})
 }
 
 func TestFormerMembersAreForgotten(t *testing.T) {
--- a/internal/failover/model_test.go
+++ b/internal/failover/model_test.go
@@ -265,7 +265,7 @@
 		if g.Phase != agreed.PhaseSealed || c.Term != g.Term {
 			return
 		}
-		g.Candidate = c.Candidate
+		g.Candidate, g.Chooser, g.Attempt = c.Candidate, c.Chooser, c.Attempt
 	case Activate:
 		if g.Phase != agreed.PhaseSealed || c.Term != g.Term || c.Primary != g.Candidate {
 			return
--- a/internal/failover/sealed.go
+++ b/internal/failover/sealed.go
@@ -29,6 +29,8 @@
 		Service:   m.view.Group.Service,
 		Term:      m.view.Group.Term,
 		Candidate: endpoint,
+		Chooser:   m.cfg.Chooser,
+		Attempt:   m.view.Group.Attempt + 1,
 	})
 }
 
@@ -43,6 +45,10 @@
 	if m.majorityAt.IsZero() {
 		m.majorityAt = now
 	}
+	if m.mayImprove(now, all) {
+		m.report("sealed: waiting for the positions of the other members")
+		return "", false
+	}
 	able := m.untried(m.safe(all))
 	if _, planned := m.switchoverCause(); planned && !m.suspected(now, m.view.Group.Primary) {
 		able = m.successors(now, all, able)
@@ -125,7 +131,7 @@
 	m.ask(now)
 	g := m.view.Group
 	c, answers := m.answer(now, g.Candidate)
-	if answers && m.mayActivate(c) {
+	if answers && m.mayActivate(c) && m.ownOrderHolds() {
 		m.report("sealed: activating " + g.Candidate)
 		m.propose(now, Activate{Service: g.Service, Term: g.Term, Primary: g.Candidate, Timeline: c.Timeline})
 		return
@@ -136,11 +142,36 @@
 		return
 	}
 	m.report("sealed: promoting " + g.Candidate)
-	if !m.promoted.IsZero() && now.Sub(m.promoted) < m.cfg.ProposeTimeout {
+	if g.Chooser != m.cfg.Chooser || m.orderFailed(now) {
+		m.proposeCandidate(now, g.Candidate)
+		return
+	}
+	if m.ordered == g.Changed {
 		return
 	}
-	m.promoted = now
-	m.effects = append(m.effects, Promote{Service: g.Service, Term: g.Term, Endpoint: g.Candidate})
+	m.ordered, m.promoted = g.Changed, now
+	m.effects = append(m.effects, Promote{Service: g.Service, Term: g.Term, Endpoint: g.Candidate, Fence: g.Changed})
+}
+
+// ownOrderHolds reports whether no order that was given in this term can still
+// be carried out for another endpoint: the platform has seen the fence of the
+// latest choice, which is this leader's.
+func (m *Machine) ownOrderHolds() bool {
+	g := m.view.Group
+	return !m.cfg.Fenced || g.Chooser == m.cfg.Chooser && m.accepted == g.Changed
+}
+
+// orderFailed reports whether another order is due: the last one got no answer,
+// or has not shown in time.
+func (m *Machine) orderFailed(now time.Time) bool {
+	if m.ordered != m.view.Group.Changed {
+		return false
+	}
+	wait := m.cfg.ProposeTimeout
+	if m.accepted == m.ordered {
+		wait = m.cfg.OrderTimeout
+	}
+	return m.unanswered == m.ordered || now.Sub(m.promoted) >= wait
 }
 
 // replaceCandidate chooses again; the same endpoint may get another attempt
@@ -156,7 +187,7 @@
 	}
 	delete(m.avoid, next)
 	m.candidateAt = now
-	m.promoted = time.Time{}
+	m.proposeCandidate(now, next)
 }
 
 // mayActivate reports whether the candidate is a primary: promoted to a new
--- a/internal/failover/sim_test.go
+++ b/internal/failover/sim_test.go
@@ -193,7 +193,7 @@
 	case Seal:
 		s.group.Term, s.group.Phase = e.Term+1, agreed.PhaseSealed
 	case Choose:
-		s.group.Candidate = e.Candidate
+		s.group.Candidate, s.group.Chooser, s.group.Attempt = e.Candidate, e.Chooser, e.Attempt
 	case Activate:
 		s.group.Phase, s.group.Primary, s.group.Candidate = agreed.PhaseActive, e.Primary, ""
 	}
@@ -215,7 +215,7 @@
 			s.later(simMessage, Answer{Term: e.Term, Endpoint: id, Condition: c})
 		}
 	case Promote:
-		s.later(simPromote, PromotionResult{Term: e.Term, Endpoint: e.Endpoint, OK: true})
+		s.later(simPromote, PromotionResult{Term: e.Term, Endpoint: e.Endpoint, Fence: e.Fence, Outcome: OrderAccepted})
 	}
 }
 
--- a/internal/failover/types.go
+++ b/internal/failover/types.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/note"
 )
 
 // ProbeInterval is the time between two probes of an endpoint by a watcher.
@@ -65,6 +66,16 @@
 	// FormGrace is how long a new group waits for its missing members once a
 	// majority has answered.
 	FormGrace time.Duration
+	// BestGrace is how long the choice waits for further members of a group whose
+	// endpoints acknowledge by themselves: each may hold a later position.
+	BestGrace time.Duration
+	// OrderTimeout is how long an order that was accepted may take to show.
+	OrderTimeout time.Duration
+	// Fenced: orders carry fences and may run late. A group is activated only
+	// once the latest order of this leader was accepted, which fails all earlier.
+	Fenced bool
+	// Chooser is the control leader's consensus term.
+	Chooser uint64
 }
 
 // DefaultConfig returns the limits for probes every ProbeInterval.
@@ -80,8 +91,10 @@
 		PromoteTimeout:   8 * time.Second,
 		SecondBestGrace:  time.Second,
 		CatchUpTimeout:   3 * time.Second,
-		SwitchoverRetry:  30 * time.Second,
+		SwitchoverRetry:  3 * time.Second,
 		FormGrace:        3 * time.Second,
+		BestGrace:        300 * time.Millisecond,
+		OrderTimeout:     3 * time.Second,
 	}
 }
 
@@ -99,6 +112,9 @@
 	Electorate *Electorate
 	// Leaving reports that the service is being taken out of use.
 	Leaving bool
+	// Ack and SyncReplicas are those of the service.
+	Ack          note.AckPolicy
+	SyncReplicas int
 }
 
 // Member is an endpoint of the group.
@@ -147,9 +163,24 @@
 type PromotionResult struct {
 	Term     uint64
 	Endpoint string
-	OK       bool
+	// Fence is that of the order.
+	Fence   uint64
+	Outcome OrderOutcome
 }
 
+// OrderOutcome is what is known of an order to promote.
+type OrderOutcome int
+
+// Outcomes of an order.
+const (
+	// OrderUnknown: it was not answered, and may still be carried out.
+	OrderUnknown OrderOutcome = iota
+	// OrderAccepted: the endpoint leads or will soon.
+	OrderAccepted
+	// OrderRefused: it will not be carried out.
+	OrderRefused
+)
+
 // CommandResult reports the outcome of a proposed command. A committed one
 // also shows in the next View.
 type CommandResult struct{ Committed bool }
@@ -182,6 +213,10 @@
 	Service   string
 	Term      uint64
 	Candidate string
+	// Chooser and Attempt make the record differ from every earlier choice, so
+	// that its revision is a new fence.
+	Chooser uint64
+	Attempt uint64
 }
 
 // Activate proposes the command that makes the primary of a sealed or forming
@@ -200,12 +235,23 @@
 	Endpoints []string
 }
 
-// Promote orders an endpoint to become the primary. It is repeated until the
-// endpoint answers as promoted, and must be harmless then.
+// Promote orders an endpoint to become the primary. Each order has a fence of
+// its own, greater than any before.
 type Promote struct {
 	Service  string
 	Term     uint64
 	Endpoint string
+	// Fence is the revision of the choice.
+	Fence uint64
+}
+
+// Order is an order to promote an endpoint.
+type Order struct {
+	Service  note.Service
+	Endpoint agreed.Endpoint
+	// Fence is greater than that of any order given before for the service. An
+	// order with a lower fence than one that was carried out must fail.
+	Fence uint64
 }
 
 // Status reports why the group is not active, or what it waits for; an empty
--- a/internal/watch/prober.go
+++ b/internal/watch/prober.go
@@ -72,8 +72,8 @@
 }
 
 // Promote implements control.Databases. It does nothing on a primary.
-func (p *Prober) Promote(ctx context.Context, service note.Service, e agreed.Endpoint) error {
-	return p.with(ctx, service, e, func(conn *pgback.Conn) error {
+func (p *Prober) Promote(ctx context.Context, o failover.Order) (failover.OrderOutcome, error) {
+	err := p.with(ctx, o.Service, o.Endpoint, func(conn *pgback.Conn) error {
 		rows, err := conn.Query(ctx, queryCondition)
 		if err != nil {
 			return err
@@ -85,6 +85,10 @@
 		_, err = conn.Query(ctx, queryPromote)
 		return err
 	})
+	if err != nil {
+		return failover.OrderRefused, err
+	}
+	return failover.OrderAccepted, nil
 }
 
 // Forget closes the connections to endpoints for which keep is false.
--- a/internal/watch/prober_test.go
+++ b/internal/watch/prober_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/failover"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/standin"
 )
@@ -49,8 +50,9 @@
 		t.Errorf("replica: %+v", c)
 	}
 	for range 2 { // the second order does nothing
-		if err := p.Promote(ctx, service, replica); err != nil {
-			t.Fatal(err)
+		outcome, err := p.Promote(ctx, failover.Order{Service: service, Endpoint: replica})
+		if err != nil || outcome != failover.OrderAccepted {
+			t.Fatal(outcome, err)
 		}
 	}
 	c := p.Probe(ctx, service, replica)
