--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -7,7 +7,7 @@
 	"context"
 	"time"
 
-	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/gate"
 )
 
 // Position is a log position of a service's database group.
@@ -26,21 +26,11 @@
 	Acquire(ctx context.Context, workspace string) error
 }
 
-// Admission is a request for a slot of one endpoint.
-type Admission struct {
-	Endpoint  string
-	Service   string
-	Workspace string
-	Weight    float64
-	Class     note.Class
-	Deadline  time.Time
-}
-
 // Gate admits requests to the slots of endpoints.
 type Gate interface {
 	// Enter waits for a slot. The caller must call leave once the request has
 	// ended. It returns a result.Error with a code for which NotRun holds.
-	Enter(ctx context.Context, a Admission) (leave func(), err error)
+	Enter(ctx context.Context, a gate.Admission) (leave func(), err error)
 }
 
 // Need describes the endpoint that a request may run on.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
@@ -71,8 +72,8 @@
 	return top
 }
 
-func (s *session) admission(ctx context.Context, endpoint string) Admission {
-	a := Admission{
+func (s *session) admission(ctx context.Context, endpoint string) gate.Admission {
+	a := gate.Admission{
 		Endpoint: endpoint, Service: s.who.service, Workspace: s.who.workspace,
 		Class: s.class(), Weight: 1,
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
+	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pgback"
 	"github.com/galenabridge/galenabridge/internal/pgfront"
@@ -97,7 +98,7 @@
 		s.limiter = Unlimited{}
 	}
 	if s.gate == nil {
-		s.gate = NewGate(s.opts.gatePolicy(), s.opts.slots())
+		s.gate = gate.New(s.opts.gatePolicy(), s.opts.slots())
 	}
 	if s.positions == nil {
 		s.shared = newSharedPositions(s.opts.View, s.opts.Settings.Host, s.opts.Peers, s.PrimaryStatus)
--- a/internal/entry/gate.go
+++ b/internal/gate/gate.go
@@ -1,4 +1,7 @@
-package entry
+// Package gate lets requests wait for the slots of endpoints. The order is that
+// of package admit; the package feeds one queue per endpoint with events and
+// wakes the requests that it starts or refuses.
+package gate
 
 import (
 	"context"
@@ -6,11 +9,22 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/admit"
+	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
-// QueueGate is a Gate with an admission queue for each endpoint.
-type QueueGate struct {
+// Admission is a request for a slot of one endpoint.
+type Admission struct {
+	Endpoint  string
+	Service   string
+	Workspace string
+	Weight    float64
+	Class     note.Class
+	Deadline  time.Time
+}
+
+// Gate has an admission queue for each endpoint.
+type Gate struct {
 	policy admit.Policy
 	slots  func(service, endpoint string) int
 
@@ -18,19 +32,20 @@
 	gates map[string]*endpointGate
 }
 
-// NewGate returns a gate. The slots of this host at an endpoint may change
+// New returns a gate. The slots of this host at an endpoint may change
 // over time.
-func NewGate(policy admit.Policy, slots func(service, endpoint string) int) *QueueGate {
-	return &QueueGate{policy: policy, slots: slots, gates: make(map[string]*endpointGate)}
+func New(policy admit.Policy, slots func(service, endpoint string) int) *Gate {
+	return &Gate{policy: policy, slots: slots, gates: make(map[string]*endpointGate)}
 }
 
-// Enter implements Gate.
-func (g *QueueGate) Enter(ctx context.Context, a Admission) (func(), error) {
+// Enter waits for a slot until ctx ends. The caller must call leave once the
+// request has ended. It returns a result.Error with a code for which NotRun holds.
+func (g *Gate) Enter(ctx context.Context, a Admission) (func(), error) {
 	return g.gate(a).enter(ctx, a)
 }
 
 // Waiting returns the number of requests that wait for an endpoint's slots.
-func (g *QueueGate) Waiting(endpoint string) int {
+func (g *Gate) Waiting(endpoint string) int {
 	g.mu.Lock()
 	e, ok := g.gates[endpoint]
 	g.mu.Unlock()
@@ -42,7 +57,7 @@
 	return e.queue.Waiting()
 }
 
-func (g *QueueGate) gate(a Admission) *endpointGate {
+func (g *Gate) gate(a Admission) *endpointGate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, ok := g.gates[a.Endpoint]
@@ -176,3 +191,34 @@
 	defer e.mu.Unlock()
 	e.apply(e.queue.Tick(time.Now()))
 }
+
+// Use returns the requests that run on an endpoint, and the greatest number
+// that ran or waited at once since the last call.
+func (g *Gate) Use(endpoint string) (running, peak int) {
+	g.mu.Lock()
+	e, ok := g.gates[endpoint]
+	g.mu.Unlock()
+	if !ok {
+		return 0, 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	peak = max(e.peak, e.queue.Running()+e.queue.Waiting())
+	e.peak = 0
+	return e.queue.Running(), peak
+}
+
+// Resize follows changed numbers of slots.
+func (g *Gate) Resize() {
+	g.mu.Lock()
+	gates := make([]*endpointGate, 0, len(g.gates))
+	for _, e := range g.gates {
+		gates = append(gates, e)
+	}
+	g.mu.Unlock()
+	for _, e := range gates {
+		e.mu.Lock()
+		e.resize(time.Now())
+		e.mu.Unlock()
+	}
+}
