Share one connection pool between dialects

Cause: the pool knew PostgreSQL connections only; lines need the same caps, waits and closing of doubtful connections. Change: internal/connpool is generic; pgback keeps a thin wrapper. Acquire may prefer a connection, for sessions whose values it already holds.

--- /dev/null
+++ b/internal/connpool/alive.go
@@ -0,0 +1,27 @@
+package connpool
+
+import (
+	"net"
+	"syscall"
+)
+
+// Quiet reports whether a TCP connection is open and has nothing to read. It
+// looks at the socket without waiting. Other connections count as quiet.
+func Quiet(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var buf [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, recvErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = recvErr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/connpool/pool_test.go
@@ -0,0 +1,78 @@
+package connpool
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// fakeConn counts what the pool does with it.
+type fakeConn struct {
+	number   int
+	dead     bool
+	closed   bool
+	unusable bool
+}
+
+func (c *fakeConn) Alive() bool    { return !c.dead }
+func (c *fakeConn) Reusable() bool { return !c.unusable }
+func (c *fakeConn) Close()         { c.closed = true }
+
+func newPool(limit int) (*Pool[*fakeConn], *int) {
+	dialed := 0
+	return New(func(context.Context) (*fakeConn, error) {
+		dialed++
+		return &fakeConn{number: dialed}, nil
+	}, limit), &dialed
+}
+
+func acquire(t *testing.T, p *Pool[*fakeConn], prefer func(*fakeConn) bool) *fakeConn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	c, err := p.Acquire(ctx, prefer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestPreferredConnectionGoesFirst(t *testing.T) {
+	p, _ := newPool(3)
+	a, b, c := acquire(t, p, nil), acquire(t, p, nil), acquire(t, p, nil)
+	for _, conn := range []*fakeConn{a, b, c} {
+		p.Release(conn, true)
+	}
+	if got := acquire(t, p, func(x *fakeConn) bool { return x == b }); got != b {
+		t.Errorf("lent %d, preferred %d", got.number, b.number)
+	}
+	if got := acquire(t, p, func(*fakeConn) bool { return false }); got != c {
+		t.Errorf("lent %d, used last %d", got.number, c.number)
+	}
+}
+
+func TestDoubtfulConnectionsAreClosed(t *testing.T) {
+	p, dialed := newPool(1)
+	a := acquire(t, p, nil)
+	p.Release(a, false)
+	b := acquire(t, p, nil)
+	b.unusable = true
+	p.Release(b, true)
+	if !a.closed || !b.closed || acquire(t, p, nil).closed || *dialed != 3 {
+		t.Errorf("first closed %v, second %v, %d dialed", a.closed, b.closed, *dialed)
+	}
+}
+
+func TestAWaiterThatGivesUpLosesNoConnection(t *testing.T) {
+	p, _ := newPool(1)
+	a := acquire(t, p, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := p.Acquire(ctx, nil); err == nil {
+		t.Fatal("lent a second connection")
+	}
+	p.Release(a, true)
+	if got := acquire(t, p, nil); got != a {
+		t.Error("the connection was lost")
+	}
+}
--- a/internal/pgback/conn.go
+++ b/internal/pgback/conn.go
@@ -38,7 +38,6 @@
 	frontend *pgproto3.Frontend
 	pid      uint32
 	secret   []byte
-	idle     time.Time
 
 	// Session is the state that the connection holds for its users.
 	Session SessionState
