Bind pooled connections to a key

Cause: endpoints of the platform are told the workspace when a connection opens, so that a connection serves one workspace; 33 connections serve nine hosts with eight workspaces each. Change: connections have a key; at the cap the one idle for longest gives way to a key that waits, no key starves, and keys in use count as demand. Result: go test -race ./internal/connpool ./internal/entry passes.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -1,5 +1,6 @@
 // Package connpool lends the connections of one endpoint, within a cap that may
-// change while it runs. It knows no protocol.
+// change while it runs. It knows no protocol. Connections have a key, such as
+// the workspace that the endpoint was told, and serve requests of that key only.
 package connpool
 
 import (
@@ -18,6 +19,13 @@
 	keepIdle = 60 * time.Second
 	// redialDelay is the wait after a failed attempt to open a connection.
 	redialDelay = 100 * time.Millisecond
+	// checkAfter is how long a connection rests before it is checked on reuse.
+	checkAfter = 200 * time.Millisecond
+	// fairAfter is how long the first request may wait while later ones of other
+	// keys are served: about the time that it takes to open a connection.
+	fairAfter = 25 * time.Millisecond
+	// keyMemory is how long a key counts as in use after its last request.
+	keyMemory = 5 * time.Second
 )
 
 // ErrClosed reports that the endpoint is no longer in use.
@@ -25,6 +33,8 @@
 
 // Conn is a pooled connection.
 type Conn interface {
+	// Key tells which requests the connection serves.
+	Key() string
 	// Alive reports, without waiting, whether a connection that has rested is
 	// still open and silent.
 	Alive() bool
@@ -33,21 +43,23 @@
 	Close()
 }
 
-// Dial opens a connection.
-type Dial[C Conn] func(ctx context.Context) (C, error)
+// Dial opens a connection with a key.
+type Dial[C Conn] func(ctx context.Context, key string) (C, error)
 
 // Pool lends the connections of one endpoint. It is safe for concurrent use.
-// A connection that was used last is lent first, so that surplus connections
-// fall idle and are closed.
+// Of the connections of a key the one used last is lent first, so that surplus
+// ones fall idle. At the cap, an idle connection gives way to a key that waits.
 type Pool[C Conn] struct {
 	dial Dial[C]
 
 	mu      sync.Mutex
 	limit   int
 	open    int
-	dialing int
-	idle    []resting[C]
-	waiters []*waiter[C]
+	dialing map[string]int
+	held    map[string]int // open connections by key, without those being dialed
+	idle    []resting[C] // in the order of their return
+	waiters []*waiter[C] // in the order of their arrival
+	used    map[string]time.Time
 	lastErr error
 	closed  bool
 	// peak is the greatest number of lent and wanted connections since TakePeak.
@@ -61,6 +73,8 @@
 }
 
 type waiter[C Conn] struct {
+	key   string
+	since time.Time
 	ready chan grant[C]
 }
 
@@ -72,7 +86,7 @@
 // New returns a pool that opens at most limit connections. While the limit is
 // zero, requests wait.
 func New[C Conn](dial Dial[C], limit int) *Pool[C] {
-	return &Pool[C]{dial: dial, limit: max(limit, 0)}
+	return &Pool[C]{dial: dial, limit: max(limit, 0), dialing: map[string]int{}, held: map[string]int{}, used: map[string]time.Time{}}
 }
 
 // SetLimit changes the cap on open connections. Connections over a lowered cap
@@ -81,7 +95,7 @@
 	p.mu.Lock()
 	p.limit = max(limit, 0)
 	surplus := p.trim(time.Time{})
-	p.grow()
+	surplus = append(surplus, p.grow()...)
 	p.mu.Unlock()
 	closeAll(surplus)
 }
@@ -103,41 +117,64 @@
 	return Stats{Limit: p.limit, Open: p.open, Idle: len(p.idle), Waiting: len(p.waiters), LastError: p.lastErr}
 }
 
+// IdleWith reports whether a connection of the key is idle.
+func (p *Pool[C]) IdleWith(key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle, func(r resting[C]) bool { return r.conn.Key() == key })
+}
+
 // wanted is the number of connections that are lent or waited for.
 func (p *Pool[C]) wanted() int {
-	return p.open - p.dialing - len(p.idle) + len(p.waiters)
+	dialing := 0
+	for _, n := range p.dialing {
+		dialing += n
+	}
+	return p.open - dialing - len(p.idle) + len(p.waiters)
 }
 
-// TakePeak returns the greatest number of connections that were lent or waited
-// for at once since the last call.
+// TakePeak returns how many connections the pool could use: the greatest number
+// that was lent or waited for at once since the last call, and at least one for
+// each key that was used lately.
 func (p *Pool[C]) TakePeak() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	peak := max(p.peak, p.wanted())
+	now := time.Now()
+	for key, at := range p.used {
+		if now.Sub(at) > keyMemory {
+			delete(p.used, key)
+		}
+	}
+	peak := max(p.peak, p.wanted(), len(p.used))
 	p.peak = 0
 	return peak
 }
 
-// Acquire lends a connection, waiting until one is free or ctx ends. Of the
-// idle ones it lends the one used last for which prefer holds, if any; prefer
-// may be nil.
-func (p *Pool[C]) Acquire(ctx context.Context, prefer func(C) bool) (C, error) {
+// Acquire lends a connection with the key, waiting until one is free or ctx
+// ends. Of the idle ones it lends the one used last for which prefer holds, if
+// any; prefer may be nil.
+func (p *Pool[C]) Acquire(ctx context.Context, key string, prefer func(C) bool) (C, error) {
 	var none C
+	now := time.Now()
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return none, ErrClosed
 	}
-	if conn, ok := p.pop(time.Now(), prefer); ok {
+	p.used[key] = now
+	conn, ok, dead := p.pop(now, key, prefer)
+	if ok {
 		p.peak = max(p.peak, p.wanted())
 		p.mu.Unlock()
+		closeAll(dead)
 		return conn, nil
 	}
-	w := &waiter[C]{ready: make(chan grant[C], 1)}
+	w := &waiter[C]{key: key, since: now, ready: make(chan grant[C], 1)}
 	p.waiters = append(p.waiters, w)
 	p.peak = max(p.peak, p.wanted())
-	p.grow()
+	surplus := append(dead, p.grow()...)
 	p.mu.Unlock()
+	closeAll(surplus)
 
 	select {
 	case g := <-w.ready:
@@ -152,15 +189,15 @@
 // its state is unknown or a request was cancelled on it, is closed.
 func (p *Pool[C]) Release(c C, reusable bool) {
 	p.mu.Lock()
+	var surplus []C
 	if !reusable || !c.Reusable() || p.closed || p.open > p.limit {
-		p.open--
-		p.grow()
-		p.mu.Unlock()
-		c.Close()
-		return
+		surplus = append(surplus, p.drop(c))
+	} else if !p.give(time.Now(), c) {
+		surplus = append(surplus, p.drop(c))
 	}
-	p.give(c)
+	surplus = append(surplus, p.grow()...)
 	p.mu.Unlock()
+	closeAll(surplus)
 }
 
 // Sweep closes connections that have been idle for long.
@@ -178,7 +215,9 @@
 	p.closed = true
 	idle := p.idle
 	p.idle = nil
-	p.open -= len(idle)
+	for _, r := range idle {
+		p.drop(r.conn)
+	}
 	for _, w := range p.waiters {
 		w.ready <- grant[C]{err: ErrClosed}
 	}
@@ -189,41 +228,55 @@
 	}
 }
 
-// give lends c to the first waiter or rests it.
-func (p *Pool[C]) give(c C) {
-	if len(p.waiters) > 0 {
-		w := p.waiters[0]
-		p.waiters = p.waiters[1:]
-		w.ready <- grant[C]{conn: c}
-		return
+// give lends c to the first waiter of its key or rests it. It reports false when
+// the connection should rather be closed, so that the first of all waiters,
+// which has another key, can have one.
+func (p *Pool[C]) give(now time.Time, c C) bool {
+	key := c.Key()
+	at := slices.IndexFunc(p.waiters, func(w *waiter[C]) bool { return w.key == key })
+	if at < 0 {
+		p.idle = append(p.idle, resting[C]{conn: c, since: now})
+		return true
+	}
+	if first := p.waiters[0]; at > 0 && p.dialing[first.key] == 0 && now.Sub(first.since) >= fairAfter {
+		return false
 	}
-	p.idle = append(p.idle, resting[C]{conn: c, since: time.Now()})
+	w := p.waiters[at]
+	p.waiters = slices.Delete(p.waiters, at, at+1)
+	w.ready <- grant[C]{conn: c}
+	return true
 }
 
-// checkAfter is how long a connection rests before it is checked on reuse.
-const checkAfter = 200 * time.Millisecond
-
-// pop returns the idle connection that was used last, among those preferred if
-// there are any, and is still open.
-func (p *Pool[C]) pop(now time.Time, prefer func(C) bool) (C, bool) {
-	for len(p.idle) > 0 {
-		at := len(p.idle) - 1
-		for i := at; prefer != nil && i >= 0; i-- {
-			if prefer(p.idle[i].conn) {
-				at = i
-				break
-			}
+// pop returns the idle connection of the key that was used last, among those
+// preferred if there are any, and the dead ones that it met.
+func (p *Pool[C]) pop(now time.Time, key string, prefer func(C) bool) (conn C, ok bool, dead []C) {
+	for {
+		at := p.find(key, prefer)
+		if at < 0 {
+			return conn, false, dead
 		}
 		r := p.idle[at]
 		p.idle = slices.Delete(p.idle, at, at+1)
 		if now.Sub(r.since) < checkAfter || r.conn.Alive() {
-			return r.conn, true
+			return r.conn, true, dead
 		}
-		p.open--
-		r.conn.Close()
+		dead = append(dead, p.drop(r.conn))
 	}
-	var none C
-	return none, false
+}
+
+func (p *Pool[C]) find(key string, prefer func(C) bool) int {
+	last := -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i].conn
+		switch {
+		case c.Key() != key:
+		case prefer == nil || prefer(c):
+			return i
+		case last < 0:
+			last = i
+		}
+	}
+	return last
 }
 
 // trim removes idle connections over the cap, and those idle since before the
@@ -231,57 +284,95 @@
 func (p *Pool[C]) trim(before time.Time) []C {
 	var surplus []C
 	for len(p.idle) > 0 && (p.open > p.limit || p.idle[0].since.Before(before)) {
-		surplus = append(surplus, p.idle[0].conn)
-		p.idle = p.idle[1:]
-		p.open--
+		surplus = append(surplus, p.evict())
 	}
 	return surplus
 }
 
+// evict removes the connection that has been idle for longest.
+func (p *Pool[C]) evict() C {
+	c := p.idle[0].conn
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return p.drop(c)
+}
+
+// drop takes an open connection off the accounts; the caller closes it.
+func (p *Pool[C]) drop(c C) C {
+	p.open--
+	p.held[c.Key()]--
+	if p.held[c.Key()] == 0 {
+		delete(p.held, c.Key())
+	}
+	return c
+}
+
 // grow opens connections in the background for waiters that no opening
-// connection will serve.
-func (p *Pool[C]) grow() {
-	for !p.closed && p.open < p.limit && p.dialing < len(p.waiters) {
+// connection of their key will serve. It returns idle connections that gave way.
+func (p *Pool[C]) grow() []C {
+	var evicted []C
+	if p.closed {
+		return nil
+	}
+	waiting := make(map[string]int, len(p.waiters))
+	for _, w := range p.waiters {
+		waiting[w.key]++
+		if waiting[w.key] <= p.dialing[w.key] {
+			continue
+		}
+		if p.open >= p.limit {
+			if len(p.idle) == 0 || p.open > p.limit {
+				return evicted
+			}
+			evicted = append(evicted, p.evict())
+		}
 		p.open++
-		p.dialing++
-		go p.openOne()
+		p.dialing[w.key]++
+		go p.openOne(w.key)
 	}
+	return evicted
 }
 
-func (p *Pool[C]) openOne() {
+func (p *Pool[C]) openOne(key string) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	c, err := p.dial(ctx)
+	c, err := p.dial(ctx, key)
+	p.mu.Lock()
+	p.dialed(key)
 	if err != nil {
-		p.failed(err)
+		p.failed(key, err)
+		p.mu.Unlock()
 		return
 	}
-	p.mu.Lock()
-	p.dialing--
 	p.lastErr = nil
-	if p.closed {
-		p.open--
-		p.mu.Unlock()
-		c.Close()
-		return
+	p.held[key]++
+	var surplus []C
+	if p.closed || !p.give(time.Now(), c) {
+		surplus = append(surplus, p.drop(c))
 	}
-	p.give(c)
+	surplus = append(surplus, p.grow()...)
 	p.mu.Unlock()
+	closeAll(surplus)
 }
 
-// failed passes the error to the waiters when no open connection can serve
-// them, and otherwise tries again later.
-func (p *Pool[C]) failed(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dialing--
+func (p *Pool[C]) dialed(key string) {
+	p.dialing[key]--
+	if p.dialing[key] == 0 {
+		delete(p.dialing, key)
+	}
+}
+
+// failed passes the error to the waiters of the key when no open connection can
+// serve them, and otherwise tries again later.
+func (p *Pool[C]) failed(key string, err error) {
 	p.open--
 	p.lastErr = err
-	if p.open == 0 {
-		for _, w := range p.waiters {
-			w.ready <- grant[C]{err: err}
-		}
-		p.waiters = nil
+	if p.held[key] == 0 {
+		p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter[C]) bool {
+			if w.key == key {
+				w.ready <- grant[C]{err: err}
+			}
+			return w.key == key
+		})
 		return
 	}
 	time.AfterFunc(redialDelay, p.retry)
@@ -289,23 +380,35 @@
 
 func (p *Pool[C]) retry() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.grow()
+	surplus := p.grow()
+	p.mu.Unlock()
+	closeAll(surplus)
 }
 
 func (p *Pool[C]) abandon(w *waiter[C]) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, other := range p.waiters {
-		if other == w {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			return
-		}
+	if at := slices.Index(p.waiters, w); at >= 0 {
+		p.waiters = slices.Delete(p.waiters, at, at+1)
+		return
 	}
 	// The waiter was served meanwhile: the connection is lent onwards.
 	if g := <-w.ready; g.err == nil {
-		p.give(g.conn)
+		p.idle = append(p.idle, resting[C]{conn: g.conn, since: time.Now()})
+		p.handOver(g.conn)
+	}
+}
+
+// handOver lends an idle connection to a waiter of its key, if there is one.
+func (p *Pool[C]) handOver(c C) {
+	at := slices.IndexFunc(p.waiters, func(w *waiter[C]) bool { return w.key == c.Key() })
+	if at < 0 {
+		return
 	}
+	w := p.waiters[at]
+	p.waiters = slices.Delete(p.waiters, at, at+1)
+	p.idle = p.idle[:len(p.idle)-1]
+	w.ready <- grant[C]{conn: c}
 }
 
 func closeAll[C Conn](conns []C) {
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -9,20 +9,22 @@
 // fakeConn counts what the pool does with it.
 type fakeConn struct {
 	number   int
+	key      string
 	dead     bool
 	closed   bool
 	unusable bool
 }
 
+func (c *fakeConn) Key() string    { return c.key }
 func (c *fakeConn) Alive() bool    { return !c.dead }
 func (c *fakeConn) Reusable() bool { return !c.unusable }
 func (c *fakeConn) Close()         { c.closed = true }
 
 func newPool(limit int) (*Pool[*fakeConn], *int) {
 	dialed := 0
-	return New(func(context.Context) (*fakeConn, error) {
+	return New(func(_ context.Context, key string) (*fakeConn, error) {
 		dialed++
-		return &fakeConn{number: dialed}, nil
+		return &fakeConn{number: dialed, key: key}, nil
 	}, limit), &dialed
 }
 
@@ -30,7 +32,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	c, err := p.Acquire(ctx, prefer)
+	c, err := p.Acquire(ctx, "", prefer)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,7 +70,7 @@
 	a := acquire(t, p, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if _, err := p.Acquire(ctx, nil); err == nil {
+	if _, err := p.Acquire(ctx, "", nil); err == nil {
 		t.Fatal("lent a second connection")
 	}
 	p.Release(a, true)
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	conn, err := member.pool.Acquire(testContext(b), nil)
+	conn, err := member.pool.Acquire(testContext(b))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := member.pool.Acquire(ctx, nil)
+	conn, err := member.pool.Acquire(ctx)
 	if err != nil {
 		leave()
 		s.srv.router.End(Report{Endpoint: endpoint, Failed: ctx.Err() == nil})
--- a/internal/entry/marker_sweep.go
+++ b/internal/entry/marker_sweep.go
@@ -27,7 +27,7 @@
 	s.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
 		defer cancel()
-		conn, err := member.pool.Acquire(ctx, nil)
+		conn, err := member.pool.Acquire(ctx)
 		if err != nil {
 			return // the next sweep makes up for it
 		}
--- a/internal/pgback/pool.go
+++ b/internal/pgback/pool.go
@@ -14,13 +14,19 @@
 
 // NewPool returns a pool that opens at most limit connections to the target.
 func NewPool(target Target, limit int) *Pool {
-	dial := func(ctx context.Context) (*Conn, error) { return Dial(ctx, target) }
+	dial := func(ctx context.Context, _ string) (*Conn, error) { return Dial(ctx, target) }
 	return &Pool{Pool: connpool.New(dial, limit), target: target}
 }
 
 // Target returns the endpoint and credentials of the pool.
 func (p *Pool) Target() Target { return p.target }
 
+// Acquire lends a connection, waiting until one is free or ctx ends.
+func (p *Pool) Acquire(ctx context.Context) (*Conn, error) { return p.Pool.Acquire(ctx, "", nil) }
+
+// Key implements connpool.Conn. All connections serve all workspaces.
+func (c *Conn) Key() string { return "" }
+
 // Alive implements connpool.Conn.
 func (c *Conn) Alive() bool { return connpool.Quiet(c.net) }
 
