--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,7 +29,7 @@
 	FleetSecret string `json:"fleet_secret" validate:"required,min=16"`
 
 	Peer    Peer     `json:"peer"`
-	Admin   Admin    `json:"admin"`
+	Admin   Admin    `json:"admin" validate:"omitempty"`
 	Entry   *Entry   `json:"entry,omitempty"`
 	Control *Control `json:"control,omitempty"`
 	// Controls lists the control hosts by identity and peer address.
@@ -51,7 +51,8 @@
 
 // Admin holds the settings for operators, announcements, health and metrics.
 type Admin struct {
-	Listen string `json:"listen" validate:"required,ipport"`
+	// Listen may be empty where another interface serves operators.
+	Listen string `json:"listen" validate:"omitempty,ipport"`
 	// Token authenticates operators who post release notes; empty allows
 	// requests from loopback addresses only.
 	Token string `json:"token,omitempty" validate:"omitempty,min=16"`
@@ -159,13 +160,18 @@
 	if _, err := dec.Token(); err != io.EOF {
 		return nil, errors.New("settings: text after the JSON object")
 	}
-	s.setDefaults()
-	if err := s.Check(); err != nil {
+	if err := s.Complete(); err != nil {
 		return nil, err
 	}
 	return &s, nil
 }
 
+// Complete sets the defaults of what was left out and checks the settings.
+func (s *Settings) Complete() error {
+	s.setDefaults()
+	return s.Check()
+}
+
 func (s *Settings) setDefaults() {
 	if s.Peer.Advertise == "" {
 		s.Peer.Advertise = s.Peer.Listen
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -57,8 +57,8 @@
 	open    int
 	dialing map[string]int
 	held    map[string]int // open connections by key, without those being dialed
-	idle    []resting[C] // in the order of their return
-	waiters []*waiter[C] // in the order of their arrival
+	idle    []resting[C]   // in the order of their return
+	waiters []*waiter[C]   // in the order of their arrival
 	used    map[string]time.Time
 	lastErr error
 	closed  bool
--- /dev/null
+++ b/internal/core/metrics.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// latencyBuckets are in seconds, from a local round trip to the longest timeout.
+var latencyBuckets = prometheus.ExponentialBuckets(0.001, 2, 14)
+
+// metrics describe the statements served.
+type metrics struct {
+	results  *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+	backend  *prometheus.HistogramVec
+	dials    *prometheus.CounterVec
+	retries  prometheus.Counter
+	replica  *prometheus.CounterVec
+	sessions prometheus.Gauge
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	m := &metrics{
+		results: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenabridge_statements_total", Help: "Statements answered, by kind and result code; 0 is success.",
+		}, []string{"kind", "code"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "galenabridge_statement_seconds", Help: "Time from reading a statement to its answer.", Buckets: latencyBuckets,
+		}, []string{"workspace", "class"}),
+		backend: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "galenabridge_statement_endpoint_seconds", Help: "Time that a statement spent at its endpoint.", Buckets: latencyBuckets,
+		}, []string{"class"}),
+		dials: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenabridge_endpoint_dials_total", Help: "Connections opened to endpoints, by outcome.",
+		}, []string{"outcome"}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenabridge_statement_retries_total", Help: "Statements sent again after an attempt that did not run.",
+		}),
+		replica: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenabridge_reads_total", Help: "Reads outside of plain transactions, by the role of the endpoint.",
+		}, []string{"role"}),
+		sessions: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "galenabridge_sessions", Help: "Open sessions of callers.",
+		}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.results, m.duration, m.backend, m.dials, m.retries, m.replica, m.sessions)
+	}
+	return m
+}
+
+func (m *metrics) answered(kind Kind, code result.Code, workspace string, class note.Class, took time.Duration) {
+	m.results.WithLabelValues(kind.String(), strconv.Itoa(int(code))).Inc()
+	m.duration.WithLabelValues(workspace, string(class)).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/core/run.go
@@ -0,0 +1,268 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenabridge/galenabridge/internal/clock"
+	"github.com/galenabridge/galenabridge/internal/gate"
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// busyRetry is the time after which a refused caller may come back: about the
+// time of a change of the primary's leases (lease round plus round trips).
+const busyRetry = 200 * time.Millisecond
+
+// maxAttempts bounds the attempts of one statement that reach an endpoint: the
+// members of a group, and one more for a change of the primary meanwhile.
+const maxAttempts = 4
+
+// operation is one statement, or the begin of a transaction, on its way.
+type operation struct {
+	session *Session
+	st      Statement
+	route   note.Route
+	need    need
+	// writes: it may change data, so that it is repeated only when it surely has
+	// not run.
+	writes   bool
+	deadline time.Time
+	attempts int
+	lastErr  *result.Error
+}
+
+// writes reports whether a statement may change data. Unknown names do not.
+func (s *Session) writes(st Statement) bool {
+	return st.Kind == Write || st.Kind == Execute && s.prepared[st.Name].writes
+}
+
+// run serves a read, a write or an execution.
+func (s *Session) run(st Statement) Reply {
+	if st.Kind == Execute {
+		if _, ok := s.prepared[st.Name]; !ok {
+			return refuse(result.New(result.UnknownStatement, "%q", st.Name))
+		}
+	}
+	if s.state == InTransaction {
+		return s.runInTransaction(st)
+	}
+	op, err := s.admitted(st, s.writes(st))
+	if err != nil {
+		return refuse(err)
+	}
+	return op.single()
+}
+
+// admitted checks what the caller may do now and takes a token of its rate.
+func (s *Session) admitted(st Statement, writes bool) (*operation, *result.Error) {
+	if err := s.await(openTimeout); err != nil {
+		return nil, err
+	}
+	route, err := s.authorize(s.srv.opts.View.Current())
+	if err != nil {
+		return nil, err
+	}
+	op := &operation{
+		session: s, st: st, route: route, writes: writes,
+		deadline: time.Now().Add(time.Duration(route.Timeout) * time.Millisecond),
+	}
+	ctx, cancel := context.WithDeadline(s.srv.ctx, op.deadline)
+	defer cancel()
+	if s.workspace != "" {
+		if err := s.srv.opts.Limiter.Acquire(ctx, s.workspace); err != nil {
+			return nil, asResult(err, result.RateExceeded)
+		}
+	}
+	op.need = s.statementNeed(route, writes)
+	return op, nil
+}
+
+// asResult returns the result.Error in err, or one with the given code.
+func asResult(err error, code result.Code) *result.Error {
+	if e, ok := err.(*result.Error); ok {
+		return e
+	}
+	return result.New(code, "%v", err)
+}
+
+// lease is the right to use a connection to an endpoint, which the session gives
+// back.
+type lease struct {
+	choice
+	conn  *conn
+	leave func()
+}
+
+// free gives the slot back and keeps the connection.
+func (l *lease) free() {
+	if l.leave != nil {
+		l.endpoint.end()
+		l.leave()
+		l.leave = nil
+	}
+}
+
+// release gives the slot and the connection back; a doubtful one is closed.
+func (l *lease) release(sound bool) {
+	l.free()
+	l.endpoint.pool.Release(l.conn, sound)
+}
+
+// slot waits for a slot of the lease's endpoint.
+func (s *Session) slot(ctx context.Context, c choice, class note.Class) (func(), error) {
+	deadline, _ := ctx.Deadline()
+	return s.srv.gate.Enter(ctx, gate.Admission{
+		Endpoint: c.endpoint.record.ID, Service: c.endpoint.record.Service, Workspace: s.workspace,
+		Weight: 1, Class: class, Deadline: deadline,
+	})
+}
+
+// place finds an endpoint with a slot and a connection, restored for the
+// session, waiting until ctx ends.
+func (op *operation) place(ctx context.Context) (*lease, *result.Error) {
+	for {
+		changed := op.session.srv.opts.View.Changed()
+		l, err := op.tryPlace(ctx)
+		if err == nil {
+			return l, nil
+		}
+		op.lastErr = err
+		if !waitable(err.Code) || pause(ctx, changed) != nil {
+			return nil, op.refusal(err)
+		}
+	}
+}
+
+// waitable reports whether a refusal may pass within a statement's timeout.
+func waitable(code result.Code) bool {
+	switch code {
+	case result.NoConfigLease, result.NoPrimary, result.NoEndpoint, result.EndpointMismatch,
+		result.TooManyConnections, result.EndpointBusy, result.EndpointLost:
+		return true
+	}
+	return false
+}
+
+// refusal tells the caller when to come back.
+func (op *operation) refusal(err *result.Error) *result.Error {
+	if err.RetryAfter == 0 {
+		err.RetryAfter = busyRetry
+	}
+	return err
+}
+
+// pause waits a little, or until the agreed state changes.
+func pause(ctx context.Context, changed <-chan struct{}) error {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-changed:
+	case <-timer.C:
+	}
+	return ctx.Err()
+}
+
+func (op *operation) tryPlace(ctx context.Context) (*lease, *result.Error) {
+	s := op.session
+	c, err := s.srv.pick(clock.Now(), op.need)
+	if err != nil {
+		if len(op.need.exclude) > 0 {
+			op.need.exclude = nil // every other one was tried as well
+		}
+		return nil, asResult(err, result.NoEndpoint)
+	}
+	leave, err := s.slot(ctx, c, op.route.Class)
+	if err != nil {
+		return nil, asResult(err, result.DeadlineInQueue)
+	}
+	held, err := c.endpoint.pool.Acquire(ctx, s.workspace, func(k *conn) bool { return k.user == s.id || k.fits(s.values) })
+	if err != nil {
+		leave()
+		return nil, op.noConnection(c, ctx, err)
+	}
+	c.endpoint.begin()
+	l := &lease{choice: c, conn: held, leave: leave}
+	held.user = s.id
+	if err := s.restore(l, op.st, op.deadline); err != nil {
+		l.release(false)
+		return nil, err
+	}
+	if !s.srv.holds(c) {
+		l.release(true)
+		return nil, result.New(result.NoPrimary, "the lease or the term of %s ended while waiting", c.endpoint.record.ID)
+	}
+	return l, nil
+}
+
+// noConnection tells why an endpoint gave no connection.
+func (op *operation) noConnection(c choice, ctx context.Context, err error) *result.Error {
+	if ctx.Err() != nil {
+		return result.New(result.DeadlineInQueue, "waiting for a connection to %s", c.endpoint.record.ID)
+	}
+	if !reachable(err) {
+		c.endpoint.suspect(op.session.workspace, err)
+	}
+	op.need.exclude = append(op.need.exclude, c.endpoint.record.ID)
+	return asResult(err, result.EndpointLost)
+}
+
+// restore gives the connection the session's values and the shape of a prepared
+// statement, and confirms them before anything else is sent.
+func (s *Session) restore(l *lease, st Statement, deadline time.Time) *result.Error {
+	var needed *shape
+	if st.Kind == Execute {
+		p := s.prepared[st.Name]
+		needed = &p
+	}
+	commands := l.conn.restore(s.values, needed)
+	if len(commands) == 0 {
+		return nil
+	}
+	answers, _, err := l.conn.Exchange(deadline, commands...)
+	if err != nil {
+		return s.linkLost(l, err)
+	}
+	for _, a := range answers {
+		if a.Err != nil {
+			return result.New(result.EndpointLost, "restoring the session at %s: %s", l.endpoint.record.ID, a.Err.Detail)
+		}
+	}
+	return nil
+}
+
+// linkLost notes that a connection was lost before a statement was sent.
+func (s *Session) linkLost(l *lease, err error) *result.Error {
+	l.endpoint.suspect(s.workspace, err)
+	return result.New(result.EndpointLost, "endpoint %s: %v", l.endpoint.record.ID, err)
+}
+
+// command returns the statement as it goes to the lease's endpoint.
+func (s *Session) command(l *lease, st Statement, after Position) Command {
+	if st.Kind == Execute {
+		st.Name = l.conn.prepared[s.prepared[st.Name]]
+	}
+	if l.primary {
+		after = Position{}
+	}
+	return Command{Statement: st, After: after}
+}
+
+// exchange sends a statement and notes what its answer tells.
+func (s *Session) exchange(l *lease, route note.Route, c Command) (Answer, bool, error) {
+	timeout := time.Duration(route.Timeout) * time.Millisecond
+	at, sentAt := clock.Now(), time.Now()
+	answers, sent, err := l.conn.Exchange(sentAt.Add(timeout), c)
+	s.srv.metrics.backend.WithLabelValues(string(route.Class)).Observe(time.Since(sentAt).Seconds())
+	if err != nil {
+		return Answer{}, sent, err
+	}
+	a := answers[0]
+	l.endpoint.seen(a.Position)
+	if l.primary && s.srv.holds(l.choice) && (a.Err == nil || a.Err.Code != result.EndpointReadOnly) {
+		s.srv.fresh.observe(route.Service, l.term, at, a.Position)
+	}
+	return a, true, nil
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,236 @@
+// Package daemon builds a host from its roles for dialects other than
+// PostgreSQL: it connects the peers, the control role, the shares of limits and
+// the session core, and runs them under a supervisor tree. The adapter that
+// speaks with callers, endpoints and operators is given by the program.
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/control"
+	"github.com/galenabridge/galenabridge/internal/core"
+	"github.com/galenabridge/galenabridge/internal/failover"
+	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/limits"
+	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/supervise"
+	"github.com/galenabridge/galenabridge/internal/view"
+)
+
+const (
+	// notReadyFor is how long a host goes on serving after it has turned not
+	// ready: the balancer asks each second and believes the second miss.
+	notReadyFor = 2200 * time.Millisecond
+	// transactionShare of the time to stop is left to open transactions.
+	transactionShare = 0.5
+	// goodbyeTimeout bounds the deregistration at shutdown.
+	goodbyeTimeout = 300 * time.Millisecond
+	// drainPause is the time between the last refusals and the end of the process,
+	// for answers on their way.
+	drainPause = 300 * time.Millisecond
+)
+
+// Options configure a Daemon.
+type Options struct {
+	Settings  *config.Settings
+	Dialer    core.Dialer
+	Databases control.Databases
+	// Fenced: orders to promote are checked by their fences.
+	Fenced bool
+	// Grace is the time that a stop may take.
+	Grace  time.Duration
+	Logger *log.Logger
+}
+
+// Daemon is one host. It runs once.
+type Daemon struct {
+	opts       Options
+	log        *log.Logger
+	registry   *prometheus.Registry
+	peers      *peer.Node
+	view       *view.Box
+	subscriber *control.Subscriber
+	control    *control.Host
+	owner      *limits.Owner
+	holder     *limits.Holder
+	core       *core.Server
+	stopping   atomic.Bool
+}
+
+// New builds a host and opens its peer listener.
+func New(opts Options) (*Daemon, error) {
+	d := &Daemon{
+		opts: opts, log: opts.Logger, registry: prometheus.NewRegistry(), view: view.NewBox(),
+	}
+	d.peers = peer.NewNode(peer.Options{
+		Host: opts.Settings.Host, Fleet: opts.Settings.Fleet, Secret: opts.Settings.FleetSecret,
+		Incarnation: uint64(time.Now().UnixNano()), Listen: opts.Settings.Peer.Listen,
+		Advertise: opts.Settings.Peer.Advertise, Registry: d.registry, Logger: d.log,
+	})
+	if err := d.peers.Listen(); err != nil {
+		return nil, err
+	}
+	d.buildControl()
+	d.buildEntry()
+	return d, nil
+}
+
+func (d *Daemon) buildControl() {
+	timing := lease.DefaultConfig()
+	seeds := config.SeedHosts(d.opts.Settings.Seeds)
+	if c := d.opts.Settings.Control; c != nil {
+		d.control = control.New(control.Options{
+			Fleet: d.opts.Settings.Fleet, DataDir: c.DataDir, Bootstrap: c.Bootstrap, Open: true, Controls: seeds,
+			Peer: d.peers, Lease: timing, Logger: d.log, Registry: d.registry,
+			Databases: d.opts.Databases, Fenced: d.opts.Fenced,
+		})
+		d.owner = limits.NewOwner(d.peers, d.view, timing, d.log)
+	}
+	control.ServeDatabases(d.peers, d.view, d.opts.Databases)
+	d.subscriber = control.NewSubscriber(control.SubscriberOptions{
+		Fleet: d.opts.Settings.Fleet, Domain: d.opts.Settings.Domain, Open: true, Controls: seeds,
+		Entry: d.opts.Settings.Entry != nil, Control: d.opts.Settings.Control != nil,
+		Peer: d.peers, Lease: timing, Logger: d.log, View: d.view, Registry: d.registry,
+	})
+}
+
+func (d *Daemon) buildEntry() {
+	if d.opts.Settings.Entry == nil {
+		return
+	}
+	d.holder = limits.NewHolder(d.peers, d.view, lease.DefaultConfig(), d.log)
+	d.core = core.NewServer(core.Options{
+		View: d.view, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
+		Connections: d.holder.Connections, Observe: d.observe, Log: d.log, Registerer: d.registry,
+	})
+	d.holder.SetPool(d.core)
+}
+
+// observe passes evidence about an endpoint on to the control leader.
+func (d *Daemon) observe(e core.Evidence) {
+	seen := failover.Condition{Reachable: !e.Lost, InRecovery: e.ReadOnly}
+	if v := d.view.Current(); v.State != nil {
+		seen.Timeline = v.State.Groups[e.Service].Timeline
+	}
+	d.subscriber.Observe(control.Observation{
+		Service: e.Service, Endpoint: e.Endpoint, Domain: d.opts.Settings.Domain, Watcher: d.opts.Settings.Host, Seen: seen,
+	})
+}
+
+// Core returns the session core of the entry role, or nil.
+func (d *Daemon) Core() *core.Server { return d.core }
+
+// Control returns the control role, or nil.
+func (d *Daemon) Control() *control.Host { return d.control }
+
+// View returns the agreed state that the host follows.
+func (d *Daemon) View() view.Source { return d.view }
+
+// Gatherer returns the metrics of the host.
+func (d *Daemon) Gatherer() prometheus.Gatherer { return d.registry }
+
+// Ready reports whether the host takes callers: it has the agreed state and is
+// not stopping. A lost lease alone does not make it unready, since the others
+// would be no better off.
+func (d *Daemon) Ready() bool { return !d.stopping.Load() && d.view.Current().State != nil }
+
+// SetSeeds takes over changed seeds.
+func (d *Daemon) SetSeeds(seeds []string) {
+	d.subscriber.SetSeeds(config.SeedHosts(seeds))
+	if d.control != nil {
+		d.control.SetSeeds(seeds)
+	}
+}
+
+var errShutdown = errors.New("shut down")
+
+// Run serves until ctx ends, then stops gracefully. The adapter's tasks run as
+// long as the host does; when one ends, so does the host.
+func (d *Daemon) Run(ctx context.Context, adapter ...supervise.Task) error {
+	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
+	var group run.Group
+	add := func(task supervise.Task) {
+		group.Add(func() error { return task.Run(taskCtx) }, func(error) { stopTasks() })
+	}
+	add(d.tree())
+	add(d.peers)
+	for _, task := range adapter {
+		add(task)
+	}
+	waitCtx, skip := context.WithCancel(ctx)
+	group.Add(func() error {
+		<-waitCtx.Done()
+		if ctx.Err() == nil {
+			return nil // another task has failed
+		}
+		d.shutdown(taskCtx)
+		return errShutdown
+	}, func(error) { skip() })
+	if err := group.Run(); !errors.Is(err, errShutdown) {
+		return err
+	}
+	return nil
+}
+
+func (d *Daemon) tree() *supervise.Tree {
+	tree := supervise.New(d.opts.Settings.Host, d.log)
+	if d.control != nil {
+		tree.Add("control", d.control)
+		tree.Add("owner", d.owner)
+	}
+	tree.Add("subscriber", d.subscriber)
+	if d.core != nil {
+		tree.Add("holder", d.holder)
+		tree.Add("core", d.core)
+	}
+	return tree
+}
+
+// shutdown turns the balancer away, then ends sessions between operations, and
+// gives open transactions their share of the time.
+func (d *Daemon) shutdown(ctx context.Context) {
+	d.stopping.Store(true)
+	d.log.Info("stop", "grace_ms", d.opts.Grace.Milliseconds())
+	if d.core != nil {
+		d.drain(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, goodbyeTimeout)
+	defer cancel()
+	if err := d.subscriber.Leave(ctx); err != nil {
+		d.log.Warn("deregister_failed", "err", err.Error())
+	}
+}
+
+func (d *Daemon) drain(ctx context.Context) {
+	begun := time.Now()
+	sleep(ctx, notReadyFor)
+	share := time.Duration(float64(d.opts.Grace) * transactionShare)
+	drainCtx, cancel := context.WithDeadline(ctx, begun.Add(share))
+	err := d.core.Drain(drainCtx)
+	cancel()
+	if err == nil {
+		return
+	}
+	d.core.Abort()
+	lastCtx, cancel := context.WithTimeout(ctx, max(share-2*drainPause, drainPause))
+	defer cancel()
+	if err := d.core.Drain(lastCtx); err != nil {
+		d.log.Warn("drain_incomplete", "err", err.Error())
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -26,6 +26,9 @@
 	// Slots are taken, WantedSlots the most that were taken or asked for.
 	Slots       int
 	WantedSlots int
+	// OwnSlots: the host asks for no slots, since the endpoint has a queue of its
+	// own.
+	OwnSlots bool
 }
 
 // Pool is the part of an entry host that uses connections and slots.
@@ -157,7 +160,9 @@
 	for _, u := range usage {
 		floor := h.floors[u.Service]
 		h.quota.Report(now, connectionKey(u.Endpoint), float64(max(u.Connections-floor, 0)), float64(max(u.WantedConnections-floor, 0)))
-		h.quota.Report(now, slotKey(u.Endpoint), float64(u.Slots), float64(u.WantedSlots))
+		if !u.OwnSlots {
+			h.quota.Report(now, slotKey(u.Endpoint), float64(u.Slots), float64(u.WantedSlots))
+		}
 	}
 	batches := h.quota.Requests(now)
 	h.mu.Unlock()
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -38,6 +38,15 @@
 	RetryBudgetSpent Code = 2010
 	ServiceLeaving   Code = 2011
 
+	EndpointBusy       Code = 2012
+	ReplicaBehind      Code = 2013
+	EndpointReadOnly   Code = 2014
+	EndpointMismatch   Code = 2015
+	TooManyConnections Code = 2016
+	StatementFailed    Code = 2017
+	StatementTimeout   Code = 2018
+	TransactionAborted Code = 2019
+
 	MalformedMessage    Code = 3001
 	MessageTooLarge     Code = 3002
 	UnknownClass        Code = 3003
@@ -48,6 +57,7 @@
 	RequestAlreadyDone  Code = 3008
 	SlowClient          Code = 3009
 	UnknownSessionParam Code = 3010
+	UnknownStatement    Code = 3011
 
 	NoteConflict   Code = 4001
 	NoteInvalid    Code = 4002
