Leave half of each rate to hosts without a lease; bound the wait for rates

Change: half of a rate is divided evenly among entry hosts for good; a first catalog of any number is fresh; a wait for the rate is bounded by a quarter of the target; hosts gather reads at one replica; two connections are left to probes.

--- a/bridge/host.go
+++ b/bridge/host.go
@@ -144,7 +144,7 @@
 			Databases: watch.NewProber(),
 			Registry:  h.registry,
 		})
-		h.owner = limits.NewOwner(h.peers, h.view, h.timing, h.log)
+		h.owner = limits.NewOwner(h.peers, h.view, limits.DefaultConfig(), h.log)
 	}
 	control.ServeDatabases(h.peers, h.view, watch.NewProber())
 	h.subscriber = control.NewSubscriber(control.SubscriberOptions{
@@ -174,7 +174,7 @@
 		Log:        h.log,
 		Registerer: h.registry,
 	}
-	h.holder = limits.NewHolder(h.peers, h.view, h.timing, h.log)
+	h.holder = limits.NewHolder(h.peers, h.view, limits.DefaultConfig(), h.log)
 	if h.opts.Policy == PolicyFIFO {
 		opts.Baseline = true
 		opts.Limiter = limits.NewStatic(h.view)
--- a/internal/core/pick.go
+++ b/internal/core/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/rendezvous"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
 )
@@ -17,9 +18,12 @@
 	remoteCost = 1.5
 	// primaryCost leaves the primary to the statements that only it can run.
 	primaryCost = 0.6
-	// strangerCost: no connection of the workspace is open, and opening one takes
-	// a slot for about the time of a statement.
-	strangerCost = 1.0
+	// strangerCost: no connection of the workspace is open. Opening one takes a
+	// slot for 12 ms, four round trips between failure domains.
+	strangerCost = 2.0
+	// awayCost gathers a host's reads at one replica, where its few connections
+	// then serve most workspaces.
+	awayCost = 0.8
 	// troubleCost keeps reads off an endpoint that is suspected or behind while
 	// there is another.
 	troubleCost = 100
@@ -59,6 +63,7 @@
 	}
 	var best choice
 	lowest := 0.0
+	home := s.home(v, g)
 	for _, id := range g.Members {
 		e, ok := s.usable(v, id)
 		if !ok || slices.Contains(n.exclude, id) {
@@ -66,6 +71,9 @@
 		}
 		c := choice{endpoint: e, primary: g.Phase == agreed.PhaseActive && id == g.Primary, term: g.Term}
 		cost := s.cost(now, c, n)
+		if id != home {
+			cost += awayCost
+		}
 		if best.endpoint == nil || cost < lowest {
 			best, lowest = c, cost
 		}
@@ -87,6 +95,26 @@
 	return choice{endpoint: e, primary: true, term: g.Term}, nil
 }
 
+// home returns the replica at which this host's reads gather: one of its own
+// failure domain if there is any.
+func (s *Server) home(v view.View, g agreed.Group) string {
+	var near, all []string
+	for _, id := range g.Members {
+		e := v.State.Endpoints[id]
+		if id == g.Primary || e.Leaving || v.State.Catalog.Domains[e.Domain].Out {
+			continue
+		}
+		all = append(all, id)
+		if e.Domain == s.opts.Domain {
+			near = append(near, id)
+		}
+	}
+	if len(near) > 0 {
+		all = near
+	}
+	return rendezvous.Owner(all, s.opts.Host)
+}
+
 // usable returns an endpoint that takes new work.
 func (s *Server) usable(v view.View, id string) (*endpoint, bool) {
 	record, ok := v.State.Endpoints[id]
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -14,6 +14,10 @@
 // time of a change of the primary's leases (lease round plus round trips).
 const busyRetry = 200 * time.Millisecond
 
+// rateShare is the part of an operation's target that it may wait for the rate
+// of its workspace: one in so many.
+const rateShare = 4
+
 // maxAttempts bounds the attempts of one statement that reach an endpoint: the
 // members of a group, and one more for a change of the primary meanwhile.
 const maxAttempts = 4
@@ -67,7 +71,7 @@
 		session: s, st: st, route: route, writes: writes,
 		deadline: time.Now().Add(time.Duration(route.Timeout) * time.Millisecond),
 	}
-	ctx, cancel := context.WithDeadline(s.srv.ctx, op.deadline)
+	ctx, cancel := context.WithTimeout(s.srv.ctx, rateWait(route))
 	defer cancel()
 	if s.workspace != "" {
 		if err := s.srv.opts.Limiter.Acquire(ctx, s.workspace); err != nil {
@@ -78,6 +82,16 @@
 	return op, nil
 }
 
+// rateWait bounds the wait for the workspace's rate: a caller that is over its
+// limit is told at once when to come back, rather than near its deadline.
+func rateWait(route note.Route) time.Duration {
+	wait := time.Duration(route.Target) * time.Millisecond / rateShare
+	if wait <= 0 {
+		wait = time.Duration(route.Timeout) * time.Millisecond / rateShare
+	}
+	return wait
+}
+
 // asResult returns the result.Error in err, or one with the given code.
 func asResult(err error, code result.Code) *result.Error {
 	if e, ok := err.(*result.Error); ok {
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -36,6 +36,8 @@
 // Options configure a Server. All but Registerer are required.
 type Options struct {
 	View view.Source
+	// Host is the identity of the host.
+	Host string
 	// Domain is the failure domain of the host.
 	Domain  string
 	Dialer  Dialer
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,8 @@
 	notReadyFor = 2200 * time.Millisecond
 	// transactionShare of the time to stop is left to open transactions.
 	transactionShare = 0.5
+	// rateFloor leaves the other half of each rate to the hosts that need it.
+	rateFloor = 0.5
 	// goodbyeTimeout bounds the deregistration at shutdown.
 	goodbyeTimeout = 300 * time.Millisecond
 	// drainPause is the time between the last refusals and the end of the process,
@@ -83,6 +85,14 @@
 	return d, nil
 }
 
+// shares tells how the hosts share limits: endpoints are probed only during a
+// change of their primary, by the control leader and one host that suspects.
+func shares() limits.Config {
+	cfg := limits.DefaultConfig()
+	cfg.FloorConnections, cfg.Probes, cfg.RateFloor = 1, 2, rateFloor
+	return cfg
+}
+
 func (d *Daemon) buildControl() {
 	timing := lease.DefaultConfig()
 	seeds := config.SeedHosts(d.opts.Settings.Seeds)
@@ -92,7 +102,7 @@
 			Peer: d.peers, Lease: timing, Logger: d.log, Registry: d.registry,
 			Databases: d.opts.Databases, Fenced: d.opts.Fenced,
 		})
-		d.owner = limits.NewOwner(d.peers, d.view, timing, d.log)
+		d.owner = limits.NewOwner(d.peers, d.view, shares(), d.log)
 	}
 	control.ServeDatabases(d.peers, d.view, d.opts.Databases)
 	d.subscriber = control.NewSubscriber(control.SubscriberOptions{
@@ -106,9 +116,9 @@
 	if d.opts.Settings.Entry == nil {
 		return
 	}
-	d.holder = limits.NewHolder(d.peers, d.view, lease.DefaultConfig(), d.log)
+	d.holder = limits.NewHolder(d.peers, d.view, shares(), d.log)
 	d.core = core.NewServer(core.Options{
-		View: d.view, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
+		View: d.view, Host: d.opts.Settings.Host, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
 		Connections: d.holder.Connections, Observe: d.observe, Log: d.log, Registerer: d.registry,
 	})
 	d.holder.SetPool(d.core)
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/clock"
-	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/quota"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -45,12 +45,15 @@
 	view  view.Source
 	log   *log.Logger
 	pool  Pool
+	cfg   Config
 
 	mu    sync.Mutex
 	quota *quota.Holder
 	epoch uint64 // of the set of owners
 	// floors are the connections that need no lease, by service.
 	floors map[string]int
+	// rates are the parts of rates that need no lease, by workspace.
+	rates map[string]*rate.Limiter
 	// asked is when the last round began.
 	asked time.Time
 	// followed is the state from which the floors are.
@@ -61,11 +64,12 @@
 
 // NewHolder returns a Holder and registers its handler with the peer node. Call
 // it before the node runs, and SetPool before Run.
-func NewHolder(peers *peer.Node, src view.Source, cfg lease.Config, logger *log.Logger) *Holder {
+func NewHolder(peers *peer.Node, src view.Source, cfg Config, logger *log.Logger) *Holder {
 	h := &Holder{
-		peers: peers, view: src, log: logger,
-		quota:  quota.NewHolder(quotaConfig(cfg), peers.Host(), peers.Incarnation()),
+		peers: peers, view: src, log: logger, cfg: cfg,
+		quota:  quota.NewHolder(quotaConfig(cfg.Lease), peers.Host(), peers.Incarnation()),
 		queues: make(map[string]*queue),
+		rates:  make(map[string]*rate.Limiter),
 		wake:   make(chan struct{}, 1),
 	}
 	peer.On(peers, peer.KindQuotaOK, func(_ peer.Identity, r quota.Reply) { h.receive(r) })
@@ -102,11 +106,12 @@
 		return
 	}
 	h.followed = state
-	size := sizeOf(state)
+	size := sizeOf(h.cfg, state)
 	h.floors = make(map[string]int, len(state.Catalog.Services))
 	for name, service := range state.Catalog.Services {
 		h.floors[name] = size.floor(service.Connections)
 	}
+	h.setRates(clock.Now(), state, size)
 	if state.OwnersEpoch != h.epoch {
 		h.epoch = state.OwnersEpoch
 		h.quota.SetEpoch(h.epoch, owners(state))
--- a/internal/limits/keys.go
+++ b/internal/limits/keys.go
@@ -13,6 +13,7 @@
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/failover"
 	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/quota"
 )
 
@@ -34,11 +35,13 @@
 }
 
 // limitsOf returns every limit that the agreed state sets.
-func limitsOf(state *agreed.State) map[string]quota.Limit {
+func limitsOf(cfg Config, state *agreed.State) map[string]quota.Limit {
 	all := make(map[string]quota.Limit)
-	size := sizeOf(state)
+	size := sizeOf(cfg, state)
 	for name, w := range state.Catalog.Workspaces {
-		all[rateKey(name)] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
+		floor := size.rateFloor(w)
+		leased := 1 - floor*float64(size.entryHosts)
+		all[rateKey(name)] = quota.Limit{Rate: w.Rate * leased, Burst: w.Burst * leased}
 	}
 	for id, e := range state.Endpoints {
 		service, ok := state.Catalog.Services[e.Service]
@@ -51,22 +54,39 @@
 	return all
 }
 
-// What an entry host may use of an endpoint without a lease, so that a request
-// on a quiet host does not wait for one.
-const (
-	// floorConnections are one connection for the monitor and one for requests.
-	floorConnections = 2
-	floorSlots       = 1
-)
+// Config tells how limits are shared. All hosts of a fleet use the same.
+type Config struct {
+	Lease lease.Config
+	// FloorConnections is what an entry host may have of each endpoint without a
+	// lease, so that a request on a quiet host does not wait for one.
+	FloorConnections int
+	// Probes is the number of an endpoint's connections that are left to probes;
+	// negative for one for each watching failure domain and one for the control
+	// leader.
+	Probes int
+	// RateFloor is the part of a rate that is divided evenly among the entry hosts
+	// for good: it needs no lease, and is there while a key has no owner.
+	RateFloor float64
+}
+
+// DefaultConfig returns the sharing of endpoints that are probed by watchers: a
+// host has one connection for its monitor and one for requests.
+func DefaultConfig() Config {
+	return Config{Lease: lease.DefaultConfig(), FloorConnections: 2, Probes: -1}
+}
+
+// floorSlots is the number of statements that a host without a lease may run.
+const floorSlots = 1
 
 // fleetSize is what the shares of connections depend on.
 type fleetSize struct {
+	cfg        Config
 	entryHosts int
 	domains    int // failure domains with entry hosts
 }
 
-func sizeOf(state *agreed.State) fleetSize {
-	var size fleetSize
+func sizeOf(cfg Config, state *agreed.State) fleetSize {
+	size := fleetSize{cfg: cfg}
 	domains := make(map[string]bool)
 	for _, h := range state.Hosts {
 		if h.Entry {
@@ -82,17 +102,30 @@
 // use. The others are for probes: one watcher for each watching failure domain
 // and the control leader.
 func (f fleetSize) available(connections int) int {
-	probes := min(f.domains, failover.MaxWatcherDomains) + 1
+	probes := f.cfg.Probes
+	if probes < 0 {
+		probes = min(f.domains, failover.MaxWatcherDomains) + 1
+	}
 	return max(connections-probes, 1)
 }
 
 // floor is the number of connections that each entry host may have without a
 // lease. It is zero when the endpoint has too few for all.
 func (f fleetSize) floor(connections int) int {
-	if f.available(connections) < floorConnections*f.entryHosts {
+	if f.available(connections) < f.cfg.FloorConnections*f.entryHosts {
+		return 0
+	}
+	return f.cfg.FloorConnections
+}
+
+// rateFloor is the part of a workspace's rate and burst that each entry host has
+// without a lease. It is zero when the part could not hold one token.
+func (f fleetSize) rateFloor(w note.Workspace) float64 {
+	part := f.cfg.RateFloor / float64(max(f.entryHosts, 1))
+	if w.Burst*part < 1 {
 		return 0
 	}
-	return floorConnections
+	return part
 }
 
 // sharedConnections is the number of connections that are leased by need.
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/clock"
-	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/rendezvous"
@@ -82,10 +81,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	if control {
-		owner := NewOwner(h.peers, h.view, lease.DefaultConfig(), logger)
+		owner := NewOwner(h.peers, h.view, DefaultConfig(), logger)
 		h.done.Go(func() { _ = owner.Run(ctx) })
 	} else {
-		h.holder = NewHolder(h.peers, h.view, lease.DefaultConfig(), logger)
+		h.holder = NewHolder(h.peers, h.view, DefaultConfig(), logger)
 		h.holder.SetPool(noPool{})
 		h.done.Go(func() { _ = h.holder.Run(ctx) })
 	}
@@ -211,7 +210,7 @@
 func TestFloorsAndSharesFitTheCap(t *testing.T) {
 	for connections := 1; connections <= 60; connections++ {
 		for hosts := 1; hosts <= 20; hosts++ {
-			size := fleetSize{entryHosts: hosts, domains: min(hosts, 4)}
+			size := fleetSize{cfg: DefaultConfig(), entryHosts: hosts, domains: min(hosts, 4)}
 			floors := size.floor(connections) * hosts
 			shared := size.sharedConnections(connections)
 			if shared < 0 || floors+shared > max(connections-size.domains-1, 1) {
@@ -230,7 +229,7 @@
 	holder.mu.Lock()
 	holder.follow(f.state)
 	holder.mu.Unlock()
-	if n := holder.Connections("s", "e"); n != floorConnections {
+	if n := holder.Connections("s", "e"); n != DefaultConfig().FloorConnections {
 		t.Errorf("%d connections", n)
 	}
 	if n := holder.Slots("s", "e"); n != floorSlots {
--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -8,7 +8,6 @@
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/clock"
-	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/quota"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -22,7 +21,7 @@
 type Owner struct {
 	peers    *peer.Node
 	view     view.Source
-	cfg      lease.Config
+	cfg      Config
 	log      *log.Logger
 	requests chan ownerRequest
 
@@ -40,7 +39,7 @@
 
 // NewOwner returns an Owner and registers its handler with the peer node. Call
 // it before the node runs.
-func NewOwner(peers *peer.Node, src view.Source, cfg lease.Config, logger *log.Logger) *Owner {
+func NewOwner(peers *peer.Node, src view.Source, cfg Config, logger *log.Logger) *Owner {
 	o := &Owner{
 		peers: peers, view: src, cfg: cfg, log: logger,
 		requests: make(chan ownerRequest, requestBacklog),
@@ -58,7 +57,7 @@
 func (o *Owner) Run(ctx context.Context) error {
 	now := clock.Now()
 	// A restarted task has forgotten its grants and counts as a new process.
-	o.quota = quota.NewOwner(quotaConfig(o.cfg), o.peers.Host(), uint64(now.UnixNano()), now)
+	o.quota = quota.NewOwner(quotaConfig(o.cfg.Lease), o.peers.Host(), uint64(now.UnixNano()), now)
 	o.state, o.limits, o.started = nil, map[string]quota.Limit{}, now
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -101,7 +100,7 @@
 }
 
 func (o *Owner) setLimits(now time.Time, state *agreed.State) {
-	next := limitsOf(state)
+	next := limitsOf(o.cfg, state)
 	fresh := o.mayBeFresh(now, state)
 	for key, limit := range next {
 		old, known := o.limits[key]
@@ -119,12 +118,12 @@
 
 // mayBeFresh reports whether a key that appears now cannot have leases that
 // were granted before this process followed the state: either the fleet has its
-// first release note, or the process is older than any lease.
+// first catalog, or the process is older than any lease.
 func (o *Owner) mayBeFresh(now time.Time, state *agreed.State) bool {
-	if state.Catalog.Stamp.Number <= 1 {
+	if state.Catalog.Stamp.Number <= 1 || o.state != nil && o.state.Catalog.Stamp.Number == 0 {
 		return true
 	}
-	return o.state != nil && now.Sub(o.started) > 2*(o.cfg.Duration+quota.DefaultLease)
+	return o.state != nil && now.Sub(o.started) > 2*(o.cfg.Lease.Duration+quota.DefaultLease)
 }
 
 // forgetDeparted reclaims the shares of processes that are no longer
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -49,8 +49,11 @@
 	defer h.mu.Unlock()
 	now := clock.Now()
 	key := rateKey(workspace)
-	h.quota.Offer(now, key, 1)
 	q := h.queues[workspace]
+	if q == nil && h.takeFloor(now, workspace) {
+		return nil, nil
+	}
+	h.quota.Offer(now, key, 1)
 	if q == nil {
 		if h.quota.Take(now, key, 1).Granted {
 			return nil, nil
@@ -138,10 +141,14 @@
 
 func (h *Holder) serveQueue(now time.Time, workspace string, q *queue) time.Duration {
 	for len(q.waiters) > 0 {
-		decision := h.quota.Take(now, rateKey(workspace), 1)
-		q.over = decision.Over
-		if !decision.Granted {
-			return decision.Wait
+		if h.takeFloor(now, workspace) {
+			h.quota.Withdraw(rateKey(workspace), 1)
+		} else {
+			decision := h.quota.Take(now, rateKey(workspace), 1)
+			q.over = decision.Over
+			if !decision.Granted {
+				return min(decision.Wait, h.floorWait(workspace))
+			}
 		}
 		q.waiters[0].ready <- nil
 		q.waiters = q.waiters[1:]
