Give units that rounding left over to holders that want them

Cause: nine hosts with a claim to 2.4 connections each got two, 4 of 22 unused. Change: a holder that wants more gets the next unit when the others' claims are covered.

--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -211,13 +212,28 @@
 	return g.demand + (capacity-k.demand)/float64(len(k.grantees)+1)
 }
 
-// chooseUnits returns whole units, at least one for a holder that has demand.
+// chooseUnits returns whole units, at least one for a holder that has demand. A
+// unit that rounding left over goes to a holder that wants it.
 func (k *ownedKey) chooseUnits(g *grantee, room Share) Share {
-	aim := float64(int(k.aim(g)))
+	aim := math.Floor(k.aim(g))
 	if g.demand > 0 {
 		aim = max(aim, 1)
 	}
-	return Share{Burst: float64(int(min(aim, room.Burst)))}
+	if aim+1 <= g.demand && room.Burst-k.owed(g) >= aim+1 {
+		aim++
+	}
+	return Share{Burst: math.Floor(min(aim, room.Burst))}
+}
+
+// owed is the number of units that the other holders may still ask for.
+func (k *ownedKey) owed(g *grantee) float64 {
+	total := 0.0
+	for _, other := range k.grantees {
+		if other != g {
+			total += max(0, math.Floor(min(k.aim(other), other.demand))-other.out.Burst)
+		}
+	}
+	return total
 }
 
 // current returns the share that was granted last.
