End the quarantine of a quota once every holder has named its leases

Change: holders tell each owner of an epoch all their leases; an owner that all registered holders have told knows them all. Rate floors are a quarter, since callers gather unevenly; a wait for the rate may take half of the target.

--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -16,7 +16,7 @@
 
 // rateShare is the part of an operation's target that it may wait for the rate
 // of its workspace: one in so many.
-const rateShare = 4
+const rateShare = 2
 
 // maxAttempts bounds the attempts of one statement that reach an endpoint: the
 // members of a group, and one more for a change of the primary meanwhile.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,8 +31,9 @@
 	notReadyFor = 2200 * time.Millisecond
 	// transactionShare of the time to stop is left to open transactions.
 	transactionShare = 0.5
-	// rateFloor leaves the other half of each rate to the hosts that need it.
-	rateFloor = 0.5
+	// rateFloor leaves most of each rate to the hosts that need it: callers gather
+	// unevenly, and what a host does not use of its floor is lost.
+	rateFloor = 0.25
 	// goodbyeTimeout bounds the deregistration at shutdown.
 	goodbyeTimeout = 300 * time.Millisecond
 	// drainPause is the time between the last refusals and the end of the process,
--- a/internal/limits/keys.go
+++ b/internal/limits/keys.go
@@ -144,5 +144,16 @@
 	return hosts
 }
 
+// holders are the processes that may hold leases.
+func holders(state *agreed.State) []quota.HolderID {
+	var all []quota.HolderID
+	for _, h := range state.Hosts {
+		if h.Entry {
+			all = append(all, quota.HolderID{Host: h.ID, Incarnation: h.Incarnation})
+		}
+	}
+	return all
+}
+
 // tickInterval is the time between two rounds of a task.
 const tickInterval = 100 * time.Millisecond
--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -94,6 +94,7 @@
 		return
 	}
 	o.quota.SetEpoch(now, state.OwnersEpoch, owners(state))
+	o.quota.SetHolders(holders(state))
 	o.setLimits(now, state)
 	o.forgetDeparted(now, state)
 	o.state = state
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -100,6 +100,9 @@
 		f.entries = append(f.entries, e)
 		f.startHolder(e)
 	}
+	for _, c := range f.controls {
+		c.owner.SetHolders(f.holderIDs())
+	}
 	for key, l := range limits {
 		f.check[key] = &spendCheck{limit: l, level: l.Burst}
 	}
@@ -123,6 +126,7 @@
 	now := c.clock(f.now)
 	c.owner = NewOwner(f.cfg, c.name, c.procs, now)
 	c.owner.SetEpoch(now, c.epoch, f.owners[c.epoch])
+	c.owner.SetHolders(f.holderIDs())
 	for key, l := range f.limits {
 		c.owner.SetLimit(now, key, l, f.now == 0 || f.noQuarantine)
 	}
@@ -145,6 +149,15 @@
 	}
 }
 
+// holderIDs are the present processes of the entry hosts.
+func (f *fleet) holderIDs() []HolderID {
+	var ids []HolderID
+	for _, e := range f.entries {
+		ids = append(ids, HolderID{e.name, e.procs})
+	}
+	return ids
+}
+
 // changeOwners puts another set of owners in force. Machines learn of it later.
 func (f *fleet) changeOwners(owners []string) {
 	f.epoch++
@@ -182,6 +195,7 @@
 	for _, c := range f.controls {
 		if f.learn(&c.machine) {
 			c.owner.SetEpoch(c.clock(f.now), c.epoch, f.owners[c.epoch])
+			c.owner.SetHolders(f.holderIDs())
 		}
 	}
 	for _, e := range f.entries {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -22,8 +22,22 @@
 	units       map[string]bool // keys that are limits of units
 	keys        map[string]*heldKey
 	order       []*heldKey // the keys in the order of their first use
+	// census tells, by owner, whether it has been told of all leases.
+	census map[string]*census
 }
 
+// census is what a holder has told an owner of its leases.
+type census struct {
+	// process is the owner's, zero while it is not known.
+	process uint64
+	seq     uint64 // of the last request that named all
+	done    bool
+	next    time.Time
+}
+
+// censusInterval is the time between two attempts to tell an owner.
+const censusInterval = 250 * time.Millisecond
+
 // sentRequest remembers when a request was sent.
 type sentRequest struct {
 	seq uint64
@@ -46,6 +60,7 @@
 	return &Holder{
 		cfg: cfg.withDefaults(), host: host, incarnation: incarnation,
 		processes: map[string]uint64{}, units: map[string]bool{}, keys: map[string]*heldKey{},
+		census: map[string]*census{},
 	}
 }
 
@@ -57,6 +72,7 @@
 		return
 	}
 	h.epoch, h.owners = epoch, slices.Clone(owners)
+	clear(h.census)
 	for _, k := range h.keys {
 		k.nextAsk = time.Time{}
 	}
@@ -169,12 +185,46 @@
 	}
 	clear(h.order[len(kept):])
 	h.order = kept
+	h.takeCensus(now, &b)
 	for _, r := range b.batches {
 		h.sent = append(h.sent, sentRequest{seq: r.Request.Seq, at: now})
 	}
 	return b.batches
 }
 
+// takeCensus names all leases to the owners that have not been told. An owner
+// whose process is not known yet is asked for it.
+func (h *Holder) takeCensus(now time.Time, b *batcher) {
+	for _, owner := range h.owners {
+		c := h.census[owner]
+		if c == nil || c.process != h.processes[owner] {
+			c = &census{process: h.processes[owner]}
+			h.census[owner] = c
+		}
+		if c.done || now.Before(c.next) {
+			continue
+		}
+		c.next = now.Add(censusInterval)
+		i := b.request(owner)
+		r := &b.batches[i].Request
+		r.Complete, c.seq = c.process != 0, r.Seq
+		r.Asks = slices.DeleteFunc(r.Asks, func(a Ask) bool { return !a.Release })
+		for _, k := range h.order {
+			if rendezvous.Owner(h.owners, k.name) == owner {
+				b.add(k, k.ask(now))
+				k.asked(now, h.cfg)
+			}
+		}
+	}
+}
+
+// told notes that an owner has answered the request that named all leases.
+func (h *Holder) told(r Reply) {
+	if c := h.census[r.Owner]; c != nil && r.Told && c.process == r.Incarnation && c.seq == r.Seq {
+		c.done = true
+	}
+}
+
 // idle reports whether a share should be given back. The holder then forgets
 // the key and ignores answers to earlier requests: when the key comes into use
 // again, only answers to later requests count.
@@ -195,23 +245,29 @@
 	if owner == "" {
 		return
 	}
-	i, ok := b.at[owner]
-	if !ok {
-		h.seq++
-		i = len(b.batches)
-		b.at[owner] = i
-		b.batches = append(b.batches, Batch{Owner: owner, Request: Request{
-			Host: h.host, Incarnation: h.incarnation, Epoch: h.epoch,
-			Owner: h.processes[owner], Seq: h.seq,
-		}})
-	}
-	r := &b.batches[i].Request
+	r := &b.batches[b.request(owner)].Request
 	r.Asks = append(r.Asks, a)
 	if k.firstSeq == 0 {
 		k.firstSeq = r.Seq
 	}
 }
 
+// request returns the index of the request to an owner, which it begins.
+func (b *batcher) request(owner string) int {
+	if i, ok := b.at[owner]; ok {
+		return i
+	}
+	h := b.holder
+	h.seq++
+	i := len(b.batches)
+	b.at[owner] = i
+	b.batches = append(b.batches, Batch{Owner: owner, Request: Request{
+		Host: h.host, Incarnation: h.incarnation, Epoch: h.epoch,
+		Owner: h.processes[owner], Seq: h.seq,
+	}})
+	return i
+}
+
 // forgetSent drops requests whose answers could only grant ended leases.
 func (h *Holder) forgetSent(now time.Time) {
 	old := 0
@@ -240,6 +296,7 @@
 	if r.Incarnation > h.processes[r.Owner] {
 		h.meet(r.Owner, r.Incarnation)
 	}
+	h.told(r)
 	expires := at.Add(time.Duration(r.LeaseMS) * time.Millisecond)
 	for _, g := range r.Grants {
 		k := h.keys[g.Key]
--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -16,11 +16,6 @@
 // minBurst is the smallest useful share: a bucket must hold one token.
 const minBurst = 1
 
-type holderID struct {
-	host        string
-	incarnation uint64
-}
-
 // grantee is what the owner knows of one holder of a key.
 type grantee struct {
 	seq    uint64
@@ -54,11 +49,11 @@
 	out      Share // sum over grantees
 	demand   float64
 	pool     bucket
-	grantees map[holderID]*grantee
+	grantees map[HolderID]*grantee
 }
 
 func newOwnedKey(cfg Config, name string, limit Limit, now, quarantine time.Time) *ownedKey {
-	k := &ownedKey{cfg: cfg, name: name, limit: limit, quarantine: quarantine, grantees: map[holderID]*grantee{}}
+	k := &ownedKey{cfg: cfg, name: name, limit: limit, quarantine: quarantine, grantees: map[HolderID]*grantee{}}
 	k.pool.filled = now
 	if now.Before(quarantine) {
 		k.reserved = k.whole()
@@ -260,7 +255,7 @@
 	k.resizePool(now)
 }
 
-func (k *ownedKey) drop(id holderID, g *grantee) {
+func (k *ownedKey) drop(id HolderID, g *grantee) {
 	k.out = k.out.minus(g.out)
 	k.demand -= g.demand
 	delete(k.grantees, id)
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -22,6 +22,11 @@
 	fresh     map[string]bool // limits without any former lease
 	keys      map[string]*ownedKey
 	lastID    uint64
+	// holders are the processes that may hold leases, told those that have named
+	// all their leases to this owner in this epoch, and known is set once all have.
+	holders []HolderID
+	told    map[HolderID]bool
+	known   bool
 }
 
 // NewOwner returns the owner of a control host. The incarnation must be greater
@@ -30,6 +35,7 @@
 	return &Owner{
 		cfg: cfg.withDefaults(), host: host, incarnation: incarnation, since: now,
 		limits: map[string]Limit{}, fresh: map[string]bool{}, keys: map[string]*ownedKey{},
+		told: map[HolderID]bool{},
 	}
 }
 
@@ -44,6 +50,8 @@
 	next := epoch == o.epoch+1
 	o.epoch, o.owners, o.since = epoch, slices.Clone(owners), now
 	clear(o.fresh)
+	clear(o.told)
+	o.known = false
 	for key := range o.keys {
 		if !next || rendezvous.Owner(o.owners, key) != o.host {
 			delete(o.keys, key)
@@ -73,6 +81,29 @@
 	}
 }
 
+// SetHolders tells the owner which processes may hold leases: all that were
+// registered when its epoch began, at least.
+func (o *Owner) SetHolders(holders []HolderID) { o.holders = holders }
+
+// learn notes that a holder has named all its leases. When all holders have, no
+// unknown lease is left to wait for.
+func (o *Owner) learn(now time.Time, id HolderID) {
+	o.told[id] = true
+	if o.known || len(o.holders) == 0 {
+		return
+	}
+	for _, holder := range o.holders {
+		if !o.told[holder] {
+			return
+		}
+	}
+	o.known = true
+	for _, k := range o.keys {
+		k.quarantine = now
+		k.advance(now)
+	}
+}
+
 // Handle answers a request. A request of another epoch or for another process
 // of this host, or one that arrives while the host has no authority, gets no
 // grants; its answer tells the holder which process it must address.
@@ -85,15 +116,18 @@
 	if req.Epoch != o.epoch || req.Owner != o.incarnation || !now.Before(o.authority) {
 		return reply
 	}
+	if reply.Told = req.Complete; reply.Told {
+		defer o.learn(now, HolderID{req.Host, req.Incarnation})
+	}
 	for _, a := range req.Asks {
-		if g, ok := o.ask(now, holderID{req.Host, req.Incarnation}, req.Seq, a); ok {
+		if g, ok := o.ask(now, HolderID{req.Host, req.Incarnation}, req.Seq, a); ok {
 			reply.Grants = append(reply.Grants, g)
 		}
 	}
 	return reply
 }
 
-func (o *Owner) ask(now time.Time, id holderID, seq uint64, a Ask) (Grant, bool) {
+func (o *Owner) ask(now time.Time, id HolderID, seq uint64, a Ask) (Grant, bool) {
 	k := o.key(now, a.Key)
 	if k == nil {
 		return Grant{}, false
@@ -126,7 +160,7 @@
 		return nil
 	}
 	quarantine := o.since.Add(o.cfg.longer(o.cfg.Authority + o.cfg.Lease))
-	if o.fresh[key] {
+	if o.fresh[key] || o.known {
 		quarantine = o.since
 	}
 	k := newOwnedKey(o.cfg, key, limit, now, quarantine)
@@ -142,9 +176,9 @@
 // caller knows that its configuration lease has run out.
 func (o *Owner) Forget(now time.Time, host string, incarnation uint64) {
 	for _, k := range o.keys {
-		if g := k.grantees[holderID{host, incarnation}]; g != nil {
+		if g := k.grantees[HolderID{host, incarnation}]; g != nil {
 			k.advance(now)
-			k.drop(holderID{host, incarnation}, g)
+			k.drop(HolderID{host, incarnation}, g)
 		}
 	}
 }
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -94,6 +94,10 @@
 	// Seq grows with each request of the holder.
 	Seq  uint64 `cbor:"5,keyasint"`
 	Asks []Ask  `cbor:"6,keyasint"`
+	// Complete tells that the request names every key of the owner of which the
+	// holder has a lease. An owner that all holders have told so in its epoch
+	// knows all leases and need not wait for unknown ones.
+	Complete bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Ask is the part of a request for one key.
@@ -111,6 +115,12 @@
 	Release bool `cbor:"6,keyasint,omitempty"`
 }
 
+// HolderID names a process that holds shares.
+type HolderID struct {
+	Host        string
+	Incarnation uint64
+}
+
 // Held reports a lease.
 type Held struct {
 	Stamp Stamp `cbor:"1,keyasint"`
@@ -132,6 +142,8 @@
 	Seq     uint64  `cbor:"5,keyasint"`
 	LeaseMS uint32  `cbor:"6,keyasint"`
 	Grants  []Grant `cbor:"7,keyasint,omitempty"`
+	// Told confirms a complete request.
+	Told bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Grant replaces the holder's share of a key.
