Keep half of the spare rate with the owner; tell over-demand apart from a wait

Cause: estimates of demand include waiting requests, so callers below their rate were refused as over it; shares held all spare tokens, none was left for a host that ran short. Change: demand counts as over at 1.25 of the limit; holders get half of the spare in advance.

--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -13,6 +13,14 @@
 // calmDemand is the part of a limit below which its demand is calm.
 const calmDemand = 0.5
 
+// overDemand is the part of a limit above which demand counts as over it. The
+// estimate includes requests that wait, which are over soon.
+const overDemand = 1.25
+
+// spareShare is the part of what nobody asks for that holders get in advance.
+// The rest stays with the owner, a round trip from any holder that is short.
+const spareShare = 0.5
+
 // minBurst is the smallest useful share: a bucket must hold one token.
 const minBurst = 1
 
@@ -159,7 +167,7 @@
 	}
 	return Grant{
 		Key: k.name, ID: stamp.ID, Share: share, Tokens: tokens,
-		Over: k.demand > k.limit.capacity(),
+		Over: k.demand > overDemand*k.limit.capacity(),
 		Calm: k.demand < calmDemand*k.limit.capacity(),
 	}
 }
@@ -204,7 +212,11 @@
 	if k.demand > capacity {
 		return capacity * g.demand / k.demand
 	}
-	return g.demand + (capacity-k.demand)/float64(len(k.grantees)+1)
+	spare := capacity - k.demand
+	if k.limit.Rate > 0 {
+		spare *= spareShare
+	}
+	return g.demand + spare/float64(len(k.grantees)+1)
 }
 
 // chooseUnits returns whole units, at least one for a holder that has demand. A
