Close sessions at a shutdown only when they have rested, and run nothing after

Change: a closed session runs nothing; it is closed after 150 ms of rest; Quiet peeks without the read lock. Drained and stopped are logged.

--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -65,7 +65,9 @@
 	}
 	tasks = append(tasks, &platform.Reload{Path: opts.Settings, Log: logger, Apply: func(s *platform.Settings) { d.SetSeeds(s.Seeds) }})
 	logger.Info("start", "addr", settings.Host, "domain", settings.Domain, "seeds", settings.Seeds)
-	return d.Run(ctx, tasks...)
+	err = d.Run(ctx, tasks...)
+	logger.Info("stopped")
+	return err
 }
 
 // adapter builds the tasks that speak with the platform.
--- a/internal/connpool/alive.go
+++ b/internal/connpool/alive.go
@@ -6,7 +6,8 @@
 )
 
 // Quiet reports whether a TCP connection is open and has nothing to read. It
-// looks at the socket without waiting. Other connections count as quiet.
+// looks at the socket without waiting, also while another task reads from it.
+// Other connections count as quiet.
 func Quiet(c net.Conn) bool {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
@@ -18,10 +19,9 @@
 	}
 	quiet := false
 	var buf [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		_, _, recvErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = recvErr == syscall.EAGAIN
-		return true
 	})
 	return err == nil && quiet
 }
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -257,6 +257,9 @@
 	}
 }
 
+// Sessions returns the number of open sessions.
+func (s *Server) Sessions() int { return len(s.list()) }
+
 // Abort ends every transaction that waits for its caller, for the second half of
 // a shutdown.
 func (s *Server) Abort() {
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -19,8 +19,7 @@
 	// key is the digest of the caller's key, empty on an open route.
 	key       string
 	workspace string
-	// hangUp closes the caller's connection. It may be called more than once.
-	hangUp func()
+	caller    Caller
 
 	// mu is held while a statement is served and while an idle transaction is
 	// ended, so that the two exclude each other.
@@ -35,6 +34,17 @@
 	tx      *transaction
 	// since is when the session last answered.
 	since time.Time
+	// closed: the caller's connection was closed, and nothing may be sent on its
+	// behalf any more.
+	closed bool
+}
+
+// Caller is the caller's end of a session.
+type Caller interface {
+	// Quiet reports, without waiting, whether no request is on its way.
+	Quiet() bool
+	// HangUp closes the connection. It may be called more than once.
+	HangUp()
 }
 
 // openTimeout bounds the wait of a new session for the host's lease: callers
@@ -42,10 +52,10 @@
 const openTimeout = 1500 * time.Millisecond
 
 // Open opens a session on a database for the caller who holds the key with the
-// digest, empty for none. hangUp closes the caller's connection.
-func (s *Server) Open(database, key string, hangUp func()) (*Session, *result.Error) {
+// digest, empty for none.
+func (s *Server) Open(database, key string, caller Caller) (*Session, *result.Error) {
 	session := &Session{
-		srv: s, id: s.serial.Add(1), database: database, key: key, hangUp: hangUp,
+		srv: s, id: s.serial.Add(1), database: database, key: key, caller: caller,
 		values: map[string]string{}, prepared: map[string]shape{}, since: clock.Now(),
 	}
 	if err := session.await(openTimeout); err != nil {
@@ -126,6 +136,9 @@
 	started := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return refuse(result.New(result.ShuttingDown, "the session has ended"))
+	}
 	reply := s.serve(st)
 	s.since = clock.Now()
 	reply.State = s.state
@@ -192,19 +205,26 @@
 	return s.state == Idle
 }
 
-// closeIfIdle hangs up unless a statement or a transaction is in progress.
+// restBeforeClose is how long a session must have rested before a shutdown
+// closes it: the request of a caller that has just connected, or been answered,
+// may be on its way.
+const restBeforeClose = 150 * time.Millisecond
+
+// closeIfIdle hangs up unless a request or a transaction is in progress. A
+// request that was read meanwhile is not run.
 func (s *Session) closeIfIdle() {
 	if !s.mu.TryLock() {
 		return
 	}
 	defer s.mu.Unlock()
-	if s.state == Idle {
-		s.hangUp()
+	if s.state == Idle && clock.Since(s.since) >= restBeforeClose && s.caller.Quiet() {
+		s.closed = true
+		s.caller.HangUp()
 	}
 }
 
 // interrupt hangs up at once.
-func (s *Session) interrupt() { s.hangUp() }
+func (s *Session) interrupt() { s.caller.HangUp() }
 
 // expire ends a transaction whose caller has been silent for the limit. The
 // caller learns it from the answer to its next statement.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -213,6 +213,7 @@
 	d.log.Info("stop", "grace_ms", d.opts.Grace.Milliseconds())
 	if d.core != nil {
 		d.drain(ctx)
+		d.log.Info("drained", "sessions", d.core.Sessions())
 	}
 	ctx, cancel := context.WithTimeout(ctx, goodbyeTimeout)
 	defer cancel()
