Log when the configuration lease is gained and lost

Cause: nothing told why restarted hosts refused for seconds. Change: lease_gained and lease_lost with revision, settled revision and upstream.

--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -68,6 +68,7 @@
 	renewed    time.Time
 	registered time.Time // when registration was last attempted
 	leaving    bool
+	leased     bool // as last logged
 }
 
 // subscriberEvent is a message to the task of a Subscriber.
@@ -142,6 +143,9 @@
 // advance does what is due.
 func (s *Subscriber) advance(ctx context.Context, now time.Time) {
 	s.metrics.update(s, now)
+	if s.leased {
+		s.noteLease(s.isRegistered())
+	}
 	if now.Sub(s.heard) > silenceTimeout {
 		s.choose(s.nextUpstream())
 		s.heard, s.renewed = now, time.Time{}
@@ -217,4 +221,20 @@
 		v.ValidUntil = s.holder.ValidUntil(s.state.Revision)
 	}
 	s.opts.View.Publish(v)
+	s.noteLease(registered)
+}
+
+// noteLease logs when the lease is gained or lost.
+func (s *Subscriber) noteLease(registered bool) {
+	valid := s.opts.View.Current().Valid()
+	if valid == s.leased {
+		return
+	}
+	s.leased = valid
+	event := "lease_lost"
+	if valid {
+		event = "lease_gained"
+	}
+	s.log.Info(event, "revision", s.state.Revision, "settled", s.holder.Settled(), "registered", registered,
+		"control", s.control().Host, "heard_ms", clock.Since(s.heard).Milliseconds())
 }
