Let a process without state hold no settled revision back

Cause: a host that starts asks its first control host for a lease before it has any state; that request counted as a holder at revision 0 for 3 s at each relay, and settled stood still for 13 s while hosts were restarted in turn. Change: such a request is answered but counts as no lease, and its sender takes none from it. A host is ready once it has held a lease.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,7 @@
 	holder     *limits.Holder
 	core       *core.Server
 	stopping   atomic.Bool
+	served     atomic.Bool // has held a lease
 }
 
 // New builds a host and opens its peer listener.
@@ -148,10 +149,15 @@
 // Gatherer returns the metrics of the host.
 func (d *Daemon) Gatherer() prometheus.Gatherer { return d.registry }
 
-// Ready reports whether the host takes callers: it has the agreed state and is
-// not stopping. A lost lease alone does not make it unready, since the others
-// would be no better off.
-func (d *Daemon) Ready() bool { return !d.stopping.Load() && d.view.Current().State != nil }
+// Ready reports whether the host takes callers: it has held a lease and is not
+// stopping. A lost lease alone does not make it unready, since the others would
+// be no better off.
+func (d *Daemon) Ready() bool {
+	if d.view.Current().Valid() {
+		d.served.Store(true)
+	}
+	return d.served.Load() && !d.stopping.Load()
+}
 
 // SetSeeds takes over changed seeds.
 func (d *Daemon) SetSeeds(seeds []string) {
--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -81,6 +81,12 @@
 // of holders that the broker does not have, are ignored.
 func (b *Broker) Receive(now time.Time, from ID, r Renew) {
 	key := sessionKey{id: from, relay: r.Relay}
+	if !r.Relay && r.Applied == 0 {
+		// The sender has no state to act on and takes no lease from the answer, so
+		// it must not hold the settled revision back.
+		b.await(key, r.Seq)
+		return
+	}
 	s := b.sessions[key]
 	if s == nil {
 		s = &session{}
@@ -98,8 +104,13 @@
 		s.holders, s.listed = r.Holders, r.Seq
 	}
 	s.until = now.Add(b.cfg.counted())
+	b.await(key, r.Seq)
+}
+
+// await lets a request wait for the next round, in place of an earlier one.
+func (b *Broker) await(key sessionKey, seq uint64) {
 	b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == key })
-	b.waiting = append(b.waiting, request{key: key, seq: r.Seq})
+	b.waiting = append(b.waiting, request{key: key, seq: seq})
 }
 
 // Begin starts a round when requests wait and none is in flight.
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -29,7 +29,9 @@
 // Renew returns the next request. The lease that it asks for runs from now.
 func (h *Holder) Renew(now time.Time, applied uint64) Renew {
 	h.seq++
-	h.sent[h.seq] = now
+	if applied > 0 {
+		h.sent[h.seq] = now
+	}
 	delete(h.sent, h.seq-maxOutstanding)
 	return Renew{Seq: h.seq, Applied: applied}
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -113,3 +113,29 @@
 		t.Fatalf("settled %d, want 8", got)
 	}
 }
+
+// TestAProcessWithoutStateHoldsNothingBack lets a process ask before it has any
+// state, as each does when it starts.
+func TestAProcessWithoutStateHoldsNothingBack(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := NewBroker(DefaultConfig(), 0)
+	old, fresh := ID{"h", 1}, ID{"n", 2}
+	b.Receive(now, old, Renew{Seq: 1, Applied: 8})
+	h := NewHolder(DefaultConfig(), 40)
+	r := h.Renew(now, 0)
+	b.Receive(now, fresh, r)
+	round, ok := b.Begin(now)
+	if !ok || round.Applied != 8 || len(round.Holders) != 1 {
+		t.Fatalf("round %+v", round)
+	}
+	if answers := b.Finish(round.ID, 8, 8); len(answers) != 2 {
+		t.Fatalf("%d answers", len(answers))
+	}
+	if got := b.Settle(now, 9, Electorate{}); got != 8 {
+		t.Fatalf("settled %d", got)
+	}
+	h.Granted(RenewOK{Seq: r.Seq, Revision: 8, Settled: 8})
+	if !h.ValidUntil(9).IsZero() {
+		t.Fatal("the process took a lease that nobody counts")
+	}
+}
