--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -56,8 +56,9 @@
 // Run grants quotas until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
 	now := clock.Now()
-	// A restarted task has forgotten its grants and counts as a new process.
-	o.quota = quota.NewOwner(quotaConfig(o.cfg.Lease), o.peers.Host(), uint64(now.UnixNano()), now)
+	// A restarted task has forgotten its grants and counts as a new process. The
+	// time of day orders processes: the suspended clock starts anew with a machine.
+	o.quota = quota.NewOwner(quotaConfig(o.cfg.Lease), o.peers.Host(), uint64(time.Now().UnixNano()), now)
 	o.state, o.limits, o.started = nil, map[string]quota.Limit{}, now
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
