--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -11,9 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/galenabridge/galenabridge/internal/control"
 	"github.com/galenabridge/galenabridge/internal/daemon"
-	"github.com/galenabridge/galenabridge/internal/supervise"
 	"github.com/galenabridge/galenabridge/platform"
 )
 
@@ -59,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	tasks, err := adapter(settings, d, logger)
+	tasks, err := platform.Adapter(settings, d, logger)
 	if err != nil {
 		return err
 	}
@@ -69,33 +67,3 @@
 	logger.Info("stopped")
 	return err
 }
-
-// adapter builds the tasks that speak with the platform.
-func adapter(s *platform.Settings, d *daemon.Daemon, logger *log.Logger) ([]supervise.Task, error) {
-	var tasks []supervise.Task
-	if s.Front != "" {
-		front, err := platform.NewFront(s.Front, d.Core(), logger)
-		if err != nil {
-			return nil, err
-		}
-		tasks = append(tasks, front)
-	}
-	if s.Ready != "" {
-		ready, err := platform.NewServe(s.Ready, platform.ReadyHandler(d.Ready), logger)
-		if err != nil {
-			return nil, err
-		}
-		tasks = append(tasks, ready)
-	}
-	if s.Control != "" {
-		operations := &platform.Operations{
-			Host: d.Control(), Registry: control.NewRegistry(d.Control(), d.View()), Regions: s.Regions, Log: logger,
-		}
-		calls, err := platform.NewServe(s.Control, operations.Handler(), logger)
-		if err != nil {
-			return nil, err
-		}
-		tasks = append(tasks, calls)
-	}
-	return tasks, nil
-}
