Let several requests share a connection before its key changes

Change: a key may wait 150 ms while requests of the connection's key go first; three requests for each connection wait beside it; waits for slots and connections are bounded by the target of the operation.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -22,8 +22,9 @@
 	// checkAfter is how long a connection rests before it is checked on reuse.
 	checkAfter = 200 * time.Millisecond
 	// fairAfter is how long the first request may wait while later ones of other
-	// keys are served: about the time that it takes to open a connection.
-	fairAfter = 25 * time.Millisecond
+	// keys are served. Under load each change of a connection's key costs the
+	// endpoint a slot for 12 ms, so that several requests must share one.
+	fairAfter = 150 * time.Millisecond
 	// keyMemory is how long a key counts as in use after its last request.
 	keyMemory = 5 * time.Second
 )
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -92,6 +92,16 @@
 	return wait
 }
 
+// queueWait bounds the wait for a slot and a connection by the target of the
+// operation: an endpoint with a longer queue is overloaded, and a request that
+// waited for longer is late however it ends.
+func queueWait(route note.Route) time.Duration {
+	if route.Target <= 0 {
+		return time.Duration(route.Timeout) * time.Millisecond
+	}
+	return time.Duration(route.Target) * time.Millisecond
+}
+
 // asResult returns the result.Error in err, or one with the given code.
 func asResult(err error, code result.Code) *result.Error {
 	if e, ok := err.(*result.Error); ok {
@@ -188,6 +198,8 @@
 		}
 		return nil, asResult(err, result.NoEndpoint)
 	}
+	ctx, cancel := context.WithTimeout(ctx, queueWait(op.route))
+	defer cancel()
 	leave, err := s.slot(ctx, c, op.route.Class)
 	if err != nil {
 		return nil, asResult(err, result.DeadlineInQueue)
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -81,16 +81,15 @@
 	return s
 }
 
-// slots is how many statements of this host run at once on an endpoint: no more
-// than it has connections, so that requests wait in the order of the gate.
+// waitersPerConnection is how many requests the gate lets wait for each
+// connection, so that one of the workspace that a connection serves is among
+// them.
+const waitersPerConnection = 3
+
+// slots is how many statements of this host run, or wait for a connection, at
+// once on an endpoint. The others wait in the order of the gate.
 func (s *Server) slots(service, id string) int {
-	slots := s.opts.Connections(service, id)
-	if v := s.opts.View.Current(); v.State != nil {
-		if n := v.State.Endpoints[id].Slots; n > 0 {
-			slots = min(slots, n)
-		}
-	}
-	return max(slots, 1)
+	return waitersPerConnection * max(s.opts.Connections(service, id), 1)
 }
 
 // Run follows the agreed state until ctx ends, then closes all connections.
