Settle early when every registered process is present under its own address

Cause: after all processes were killed, a new leader waited a whole lease for processes that had been replaced, though each new one listens on the address that names its host. Change: with exclusive identities only the registered processes count; holders tell owners of their leases every 0.1 s until told.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,6 +93,7 @@
 func timing() lease.Config {
 	cfg := lease.DefaultConfig()
 	cfg.Duration, cfg.RenewInterval = 2*time.Second, 400*time.Millisecond
+	cfg.Exclusive = true // a host is named by the address that its process listens on
 	return cfg
 }
 
--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -220,7 +220,9 @@
 // leader that this broker does not count. In that time the result grows only
 // while every registered process is among the counted holders, and only if the
 // registrations have not changed after the last settled revision: a process that
-// was replaced or removed since may still hold a lease.
+// was replaced or removed since may still hold a lease. With exclusive identities
+// a replaced process has ended, and a removed one's lease had, so that only the
+// registered processes matter.
 func (b *Broker) Settle(now time.Time, revision uint64, e Electorate) uint64 {
 	b.expire(now)
 	if now.Before(b.assumeUntil) && !b.allPresent(e) {
@@ -237,7 +239,7 @@
 func (b *Broker) Settled() uint64 { return b.settled }
 
 func (b *Broker) allPresent(e Electorate) bool {
-	if e.Changed > b.settled {
+	if e.Changed > b.settled && !b.cfg.Exclusive {
 		return false
 	}
 	present := b.holders()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -25,6 +25,10 @@
 	Drift float64
 	// RenewInterval is the time between two requests of a holder.
 	RenewInterval time.Duration
+	// Exclusive: no two processes can have one identity at a time, as when the
+	// identity is an address that a process is bound to. A registered process
+	// then proves that former ones of its host have ended.
+	Exclusive bool
 }
 
 // DefaultConfig returns the times used in production.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -139,3 +139,24 @@
 		t.Fatal("the process took a lease that nobody counts")
 	}
 }
+
+// TestAFleetThatRestartsNeedNotWaitForItsFormerProcesses registers new processes
+// of all hosts under a new leader.
+func TestAFleetThatRestartsNeedNotWaitForItsFormerProcesses(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, exclusive := range []bool{false, true} {
+		cfg := DefaultConfig()
+		cfg.Exclusive = exclusive
+		b := NewBroker(cfg, 0)
+		b.Lead(now)
+		e := Electorate{Holders: []ID{{"h", 2}, {"i", 2}}, Changed: 9}
+		b.Receive(now, e.Holders[0], Renew{Seq: 1, Applied: 9})
+		if got := b.Settle(now, 9, e); got != 0 {
+			t.Fatalf("exclusive %v: settled %d before all hosts asked", exclusive, got)
+		}
+		b.Receive(now, e.Holders[1], Renew{Seq: 1, Applied: 9})
+		if got := b.Settle(now, 9, e); (got == 9) != exclusive {
+			t.Fatalf("exclusive %v: settled %d", exclusive, got)
+		}
+	}
+}
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -36,7 +36,7 @@
 }
 
 // censusInterval is the time between two attempts to tell an owner.
-const censusInterval = 250 * time.Millisecond
+const censusInterval = 100 * time.Millisecond
 
 // sentRequest remembers when a request was sent.
 type sentRequest struct {
