--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -12,11 +12,12 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/galenabridge/galenabridge/internal/daemon"
+	"github.com/galenabridge/galenabridge/internal/eventlog"
 	"github.com/galenabridge/galenabridge/platform"
 )
 
 type options struct {
-	Settings string `long:"settings" description:"path of the settings file" env:"GALENABRIDGE_NODE_FILE" required:"true"`
+	Settings string `long:"settings" description:"path of the settings file; the platform names it in the environment"`
 	Level    string `long:"log-level" description:"least level that is logged" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
 	Args     struct {
 		Role string `positional-arg-name:"role" description:"name of the host's role in logs"`
@@ -31,14 +32,34 @@
 		}
 		os.Exit(2)
 	}
-	logger := log.NewWithOptions(os.Stdout, log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true})
+	os.Exit(serve(opts))
+}
+
+// serve runs the host and returns the exit code of the process.
+func serve(opts options) int {
+	out := eventlog.New(os.Stdout)
+	ctx, cancel := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		out.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-written
+	}()
+	logger := log.NewWithOptions(out, log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true})
 	if level, err := log.ParseLevel(opts.Level); err == nil {
 		logger.SetLevel(level)
 	}
+	if opts.Settings == "" {
+		opts.Settings = os.Getenv(platform.SettingsVariable)
+	}
 	if err := run(opts, logger); err != nil {
 		logger.Error("failed", "err", err.Error())
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
 
 func run(opts options, logger *log.Logger) error {
