Bound connects between hosts, and register again sooner

Cause: after a loss of power a host dialled others that were still dark; the opening packet is sent again only after a second, and a registration that failed was tried again after another. Change: connects take 0.4 s at most, back off to 0.4 s; registrations are tried each 0.3 s.

--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -22,8 +22,10 @@
 	// silenceShare is the part of a lease that a control host may leave requests
 	// unanswered before the subscriber turns to another one.
 	silenceShare = 3
-	// registerInterval is the time between two attempts to register.
-	registerInterval = time.Second
+	// registerInterval is the time between two attempts to register, each of which
+	// may take registerTimeout: after a loss of power many hosts wait for each.
+	registerInterval = 300 * time.Millisecond
+	registerTimeout  = time.Second
 	subscriberTick   = 50 * time.Millisecond
 )
 
@@ -199,7 +201,7 @@
 	c := s.control()
 	p := proposal{Command: agreed.Command{RegisterHost: &agreed.RegisterHost{Host: s.self(0)}}}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, registerInterval)
+		ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 		defer cancel()
 		out, err := callProposal(ctx, s.opts.Peer, c.Host, c.Addr, p)
 		switch {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -10,8 +10,11 @@
 
 // Timing of connections.
 const (
-	minBackoff       = 50 * time.Millisecond
-	maxBackoff       = 1 * time.Second
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 400 * time.Millisecond
+	// connectTimeout bounds the opening packets: a machine without power answers
+	// nothing, and the system would send them again only after a second.
+	connectTimeout   = 400 * time.Millisecond
 	handshakeTimeout = 2 * time.Second
 	writeTimeout     = 2 * time.Second
 	// pingInterval is the silence after which a connection is probed.
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -88,7 +88,7 @@
 // NewNode returns a Node that neither listens nor dials yet.
 func NewNode(opts Options) *Node {
 	if opts.Transport == nil {
-		opts.Transport = &tcp{}
+		opts.Transport = &tcp{dialer: net.Dialer{Timeout: connectTimeout}}
 	}
 	if opts.Logger == nil {
 		opts.Logger = log.Default()
