Count no lease for a request that was given up

Change: a broker counts requests while they wait, gives them up after a third of a lease, and counts a lease only for what it answered.

--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -41,16 +41,30 @@
 	holders []ID
 	// listed is the number of the request that named the holders.
 	listed uint64
-	// until is the end of the leases as the broker counts them.
+	// until is the end of the leases that were granted, as the broker counts them.
 	until time.Time
+	// pending is set while the latest request waits for its answer, which will
+	// grant a lease.
+	pending bool
 }
 
+// counts reports whether the subscriber may hold a valid lease, or be granted
+// one by the round in flight or the next.
+func (s *session) counts(now time.Time) bool { return s.pending || now.Before(s.until) }
+
 // request is a Renew that waits for its answer.
 type request struct {
 	key sessionKey
 	seq uint64
+	// at is when the request arrived.
+	at time.Time
 }
 
+// patienceShare is the part of a lease after which a request is given up: its
+// sender has turned to another control host by then, and a late answer would
+// count a lease that nobody renews here.
+const patienceShare = 3
+
 // Round asks for one confirmation of the leader.
 type Round struct {
 	ID uint64
@@ -77,14 +91,15 @@
 }
 
 // Receive takes a request of a subscriber. From now on the broker counts the
-// lease, answered or not. Requests that were overtaken, or that refer to a list
+// lease, until it has given the request up or the granted lease has ended.
+// Requests that were overtaken, or that refer to a list
 // of holders that the broker does not have, are ignored.
 func (b *Broker) Receive(now time.Time, from ID, r Renew) {
 	key := sessionKey{id: from, relay: r.Relay}
 	if !r.Relay && r.Applied == 0 {
 		// The sender has no state to act on and takes no lease from the answer, so
 		// it must not hold the settled revision back.
-		b.await(key, r.Seq)
+		b.await(now, key, r.Seq)
 		return
 	}
 	s := b.sessions[key]
@@ -103,19 +118,23 @@
 	case r.Base == 0:
 		s.holders, s.listed = r.Holders, r.Seq
 	}
-	s.until = now.Add(b.cfg.counted())
-	b.await(key, r.Seq)
+	s.pending = true
+	b.await(now, key, r.Seq)
 }
 
 // await lets a request wait for the next round, in place of an earlier one.
-func (b *Broker) await(key sessionKey, seq uint64) {
+func (b *Broker) await(now time.Time, key sessionKey, seq uint64) {
 	b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == key })
-	b.waiting = append(b.waiting, request{key: key, seq: seq})
+	b.waiting = append(b.waiting, request{key: key, seq: seq, at: now})
 }
 
 // Begin starts a round when requests wait and none is in flight.
 func (b *Broker) Begin(now time.Time) (Round, bool) {
-	if b.round != 0 || len(b.waiting) == 0 {
+	if b.round != 0 {
+		return Round{}, false
+	}
+	b.giveUp(now)
+	if len(b.waiting) == 0 {
 		return Round{}, false
 	}
 	b.expire(now)
@@ -134,6 +153,20 @@
 	return round, true
 }
 
+// giveUp drops requests that have waited for long.
+func (b *Broker) giveUp(now time.Time) {
+	patience := b.cfg.Duration / patienceShare
+	b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool {
+		if now.Sub(w.at) <= patience {
+			return false
+		}
+		if s := b.sessions[w.key]; s != nil && s.seq == w.seq {
+			s.pending = false
+		}
+		return true
+	})
+}
+
 // Progress reports whether the next round would tell of a greater revision
 // than the last one.
 func (b *Broker) Progress() bool {
@@ -151,6 +184,7 @@
 	b.settled = max(b.settled, settled)
 	var answers []Answer
 	for _, r := range b.inRound {
+		b.granted(r)
 		answers = append(answers, Answer{
 			To:    r.key.id,
 			Relay: r.key.relay,
@@ -161,6 +195,20 @@
 	return answers
 }
 
+// granted counts the lease that an answer grants.
+func (b *Broker) granted(r request) {
+	s := b.sessions[r.key]
+	if s == nil {
+		return
+	}
+	if end := r.at.Add(b.cfg.counted()); end.After(s.until) {
+		s.until = end
+	}
+	if s.seq == r.seq {
+		s.pending = false
+	}
+}
+
 // Abort ends the round in flight without a confirmation. Its requests wait for
 // the next round, unless a later one of the same subscriber does.
 func (b *Broker) Abort() {
@@ -253,7 +301,7 @@
 
 func (b *Broker) expire(now time.Time) {
 	for key, s := range b.sessions {
-		if !now.Before(s.until) {
+		if !s.counts(now) {
 			delete(b.sessions, key)
 		}
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -160,3 +160,44 @@
 		}
 	}
 }
+
+// TestARequestThatWasGivenUpHoldsNothingBack lets a subscriber turn away from a
+// relay that knew no leader.
+func TestARequestThatWasGivenUpHoldsNothingBack(t *testing.T) {
+	now := time.Unix(100, 0)
+	cfg := DefaultConfig()
+	b := NewBroker(cfg, 0)
+	b.Receive(now, ID{"gone", 1}, Renew{Seq: 1, Applied: 4})
+	if round, ok := b.Begin(now); !ok || round.Applied != 4 {
+		t.Fatalf("round %+v", round)
+	}
+	b.Abort() // no leader is known
+	later := now.Add(cfg.Duration/patienceShare + time.Millisecond)
+	b.Receive(later, ID{"stays", 1}, Renew{Seq: 1, Applied: 9})
+	round, ok := b.Begin(later)
+	if !ok || round.Applied != 9 || len(round.Holders) != 1 {
+		t.Fatalf("round %+v", round)
+	}
+	if answers := b.Finish(round.ID, 9, 9); len(answers) != 1 {
+		t.Fatalf("%d answers", len(answers))
+	}
+	if got := b.Settle(later, 9, Electorate{}); got != 9 {
+		t.Fatalf("settled %d", got)
+	}
+}
+
+// TestAGrantedLeaseCountsToItsEnd answers a request and hears nothing more.
+func TestAGrantedLeaseCountsToItsEnd(t *testing.T) {
+	now := time.Unix(100, 0)
+	cfg := DefaultConfig()
+	b := NewBroker(cfg, 0)
+	b.Receive(now, ID{"h", 1}, Renew{Seq: 1, Applied: 4})
+	round, _ := b.Begin(now)
+	b.Finish(round.ID, 4, 4)
+	if got := b.Settle(now.Add(cfg.counted()-time.Millisecond), 9, Electorate{}); got != 4 {
+		t.Fatalf("settled %d while the lease is valid", got)
+	}
+	if got := b.Settle(now.Add(cfg.counted()), 9, Electorate{}); got != 9 {
+		t.Fatalf("settled %d after its end", got)
+	}
+}
