Start again with a higher number when the time of day has stepped back

Cause: processes are numbered by the time of day; one that starts after a step back was refused for good as older than its predecessor. Change: a host whose identity has a higher number ends with ErrReplaced and the daemon builds it again, numbered an hour ahead: an address has one process.

--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -7,9 +7,11 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
 
 	"github.com/galenabridge/galenabridge/internal/daemon"
 	"github.com/galenabridge/galenabridge/internal/eventlog"
@@ -38,11 +40,11 @@
 // serve runs the host and returns the exit code of the process.
 func serve(opts options) int {
 	out := eventlog.New(os.Stdout)
-	ctx, cancel := context.WithCancel(context.Background())
+	logCtx, cancel := context.WithCancel(context.Background())
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		out.Run(ctx)
+		out.Run(logCtx)
 	}()
 	defer func() {
 		cancel()
@@ -55,25 +57,35 @@
 	if opts.Settings == "" {
 		opts.Settings = os.Getenv(platform.SettingsVariable)
 	}
-	if err := run(opts, logger); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	var ahead time.Duration
+	for {
+		err := run(ctx, opts, logger, ahead)
+		if err == nil {
+			return 0
+		}
 		logger.Error("failed", "err", err.Error())
-		return 1
+		if !errors.Is(err, daemon.ErrReplaced) || ctx.Err() != nil {
+			return 1
+		}
+		ahead += renumber
 	}
-	return 0
 }
 
-func run(opts options, logger *log.Logger) error {
+// renumber is more than any step of the time of day that a platform repairs.
+const renumber = time.Hour
+
+func run(ctx context.Context, opts options, logger *log.Logger, ahead time.Duration) error {
 	settings, err := platform.Load(opts.Settings)
 	if err != nil {
 		return err
 	}
 	logger = logger.With("host", settings.Name, "role", opts.Args.Role)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	d, err := daemon.New(daemon.Options{
 		Settings: settings.Settings, Dialer: platform.Dialer{},
 		Databases: platform.NewDatabases(settings.Name, settings.Promote),
-		Fenced:    settings.Fenced, Grace: settings.Grace, Logger: logger,
+		Fenced:    settings.Fenced, Grace: settings.Grace, Logger: logger, Ahead: ahead,
 	})
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,8 +51,16 @@
 	// Grace is the time that a stop may take.
 	Grace  time.Duration
 	Logger *log.Logger
+	// Ahead is added to the time of day that numbers the process; see ErrReplaced.
+	Ahead time.Duration
 }
 
+// ErrReplaced ends a host whose identity belongs to a process with a higher
+// number. An address has one process at a time, so that a process which holds it
+// was only numbered by a clock that has stepped back since: it may start again
+// with a number that is further ahead.
+var ErrReplaced = errors.New("the identity of the host belongs to a process with a higher number")
+
 // Daemon is one host. It runs once.
 type Daemon struct {
 	opts       Options
@@ -67,17 +75,20 @@
 	core       *core.Server
 	stopping   atomic.Bool
 	served     atomic.Bool // has held a lease
+	replaced   chan struct{}
 }
 
 // New builds a host and opens its peer listener.
 func New(opts Options) (*Daemon, error) {
 	d := &Daemon{
 		opts: opts, log: opts.Logger, registry: prometheus.NewRegistry(), view: view.NewBox(),
+		replaced: make(chan struct{}),
 	}
 	d.peers = peer.NewNode(peer.Options{
 		Host: opts.Settings.Host, Fleet: opts.Settings.Fleet, Secret: opts.Settings.FleetSecret,
-		Incarnation: uint64(time.Now().UnixNano()), Listen: opts.Settings.Peer.Listen,
+		Incarnation: uint64(time.Now().Add(opts.Ahead).UnixNano()), Listen: opts.Settings.Peer.Listen,
 		Advertise: opts.Settings.Peer.Advertise, Registry: d.registry, Logger: d.log,
+		OnReplaced: func() { close(d.replaced) },
 	})
 	if err := d.peers.Listen(); err != nil {
 		return nil, err
@@ -196,7 +207,11 @@
 	}
 	waitCtx, skip := context.WithCancel(ctx)
 	group.Add(func() error {
-		<-waitCtx.Done()
+		select {
+		case <-d.replaced:
+			return ErrReplaced
+		case <-waitCtx.Done():
+		}
 		if ctx.Err() == nil {
 			return nil // another task has failed
 		}
