--- a/internal/failover/fence_test.go
+++ b/internal/failover/fence_test.go
@@ -22,12 +22,11 @@
 // latePlatform is a group whose orders may be carried out seconds late, or be
 // answered never. It checks fences when it carries an order out.
 type latePlatform struct {
-	t       *rapid.T
-	rng     *rand.Rand
-	m       *Machine
-	now     time.Time
-	group   agreed.Group
-	settled uint64
+	t     *rapid.T
+	rng   *rand.Rand
+	m     *Machine
+	now   time.Time
+	group agreed.Group
 
 	leads    string // the endpoint that leads
 	timeline uint32
