--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,7 +33,7 @@
 	transactionShare = 0.5
 	// rateFloor leaves most of each rate to the hosts that need it: callers gather
 	// unevenly, and what a host does not use of its floor is lost.
-	rateFloor = 0.25
+	rateFloor = 0.1
 	// goodbyeTimeout bounds the deregistration at shutdown.
 	goodbyeTimeout = 300 * time.Millisecond
 	// drainPause is the time between the last refusals and the end of the process,
