--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -23,9 +23,6 @@
 // Since returns the time elapsed since a time of Now.
 func Since(t time.Time) time.Duration { return Now().Sub(t) }
 
-// Until returns the time that is left until a time on the scale of Now.
-func Until(t time.Time) time.Duration { return t.Sub(Now()) }
-
 // Deadline converts a deadline of a context, which counts Go's monotonic clock,
 // to the scale of Now.
 func Deadline(t time.Time) time.Time { return Now().Add(time.Until(t)) }
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -13,14 +13,14 @@
 	if second := Now(); second.Before(first) {
 		t.Errorf("%v after %v", second, first)
 	}
-	if Since(first) < 0 || Until(first) > 0 {
-		t.Error("since and until have the wrong sign")
+	if Since(first) < 0 {
+		t.Error("a time before the first")
 	}
 }
 
 func TestDeadlineKeepsTheRemainingTime(t *testing.T) {
 	const left = time.Hour
-	got := Until(Deadline(time.Now().Add(left)))
+	got := -Since(Deadline(time.Now().Add(left)))
 	if got > left || got < left-time.Minute {
 		t.Errorf("%v left of %v", got, left)
 	}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -63,7 +63,6 @@
 
 	serial   atomic.Uint64
 	draining atomic.Bool
-	closing  atomic.Bool
 
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -111,7 +110,6 @@
 }
 
 func (s *Server) shutDown() {
-	s.closing.Store(true)
 	for _, session := range s.list() {
 		session.interrupt()
 	}
