--- a/internal/core/freshness.go
+++ b/internal/core/freshness.go
@@ -8,8 +8,9 @@
 const (
 	// sampleSpacing bounds the samples that are kept: one for each interval.
 	sampleSpacing = 50 * time.Millisecond
-	// sampleMemory is how long samples are kept, above any age that a route
-	// allows in practice; a read that allows more uses an older bound.
+	// sampleMemory is how long samples are kept, twice the longest age that a
+	// route of the sites allows (2.5 s). A read that allows more asks for the
+	// oldest sample kept, which is stricter than it needs.
 	sampleMemory = 5 * time.Second
 	// stalenessMargin is taken off the age that a route allows, for the time from
 	// the caller's first byte until the read is looked at.
