Tell a workspace that stays over its rate sooner

A new queue did not know that its workspace was over its rate, so that its first request waited 0.8 s and was late; a lowered rate was noticed after 2 s.

Change: a new queue takes over what the holder knows. Demand counts as over the limit after 0.5 s, but not within 2 s after the whole limit became available.

--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -66,14 +66,15 @@
 	}
 	h.quota.Offer(now, key, 1)
 	if q == nil {
-		if h.quota.Take(now, key, 1).Granted {
+		decision := h.quota.Take(now, key, 1)
+		if decision.Granted {
 			return nil, nil
 		}
 		if floor.take(now) {
 			h.quota.Withdraw(key, 1)
 			return nil, nil
 		}
-		q = &queue{}
+		q = &queue{over: decision.Over}
 		h.queues[workspace] = q
 	}
 	deadline := now.Add(idleWait)
--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -17,10 +17,15 @@
 // estimate includes requests that wait, which are over soon.
 const overDemand = 1.25
 
-// overAfter is how long demand must stay above the limit until it counts as over
-// it. After an interruption callers come back together, which passes: a rate of
-// 1.5 times the usual load makes up for one of a second in two.
-const overAfter = 2 * time.Second
+// Demand counts as over the limit once it has stayed above it for overAfter, the
+// time constant of its estimate. After the whole limit has become available, as
+// when the fleet starts again, callers come back together for comebackTime: a
+// rate of 1.5 times the usual load makes up for an interruption of a second in
+// two.
+const (
+	overAfter    = demandWindow
+	comebackTime = 2 * time.Second
+)
 
 // spareShare is the part of what nobody asks for that holders get in advance.
 // The rest stays with the owner, a round trip from any holder that is short.
@@ -209,7 +214,7 @@
 	case k.overSince.IsZero():
 		k.overSince = now
 	}
-	return !k.overSince.IsZero() && now.Sub(k.overSince) >= overAfter
+	return !k.overSince.IsZero() && now.Sub(k.overSince) >= overAfter && now.Sub(k.opened) >= comebackTime
 }
 
 // capacity is the limit in the unit of demand.
