Open one connection at a time to an endpoint that refuses them

Cause: after a loss of power endpoints count the connections of the lost processes for 3 s and refuse others.

Change: after a failed attempt a pool makes one at a time, 100 ms after the failure and up to 400 ms; requests that no open connection can serve learn the error at once.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -17,8 +17,11 @@
 	dialTimeout = 5 * time.Second
 	// keepIdle is how long a connection that nobody needs stays open.
 	keepIdle = 60 * time.Second
-	// redialDelay is the wait after a failed attempt to open a connection.
-	redialDelay = 100 * time.Millisecond
+	// redialDelay is the wait after a failed attempt to open a connection. It
+	// doubles with each further failure up to maxRedialDelay: an endpoint may count
+	// the connections of a lost machine for 3 s.
+	redialDelay    = 100 * time.Millisecond
+	maxRedialDelay = 400 * time.Millisecond
 	// checkAfter is how long a connection rests before it is checked on reuse.
 	checkAfter = 200 * time.Millisecond
 	// fairAfter is how long the first request may wait while later ones of other
@@ -62,7 +65,11 @@
 	waiters []*waiter[C]   // in the order of their arrival
 	used    map[string]time.Time
 	lastErr error
-	closed  bool
+	// failures counts the failed attempts since the last connection was opened. The
+	// next attempt is made no earlier than retryAt, and one at a time.
+	failures int
+	retryAt  time.Time
+	closed   bool
 	// peak is the greatest number of lent and wanted connections since TakePeak.
 	peak int
 }
@@ -170,6 +177,12 @@
 		closeAll(dead)
 		return conn, nil
 	}
+	if p.held[key] == 0 && p.dialing[key] == 0 && now.Before(p.retryAt) {
+		err := p.lastErr
+		p.mu.Unlock()
+		closeAll(dead)
+		return none, err
+	}
 	w := &waiter[C]{key: key, since: now, ready: make(chan grant[C], 1)}
 	p.waiters = append(p.waiters, w)
 	p.peak = max(p.peak, p.wanted())
@@ -320,6 +333,9 @@
 		if waiting[w.key] <= p.dialing[w.key] {
 			continue
 		}
+		if p.failures > 0 && (len(p.dialing) > 0 || time.Now().Before(p.retryAt)) {
+			return evicted
+		}
 		if p.open >= p.limit {
 			if len(p.idle) == 0 || p.open > p.limit {
 				return evicted
@@ -340,11 +356,11 @@
 	p.mu.Lock()
 	p.dialed(key)
 	if err != nil {
-		p.failed(key, err)
+		p.failed(err)
 		p.mu.Unlock()
 		return
 	}
-	p.lastErr = nil
+	p.lastErr, p.failures, p.retryAt = nil, 0, time.Time{}
 	p.held[key]++
 	var surplus []C
 	if p.closed || !p.give(time.Now(), c) {
@@ -362,23 +378,29 @@
 	}
 }
 
-// failed passes the error to the waiters of the key when no open connection can
-// serve them, and otherwise tries again later.
-func (p *Pool[C]) failed(key string, err error) {
+// failed passes the error to the waiters whom no open connection can serve. For
+// the others another attempt follows.
+func (p *Pool[C]) failed(err error) {
 	p.open--
 	p.lastErr = err
-	if p.held[key] == 0 {
-		p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter[C]) bool {
-			if w.key == key {
-				w.ready <- grant[C]{err: err}
-			}
-			return w.key == key
-		})
-		return
+	delay := min(redialDelay<<min(p.failures, maxDoublings), maxRedialDelay)
+	p.failures++
+	p.retryAt = time.Now().Add(delay)
+	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter[C]) bool {
+		hopeless := p.held[w.key] == 0 && p.dialing[w.key] == 0
+		if hopeless {
+			w.ready <- grant[C]{err: err}
+		}
+		return hopeless
+	})
+	if len(p.waiters) > 0 {
+		time.AfterFunc(delay, p.retry)
 	}
-	time.AfterFunc(redialDelay, p.retry)
 }
 
+// maxDoublings bounds the shift of redialDelay.
+const maxDoublings = 8
+
 func (p *Pool[C]) retry() {
 	p.mu.Lock()
 	surplus := p.grow()
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // fakeConn counts what the pool does with it.
@@ -78,3 +82,23 @@
 		t.Error("the connection was lost")
 	}
 }
+
+// TestARefusingEndpointIsNotFlooded asks again and again while every attempt to
+// open a connection fails.
+func TestARefusingEndpointIsNotFlooded(t *testing.T) {
+	var dialed atomic.Int64
+	refused := errors.New("too many connections")
+	p := New(func(context.Context, string) (*fakeConn, error) {
+		dialed.Add(1)
+		return nil, refused
+	}, 4)
+	const asked = 1000
+	for i := range asked {
+		if _, err := p.Acquire(context.Background(), strconv.Itoa(i%8), nil); !errors.Is(err, refused) {
+			t.Fatal(err)
+		}
+	}
+	if n := dialed.Load(); n > asked/10 {
+		t.Errorf("%d attempts for %d requests", n, asked)
+	}
+}
