Send missed deltas while changes go on, and tell of released leases

(1) A host that missed one delta was sent only later ones as long as commits kept coming: each push put the repetition off. (2) A release that another connection overtook left a lease behind. (3) A relay whose last waiting holder had turned away told the leader nothing more, so that its old revision counted until the lease ended.

Change: the time since when a host is behind decides on a repetition, not the last push; brokers know the numbers of releases; a relay begins a round when a holder has gone. The leader logs for whom registrations wait.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -28,6 +28,7 @@
 	h.ageHosts(now)
 	h.forgetAnnouncements(now)
 	h.settle(now)
+	h.noteWait()
 }
 
 func (h *Host) nameFleet() {
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -79,6 +79,7 @@
 	roundEnd   time.Time // when the lease round in flight is given up
 	nextRound  time.Time // when the next lease round is due
 	duties     time.Time // when the duties of the leader are due
+	waits      string    // the host that registrations wait for, as last logged
 	saveFail   error
 
 	leading bool
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -158,6 +158,23 @@
 	return settled
 }
 
+// noteWait logs for whom the registration of a process waits, whenever that
+// changes. Until it is settled the process serves nothing.
+func (h *Host) noteWait() {
+	settled, waits := h.broker.Settled(), ""
+	if settled < h.state.HostsChanged {
+		id, _ := h.broker.Slowest()
+		waits = id.Host
+	}
+	if waits == h.waits {
+		return
+	}
+	h.waits = waits
+	id, revision := h.broker.Slowest()
+	h.log.Info("registration_waits", "for", waits, "incarnation", id.Incarnation, "at", revision, "settled", settled,
+		"registered", h.state.HostsChanged)
+}
+
 // present returns the registered processes that may hold leases. Where a host has
 // one process at a time, those of which a newer process was met may not.
 func (h *Host) present() []lease.ID {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -16,9 +16,10 @@
 	// recentLimit is the number of states from which deltas can be made. A
 	// subscriber further behind gets a snapshot.
 	recentLimit = 256
-	// resendAfter is how long a push may be on its way before a request that
-	// shows an older revision causes another one.
-	resendAfter = 300 * time.Millisecond
+	// resendAfter is how long a subscriber may fall short of what was pushed before
+	// a request that shows so causes another push: many round trips between failure
+	// domains (3 ms).
+	resendAfter = 100 * time.Millisecond
 	// subscriptionTimeout ends the subscription of a silent host.
 	subscriptionTimeout = 5 * time.Second
 )
@@ -26,10 +27,13 @@
 // subscription is a host that follows the state through this one.
 type subscription struct {
 	addr string
-	// sent is the revision last pushed.
-	sent   uint64
-	pushed time.Time
-	seen   time.Time
+	// sent is the revision last pushed, applied the one that the host last named.
+	sent    uint64
+	applied uint64
+	// short is since when the host has been behind what was pushed without having
+	// come nearer. Later pushes do not help it once it has missed one.
+	short time.Time
+	seen  time.Time
 }
 
 // recentStates are the last states in ascending order of revision.
@@ -64,19 +68,34 @@
 func (h *Host) follow(now time.Time, id lease.ID, addr string, applied uint64) {
 	sub := h.subscribers[id]
 	if sub == nil {
-		sub = &subscription{sent: applied}
+		sub = &subscription{sent: applied, applied: applied}
 		h.subscribers[id] = sub
 	}
 	sub.addr, sub.seen = addr, now
-	if applied >= h.state.Revision {
-		sub.sent = max(sub.sent, applied)
-		return
+	if sub.named(now, applied) && sub.sent < h.state.Revision {
+		h.push(now, id, sub, map[uint64]cbor.RawMessage{})
 	}
-	if sub.sent > applied && now.Sub(sub.pushed) < resendAfter {
-		return
+}
+
+// named notes the revision that the host has applied. It reports whether the
+// next push should start there.
+func (s *subscription) named(now time.Time, applied uint64) bool {
+	if applied != s.applied {
+		s.applied, s.short = applied, now
+	}
+	if s.sent > applied && now.Sub(s.short) < resendAfter {
+		return false
+	}
+	s.sent = applied
+	return true
+}
+
+// pushed notes a push up to a revision.
+func (s *subscription) pushed(now time.Time, revision uint64) {
+	if s.sent <= s.applied {
+		s.short = now
 	}
-	sub.sent = applied
-	h.push(now, id, sub, map[uint64]cbor.RawMessage{})
+	s.sent = revision
 }
 
 // pushAll pushes the state to every subscriber that lacks it. Subscribers at
@@ -116,7 +135,7 @@
 		h.log.Debug("push_failed", "peer", id.Host, "err", err.Error())
 		return
 	}
-	sub.sent, sub.pushed = h.state.Revision, now
+	sub.pushed(now, h.state.Revision)
 }
 
 // noRevision is greater than any revision.
--- a/internal/control/subscriber_events.go
+++ b/internal/control/subscriber_events.go
@@ -17,10 +17,12 @@
 
 func (e deltaEvent) handle(s *Subscriber, now time.Time) {
 	next, err := agreed.Patch(s.state, e.delta)
-	if err != nil {
-		return // a repeated push, or a gap that the next request shows
+	switch {
+	case err == nil:
+		s.setState(now, next)
+	case e.delta.From > s.state.Revision && now.Sub(s.renewed) >= resendAfter:
+		s.renew(now) // shows the control host what was missed
 	}
-	s.setState(now, next)
 }
 
 // snapshotEvent is a pushed snapshot.
--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -12,6 +12,8 @@
 type Broker struct {
 	cfg      Config
 	sessions map[sessionKey]*session
+	// released are the numbers of the releases of processes that have not come back.
+	released map[sessionKey]uint64
 	waiting  []request
 	inRound  []request
 	round    uint64 // the number of the round in flight, zero when there is none
@@ -24,6 +26,9 @@
 	listed   []ID
 	listedIn uint64
 	answered bool
+	// shrunk is set when a holder has given its leases up since the last round, so
+	// that a relay tells the leader even if nobody else waits.
+	shrunk bool
 	// assumeUntil is when leases granted by former leaders have run out.
 	assumeUntil time.Time
 }
@@ -87,7 +92,7 @@
 // NewBroker returns a Broker without subscribers. Its rounds are numbered above
 // seq, which must exceed all numbers that the process has used before.
 func NewBroker(cfg Config, seq uint64) *Broker {
-	return &Broker{cfg: cfg, rounds: seq, sessions: make(map[sessionKey]*session)}
+	return &Broker{cfg: cfg, rounds: seq, sessions: make(map[sessionKey]*session), released: make(map[sessionKey]uint64)}
 }
 
 // Receive takes a request of a subscriber. From now on the broker counts the
@@ -96,9 +101,14 @@
 // of holders that the broker does not have, are ignored.
 func (b *Broker) Receive(now time.Time, from ID, r Renew) {
 	key := sessionKey{id: from, relay: r.Relay}
+	if r.Seq <= b.released[key] {
+		return // overtaken by the release on another connection
+	}
+	delete(b.released, key)
 	if r.Release {
 		b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == key })
 		delete(b.sessions, key)
+		b.released[key], b.shrunk = r.Seq, true
 		return
 	}
 	if !r.Relay && r.Applied == 0 {
@@ -140,10 +150,11 @@
 		return Round{}, false
 	}
 	b.giveUp(now)
-	if len(b.waiting) == 0 {
+	if len(b.waiting) == 0 && !b.shrunk {
 		return Round{}, false
 	}
 	b.expire(now)
+	b.shrunk = false
 	b.rounds++
 	b.round = b.rounds
 	b.inRound, b.waiting = b.waiting, nil
@@ -237,6 +248,12 @@
 	for key := range b.sessions {
 		if !key.relay && key.id.Host == id.Host && key.id.Incarnation < id.Incarnation {
 			delete(b.sessions, key)
+			b.shrunk = true
+		}
+	}
+	for key := range b.released {
+		if key.id.Host == id.Host && key.id.Incarnation < id.Incarnation {
+			delete(b.released, key)
 		}
 	}
 }
@@ -244,6 +261,7 @@
 // Release ends the leases of a process that has stopped to act.
 func (b *Broker) Release(id ID) {
 	delete(b.sessions, sessionKey{id: id})
+	b.shrunk = true
 }
 
 // Held reports which of the processes may hold a valid lease.
@@ -341,6 +359,18 @@
 }
 
 // holders returns the processes that may hold a valid lease, in order.
+// Slowest returns the process, or the relay, whose leases allow to act on the
+// least revision.
+func (b *Broker) Slowest() (id ID, revision uint64) {
+	revision = math.MaxUint64
+	for key, s := range b.sessions {
+		if len(s.holders) > 0 && s.applied < revision {
+			id, revision = key.id, s.applied
+		}
+	}
+	return id, revision
+}
+
 func (b *Broker) holders() []ID {
 	var ids []ID
 	for _, s := range b.sessions {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -263,4 +263,37 @@
 	if !h.ValidUntil(9).IsZero() {
 		t.Error("the host took a lease that it had released")
 	}
+	b.Receive(now, id, r) // overtaken on another connection
+	if got := b.Settle(now, 12, Electorate{}); got != 12 {
+		t.Errorf("settled %d after a request that was overtaken", got)
+	}
+	b.Receive(now, id, h.Renew(now, 13))
+	if got := b.Settle(now, 20, Electorate{}); got != 13 {
+		t.Errorf("settled %d with the host back", got)
+	}
+}
+
+// TestARelayTellsOfAReleaseThatLeavesItEmpty lets the only holder behind a relay
+// turn away.
+func TestARelayTellsOfAReleaseThatLeavesItEmpty(t *testing.T) {
+	now := time.Unix(100, 0)
+	leader, relay, h := NewBroker(DefaultConfig(), 0), NewBroker(DefaultConfig(), 0), NewHolder(DefaultConfig(), 40)
+	id, via := ID{"h", 1}, ID{"c", 1}
+	pass := func(round Round, ok bool) {
+		t.Helper()
+		if !ok {
+			t.Fatal("the relay has nothing to tell")
+		}
+		leader.Receive(now, via, Renew{Seq: round.ID, Applied: round.Applied, Relay: true, Holders: round.Holders, Base: round.Base})
+		r, _ := leader.Begin(now)
+		leader.Finish(r.ID, 4, 0)
+		relay.Finish(round.ID, 4, 0)
+	}
+	relay.Receive(now, id, h.Renew(now, 4))
+	pass(relay.Begin(now))
+	relay.Receive(now, id, h.Release())
+	pass(relay.Begin(now))
+	if got := leader.Settle(now, 9, Electorate{}); got != 9 {
+		t.Errorf("settled %d while nobody holds a lease", got)
+	}
 }
