Pace statements to endpoints that answer late

Cause: while both replicas of a service lag, all its reads go to the primary, which runs five statements at once; the hosts together sent it some 30 to 50, so that everything waited in its own queue in order of arrival, and nothing there can be put first or given up.

Change: package pacing. Each host compares the time of its statements at an endpoint with the usual time of their route and kind, and lets fewer go there at once while they take 50 ms more. The others wait in the admission queue, where reads that may be old wait behind others of their class.

A simulation of nine hosts before five slots at 1.5 times their capacity keeps the endpoint's queue below 100 ms at 95% use, and adds less than 20 ms at 0.7 of it.

--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -8,6 +8,7 @@
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/connpool"
+	"github.com/galenabridge/galenabridge/internal/pacing"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
@@ -47,10 +48,12 @@
 	behindUntil time.Time
 	position    Position
 	gone        bool
+	// pace bounds the statements in progress by the time that they take.
+	pace *pacing.Limit
 }
 
 func newEndpoint(srv *Server, e agreed.Endpoint, limit int) *endpoint {
-	ep := &endpoint{record: e, srv: srv}
+	ep := &endpoint{record: e, srv: srv, pace: pacing.NewLimit(pacing.DefaultConfig())}
 	ep.pool = connpool.New(ep.dial, limit)
 	return ep
 }
@@ -94,6 +97,21 @@
 	e.position = later(e.position, p)
 }
 
+// took notes by how much a statement took longer than usual.
+func (e *endpoint) took(now time.Time, excess time.Duration) {
+	most := e.srv.mostSlots(e.record.Service, e.record.ID)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pace.Observe(now, excess, most)
+}
+
+// allowed returns how many of most statements may be in progress.
+func (e *endpoint) allowed(most int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pace.Allowed(most)
+}
+
 // behind notes that the endpoint lacked a position.
 func (e *endpoint) behind(now time.Time) {
 	e.mu.Lock()
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -157,12 +157,21 @@
 	l.endpoint.pool.Release(l.conn, sound)
 }
 
+// admissionClass returns the class in which the route's statements wait. Reads
+// that may be old have more time than others of their class.
+func admissionClass(route note.Route) note.Class {
+	if route.Policy == note.ReadBounded && route.Class == note.ClassCorrection {
+		return note.ClassBulk
+	}
+	return route.Class
+}
+
 // slot waits for a slot of the lease's endpoint.
-func (s *Session) slot(ctx context.Context, c choice, class note.Class) (func(), error) {
+func (s *Session) slot(ctx context.Context, c choice, route note.Route) (func(), error) {
 	deadline, _ := ctx.Deadline()
 	return s.srv.gate.Enter(ctx, gate.Admission{
 		Endpoint: c.endpoint.record.ID, Service: c.endpoint.record.Service, Workspace: s.workspace,
-		Weight: 1, Class: class, Deadline: deadline,
+		Weight: 1, Class: admissionClass(route), Deadline: deadline,
 	})
 }
 
@@ -224,7 +233,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, queueWait(op.route))
 	defer cancel()
-	leave, err := s.slot(ctx, c, op.route.Class)
+	leave, err := s.slot(ctx, c, op.route)
 	if err != nil {
 		return nil, asResult(err, result.DeadlineInQueue)
 	}
@@ -300,16 +309,25 @@
 	return Command{Statement: st, After: after}
 }
 
+// takesSlot reports whether an endpoint runs a statement in one of its slots.
+func takesSlot(kind Kind) bool {
+	return kind == Read || kind == Write || kind == Execute || kind == Commit
+}
+
 // exchange sends a statement and notes what its answer tells.
 func (s *Session) exchange(l *lease, route note.Route, c Command) (Answer, bool, error) {
 	timeout := time.Duration(route.Timeout) * time.Millisecond
 	at, sentAt := clock.Now(), time.Now()
 	answers, sent, err := l.conn.Exchange(sentAt.Add(timeout), c)
-	s.srv.metrics.backend.WithLabelValues(string(route.Class)).Observe(time.Since(sentAt).Seconds())
+	took := time.Since(sentAt)
+	s.srv.metrics.backend.WithLabelValues(string(route.Class)).Observe(took.Seconds())
 	if err != nil {
 		return Answer{}, sent, err
 	}
 	a := answers[0]
+	if a.Err == nil && takesSlot(c.Kind) {
+		l.endpoint.took(at, s.srv.excess(route, c.Kind, took))
+	}
 	l.endpoint.seen(a.Position)
 	if l.primary && s.srv.holds(l.choice) && (a.Err == nil || a.Err.Code != result.EndpointReadOnly) {
 		s.srv.fresh.observe(route.Service, l.term, at, a.Position)
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -15,6 +15,8 @@
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/limits"
+	"github.com/galenabridge/galenabridge/internal/note"
+	"github.com/galenabridge/galenabridge/internal/pacing"
 	"github.com/galenabridge/galenabridge/internal/view"
 )
 
@@ -60,6 +62,7 @@
 	fresh   *freshness
 
 	mu        sync.Mutex
+	usual     *pacing.Usual
 	endpoints map[string]*endpoint
 	sessions  map[*Session]struct{}
 
@@ -74,7 +77,7 @@
 // NewServer returns a Server that Run must drive.
 func NewServer(opts Options) *Server {
 	s := &Server{
-		opts: opts, metrics: newMetrics(opts.Registerer), fresh: newFreshness(),
+		opts: opts, metrics: newMetrics(opts.Registerer), fresh: newFreshness(), usual: pacing.NewUsual(),
 		endpoints: make(map[string]*endpoint), sessions: make(map[*Session]struct{}),
 	}
 	s.gate = gate.New(admit.PolicyFair, s.slots)
@@ -90,9 +93,28 @@
 // slots is how many statements of this host run, or wait for a connection, at
 // once on an endpoint. The others wait in the order of the gate.
 func (s *Server) slots(service, id string) int {
+	most := s.mostSlots(service, id)
+	s.mu.Lock()
+	e := s.endpoints[id]
+	s.mu.Unlock()
+	if e == nil {
+		return most
+	}
+	return e.allowed(most)
+}
+
+func (s *Server) mostSlots(service, id string) int {
 	return waitersPerConnection * max(s.opts.Connections(service, id), 1)
 }
 
+// excess notes the time of a statement and returns by how much it is above the
+// usual of its route and kind.
+func (s *Server) excess(route note.Route, kind Kind, took time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usual.Excess(route.Database+" "+kind.String(), took)
+}
+
 // Run follows the agreed state until ctx ends, then closes all connections.
 func (s *Server) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -119,7 +119,7 @@
 func (s *Session) enter(deadline time.Time) *result.Error {
 	ctx, cancel := context.WithDeadline(s.srv.ctx, deadline)
 	defer cancel()
-	leave, err := s.slot(ctx, s.tx.lease.choice, s.tx.route.Class)
+	leave, err := s.slot(ctx, s.tx.lease.choice, s.tx.route)
 	if err != nil {
 		return asResult(err, result.DeadlineInQueue)
 	}
--- /dev/null
+++ b/internal/pacing/sim_test.go
@@ -0,0 +1,178 @@
+package pacing
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// sim runs hosts before one endpoint with slots and a queue in order of arrival.
+type sim struct {
+	rng    *rand.Rand
+	now    time.Duration
+	events []simEvent
+	order  int
+
+	slots   int
+	running int
+	queue   []job
+	hosts   []*simHost
+	most    int
+
+	// atEndpoint and atHost are the times that statements waited in the queues.
+	atEndpoint, atHost time.Duration
+	served             int
+	busy               time.Duration
+}
+
+type simEvent struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type simHost struct {
+	rate    float64 // statements a second
+	limit   *Limit
+	usual   *Usual
+	waiting []time.Duration // arrivals
+	running int
+}
+
+type job struct {
+	host *simHost
+	sent time.Duration
+	work time.Duration
+}
+
+const (
+	simSlots = 5
+	// simWork is the mean time of a statement.
+	simWork = 35 * time.Millisecond
+)
+
+func newSim(seed uint64, load float64, rates []float64) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), slots: simSlots, most: 9}
+	total := 0.0
+	for _, r := range rates {
+		total += r
+	}
+	for _, r := range rates {
+		h := &simHost{rate: load * simSlots / simWork.Seconds() * r / total, limit: NewLimit(DefaultConfig()), usual: NewUsual()}
+		s.hosts = append(s.hosts, h)
+		for range 2 * batch { // usual times from before
+			h.usual.Excess("read", s.draw())
+		}
+		s.arrive(h)
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.order++
+	e := simEvent{at: s.now + d, order: s.order, run: run}
+	i, _ := slices.BinarySearchFunc(s.events, e, func(a, b simEvent) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order))
+	})
+	s.events = slices.Insert(s.events, i, e)
+}
+
+// draw returns a log-normal time with a spread of 0.7.
+func (s *sim) draw() time.Duration {
+	return time.Duration(float64(simWork) * math.Exp(0.7*s.rng.NormFloat64()-0.245))
+}
+
+func (s *sim) arrive(h *simHost) {
+	s.after(time.Duration(s.rng.ExpFloat64()/h.rate*float64(time.Second)), func() {
+		h.waiting = append(h.waiting, s.now)
+		if len(h.waiting) > 50 {
+			h.waiting = h.waiting[1:] // gives up
+		}
+		s.pump(h)
+		s.arrive(h)
+	})
+}
+
+func (s *sim) pump(h *simHost) {
+	for len(h.waiting) > 0 && h.running < h.limit.Allowed(s.most) {
+		s.atHost += s.now - h.waiting[0]
+		h.waiting = h.waiting[1:]
+		h.running++
+		s.queue = append(s.queue, job{host: h, sent: s.now, work: s.draw()})
+	}
+	s.start()
+}
+
+func (s *sim) start() {
+	for len(s.queue) > 0 && s.running < s.slots {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		s.running++
+		s.atEndpoint += s.now - j.sent
+		s.busy += j.work
+		s.after(j.work, func() {
+			s.running--
+			s.served++
+			j.host.running--
+			took := s.now - j.sent
+			j.host.limit.Observe(time.Unix(0, int64(s.now)), j.host.usual.Excess("read", took), s.most)
+			s.start()
+			s.pump(j.host)
+		})
+	}
+}
+
+func (s *sim) run(d time.Duration) {
+	for s.now < d {
+		next := s.events[0]
+		s.events = s.events[1:]
+		s.now = next.at
+		next.run()
+	}
+}
+
+// uneven are the shares of nine hosts' load.
+var uneven = []float64{1, 1, 2, 3, 1, 2, 1, 4, 2}
+
+// TestOverloadWaitsAtTheHosts offers half as much again as the endpoint can run.
+func TestOverloadWaitsAtTheHosts(t *testing.T) {
+	const length = 20 * time.Second
+	for seed := range uint64(5) {
+		s := newSim(seed, 1.5, uneven)
+		s.run(length)
+		wait := s.atEndpoint / time.Duration(s.served)
+		used := s.busy.Seconds() / (simSlots * length.Seconds())
+		if wait > 2*DefaultConfig().High || used < 0.95 {
+			t.Errorf("seed %d: %v in the endpoint's queue, %.2f of its slots used", seed, wait, used)
+		}
+	}
+}
+
+// TestAUsualLoadDoesNotWait offers 0.7 of what the endpoint can run.
+func TestAUsualLoadDoesNotWait(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(seed, 0.7, uneven)
+		s.run(20 * time.Second)
+		if wait := s.atHost / time.Duration(s.served); wait > 20*time.Millisecond {
+			t.Errorf("seed %d: %v in the queues of the hosts", seed, wait)
+		}
+	}
+}
+
+// TestTheBoundEndsWithTheQueue brings the load back to the usual.
+func TestTheBoundEndsWithTheQueue(t *testing.T) {
+	s := newSim(1, 1.5, uneven)
+	s.run(10 * time.Second)
+	for _, h := range s.hosts {
+		h.rate /= 3
+	}
+	s.run(25 * time.Second)
+	for i, h := range s.hosts {
+		if n := h.limit.Allowed(s.most); n < s.most/2 {
+			t.Errorf("host %d may still have only %d in progress", i, n)
+		}
+	}
+}
