Let as many statements in as there are connections, ready workspaces first

Change: one slot for each connection. Of the workspaces whose turn is less than 100 ms of slot time away, one with a free connection goes first. Connections are returned before their slot.

--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -81,14 +82,15 @@
 	c.active = slices.Delete(c.active, i, i+1)
 }
 
-// pop serves the flow with the lowest start tag; ties go to the name.
-func (c *classQueue) pop() *waiter {
+// pop serves the flow with the lowest start tag, or a ready one that is little
+// behind it; ties go to the name.
+func (c *classQueue) pop(ready func(workspace string) bool) *waiter {
 	if len(c.active) == 0 {
 		return nil
 	}
-	next := c.active[0]
-	for _, f := range c.active[1:] {
-		if f.start < next.start || (f.start == next.start && f.workspace < next.workspace) {
+	next := c.first(nil, math.Inf(1))
+	if ready != nil && !ready(next.workspace) {
+		if f := c.first(ready, next.start+ReadySlack.Seconds()); f != nil {
 			next = f
 		}
 	}
@@ -103,6 +105,21 @@
 	return w
 }
 
+// first returns the flow with the lowest start tag below most, of those that are
+// ready if that matters, or nil.
+func (c *classQueue) first(ready func(workspace string) bool, most float64) *flow {
+	var next *flow
+	for _, f := range c.active {
+		if f.start > most || next != nil && (f.start > next.start || f.start == next.start && f.workspace > next.workspace) {
+			continue
+		}
+		if ready == nil || ready(f.workspace) {
+			next = f
+		}
+	}
+	return next
+}
+
 func (c *classQueue) charge(r Request) time.Duration { return c.flows[r.Workspace].cost }
 
 // settle replaces the charged slot time by the time that was used.
@@ -168,12 +185,12 @@
 	}
 	for _, fl := range f.floors {
 		if fl.due(l) && f.mayStart(fl.class, l) {
-			return f.classes[fl.class].pop()
+			return f.classes[fl.class].pop(f.cfg.Ready)
 		}
 	}
 	for _, class := range precedence {
 		if f.mayStart(class, l) {
-			return f.classes[class].pop()
+			return f.classes[class].pop(f.cfg.Ready)
 		}
 	}
 	return nil
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -46,8 +46,17 @@
 	// With more than one slot, one is always left to the other classes. With
 	// one slot, a bulk request may run beside one of another class.
 	BulkCap float64
+	// Ready reports whether a request of a workspace can start without delay, as
+	// when a connection of the workspace is free; nil: all can. Within ReadySlack
+	// such workspaces go first.
+	Ready func(workspace string) bool
 }
 
+// ReadySlack is the slot time by which a workspace may be served ahead of its fair
+// share because it is ready. It is a few statements: opening a connection takes
+// the endpoint the slot time of a third of one.
+const ReadySlack = 100 * time.Millisecond
+
 // DefaultConfig returns a fair queue for the given number of slots.
 func DefaultConfig(slots int) Config {
 	return Config{
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -151,10 +151,11 @@
 	}
 }
 
-// release gives the slot and the connection back; a doubtful one is closed.
+// release gives the connection and the slot back, so that whoever gets the slot
+// finds the connection; a doubtful one is closed.
 func (l *lease) release(sound bool) {
-	l.free()
 	l.endpoint.pool.Release(l.conn, sound)
+	l.free()
 }
 
 // admissionClass returns the class in which the route's statements wait. Reads
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -80,18 +80,13 @@
 		opts: opts, metrics: newMetrics(opts.Registerer), fresh: newFreshness(), usual: pacing.NewUsual(),
 		endpoints: make(map[string]*endpoint), sessions: make(map[*Session]struct{}),
 	}
-	s.gate = gate.New(admit.PolicyFair, s.slots)
+	s.gate = gate.New(admit.PolicyFair, s.slots, s.ready)
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s
 }
 
-// waitersPerConnection is how many requests the gate lets wait for each
-// connection, so that one of the workspace that a connection serves is among
-// them.
-const waitersPerConnection = 3
-
-// slots is how many statements of this host run, or wait for a connection, at
-// once on an endpoint. The others wait in the order of the gate.
+// slots is how many statements of this host run on an endpoint at once, each on a
+// connection. The others wait in the order of the gate.
 func (s *Server) slots(service, id string) int {
 	most := s.mostSlots(service, id)
 	s.mu.Lock()
@@ -104,7 +99,15 @@
 }
 
 func (s *Server) mostSlots(service, id string) int {
-	return waitersPerConnection * max(s.opts.Connections(service, id), 1)
+	return max(s.opts.Connections(service, id), 1)
+}
+
+// ready reports whether a connection of the workspace to the endpoint is free.
+func (s *Server) ready(id, workspace string) bool {
+	s.mu.Lock()
+	e := s.endpoints[id]
+	s.mu.Unlock()
+	return e != nil && e.pool.IdleWith(workspace)
 }
 
 // excess notes the time of a statement and returns by how much it is above the
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -98,7 +98,7 @@
 		s.limiter = Unlimited{}
 	}
 	if s.gate == nil {
-		s.gate = gate.New(s.opts.gatePolicy(), s.opts.slots())
+		s.gate = gate.New(s.opts.gatePolicy(), s.opts.slots(), nil)
 	}
 	if s.positions == nil {
 		s.shared = newSharedPositions(s.opts.View, s.opts.Settings.Host, s.opts.Peers, s.PrimaryStatus)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -27,15 +27,17 @@
 type Gate struct {
 	policy admit.Policy
 	slots  func(service, endpoint string) int
+	ready  func(endpoint, workspace string) bool
 
 	mu    sync.Mutex
 	gates map[string]*endpointGate
 }
 
 // New returns a gate. The slots of this host at an endpoint may change
-// over time.
-func New(policy admit.Policy, slots func(service, endpoint string) int) *Gate {
-	return &Gate{policy: policy, slots: slots, gates: make(map[string]*endpointGate)}
+// over time. Ready reports whether a request of a workspace could start there
+// without delay; nil if that does not matter.
+func New(policy admit.Policy, slots func(service, endpoint string) int, ready func(endpoint, workspace string) bool) *Gate {
+	return &Gate{policy: policy, slots: slots, ready: ready, gates: make(map[string]*endpointGate)}
 }
 
 // Enter waits for a slot until ctx ends. The caller must call leave once the
@@ -65,6 +67,9 @@
 		slots := func() int { return g.slots(a.Service, a.Endpoint) }
 		cfg := admit.DefaultConfig(slots())
 		cfg.Policy = g.policy
+		if g.ready != nil {
+			cfg.Ready = func(workspace string) bool { return g.ready(a.Endpoint, workspace) }
+		}
 		e = &endpointGate{queue: admit.New(cfg), slots: slots, waiting: make(map[uint64]chan error)}
 		g.gates[a.Endpoint] = e
 	}
