Serve the newest of a late queue first, and keep the place of passed flows

Cause: in a queue that is longer than what is served within the target, serving in order of arrival makes every request late.

Change: while the first request of a workspace has waited 100 ms, the newest goes first. The virtual time is that of the flow whose turn it is.

--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -43,7 +43,7 @@
 	flows map[string]*flow
 	// active lists the flows with waiters.
 	active []*flow
-	// now is the virtual time: the start tag of the latest request served.
+	// now is the virtual time: the lowest start tag when a request was last served.
 	now float64
 }
 
@@ -84,20 +84,20 @@
 
 // pop serves the flow with the lowest start tag, or a ready one that is little
 // behind it; ties go to the name.
-func (c *classQueue) pop(ready func(workspace string) bool) *waiter {
+func (c *classQueue) pop(now time.Time, ready func(workspace string) bool) *waiter {
 	if len(c.active) == 0 {
 		return nil
 	}
 	next := c.first(nil, math.Inf(1))
+	// The virtual time is that of the flow whose turn it is: one that is passed
+	// over must not lose its place.
+	c.now = max(c.now, next.start)
 	if ready != nil && !ready(next.workspace) {
 		if f := c.first(ready, next.start+ReadySlack.Seconds()); f != nil {
 			next = f
 		}
 	}
-	w := next.waiters[0]
-	next.waiters[0] = nil
-	next.waiters = next.waiters[1:]
-	c.now = max(c.now, next.start)
+	w := next.take(now)
 	next.finish = next.start + next.cost.Seconds()/w.Weight
 	next.start = next.finish
 	next.running++
@@ -105,6 +105,17 @@
 	return w
 }
 
+// take removes the first waiter, or the newest while the first is late.
+func (f *flow) take(now time.Time) *waiter {
+	at := 0
+	if now.Sub(f.waiters[0].arrived) >= lateAfter {
+		at = len(f.waiters) - 1
+	}
+	w := f.waiters[at]
+	f.waiters = slices.Delete(f.waiters, at, at+1)
+	return w
+}
+
 // first returns the flow with the lowest start tag below most, of those that are
 // ready if that matters, or nil.
 func (c *classQueue) first(ready func(workspace string) bool, most float64) *flow {
@@ -185,12 +196,12 @@
 	}
 	for _, fl := range f.floors {
 		if fl.due(l) && f.mayStart(fl.class, l) {
-			return f.classes[fl.class].pop(f.cfg.Ready)
+			return f.classes[fl.class].pop(now, f.cfg.Ready)
 		}
 	}
 	for _, class := range precedence {
 		if f.mayStart(class, l) {
-			return f.classes[class].pop(f.cfg.Ready)
+			return f.classes[class].pop(now, f.cfg.Ready)
 		}
 	}
 	return nil
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -62,7 +62,7 @@
 	case q.queued[r.Workspace] >= q.cfg.QueueLimit:
 		q.refuse(r.ID, result.QueueFull)
 	default:
-		q.enqueue(r)
+		q.enqueue(now, r)
 	}
 	return q.dispatch(now)
 }
@@ -134,8 +134,8 @@
 	q.effects = append(q.effects, Refuse{ID: id, Code: code})
 }
 
-func (q *Queue) enqueue(r Request) {
-	w := &waiter{Request: r, heapIndex: -1}
+func (q *Queue) enqueue(now time.Time, r Request) {
+	w := &waiter{Request: r, arrived: now, heapIndex: -1}
 	q.waiting[r.ID] = w
 	q.queued[r.Workspace]++
 	if !r.Deadline.IsZero() {
--- a/internal/admit/queue_test.go
+++ b/internal/admit/queue_test.go
@@ -408,3 +408,64 @@
 		t.Fatalf("%d of 20 starts went to the workspace that was idle: %v", served, order)
 	}
 }
+
+// TestTheNewestGoesFirstWhileTheOldestIsLate fills one slot and lets three
+// requests of one workspace wait.
+func TestTheNewestGoesFirstWhileTheOldestIsLate(t *testing.T) {
+	for _, c := range []struct {
+		waited time.Duration
+		next   uint64
+	}{{lateAfter / 2, 2}, {lateAfter, 4}} {
+		now := time.Unix(100, 0)
+		q := New(DefaultConfig(1))
+		for id := range uint64(4) {
+			q.Arrive(now, Request{ID: id + 1, Workspace: "w", Class: note.ClassInteractive})
+		}
+		effects := q.Done(now.Add(c.waited), 1)
+		if len(effects) != 1 || effects[0] != (Start{ID: c.next}) {
+			t.Errorf("after %v: %v, want request %d", c.waited, effects, c.next)
+		}
+	}
+}
+
+// TestReadyWorkspacesGoFirstForAWhile keeps two workspaces waiting for one slot
+// and connection, which serves one workspace at a time: they take turns of several
+// requests, and both get their share.
+func TestReadyWorkspacesGoFirstForAWhile(t *testing.T) {
+	const cost = 30 * time.Millisecond
+	now := time.Unix(100, 0)
+	cfg := DefaultConfig(1)
+	connected := ""
+	cfg.Ready = func(workspace string) bool { return workspace == connected }
+	q := New(cfg)
+	id := uint64(0)
+	workspaces := map[uint64]string{}
+	arrive := func(workspace string) []Effect {
+		id++
+		workspaces[id] = workspace
+		return q.Arrive(now, Request{ID: id, Workspace: workspace, Class: note.ClassInteractive})
+	}
+	running := arrive("a")[0].(Start).ID
+	for range 3 {
+		arrive("b")
+		arrive("a")
+	}
+	served, changes := map[string]int{}, 0
+	for range 100 {
+		now = now.Add(cost)
+		was := workspaces[running]
+		connected = was
+		served[was]++
+		arrive(was)
+		running = q.Done(now, running)[0].(Start).ID
+		if workspaces[running] != was {
+			changes++
+		}
+	}
+	if served["a"] < 40 || served["b"] < 40 {
+		t.Errorf("served %v", served)
+	}
+	if changes > 50 {
+		t.Errorf("%d changes of the workspace in 100 requests", changes)
+	}
+}
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -100,9 +100,16 @@
 // waiter is a request in the queue.
 type waiter struct {
 	Request
+	arrived   time.Time
 	heapIndex int
 }
 
+// lateAfter is how long the first request of a workspace may wait while the order
+// of arrival holds. A workspace with a longer queue gets more requests than it can
+// have served: then the newest go first, which are served in time, and the oldest
+// are refused at their deadline.
+const lateAfter = 100 * time.Millisecond
+
 // runner is a request that holds a slot.
 type runner struct {
 	request Request
