Let requests in progress end before a planned switchover

Cause: a failure domain that is taken out makes hosts give its primary no new writes, but the term was sealed at once.

Change: a planned switchover waits 250 ms for requests in progress where a write is acknowledged under the term. A primary that is lost is replaced at once.

--- a/internal/failover/active.go
+++ b/internal/failover/active.go
@@ -21,9 +21,13 @@
 	}
 	cause, due := m.switchoverCause()
 	if !due {
+		m.dueAt = time.Time{}
 		m.report("")
 		return
 	}
+	if m.dueAt.IsZero() {
+		m.dueAt = now
+	}
 	if !m.hasSuccessor(now) {
 		m.report(cause + "; no other member in use can be reached")
 		return
@@ -32,6 +36,10 @@
 		m.report(cause + "; waiting before the next switchover")
 		return
 	}
+	if m.view.Ack != note.AckReplicas && now.Sub(m.dueAt) < m.cfg.DrainTime {
+		m.report(cause + "; waiting for requests in progress")
+		return
+	}
 	if !now.Before(m.busyUntil) {
 		m.switched = now
 	}
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -41,7 +41,9 @@
 	unanswered uint64
 	// avoid lists candidates of this term that failed to be promoted.
 	avoid map[string]bool
-	// switched is when a planned switchover was last begun.
+	// dueAt is since when the primary has had to leave its place, switched when a
+	// planned switchover was last begun.
+	dueAt    time.Time
 	switched time.Time
 	reason   string
 
@@ -114,6 +116,7 @@
 	m.busyUntil = time.Time{}
 	m.asked = time.Time{}
 	m.majorityAt = time.Time{}
+	m.dueAt = time.Time{}
 	if m.view.Group.Phase == agreed.PhaseActive {
 		clear(m.reports)
 	}
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -295,6 +295,29 @@
 	expect(r, Choose{Service: "s", Term: 2, Candidate: "b", Attempt: 1})
 }
 
+// TestSwitchoverWaitsForRequestsInProgress takes the primary's failure domain out
+// while its hosts have writes on their way.
+func TestSwitchoverWaitsForRequestsInProgress(t *testing.T) {
+	r := newRig(t, threeDomains)
+	for _, e := range []string{"b", "c"} {
+		r.seeFor(0, replica(1), e, threeDomains...)
+	}
+	r.view.Members[0].DomainOut = true
+	r.send(r.view)
+	r.pass(DefaultConfig().DrainTime / 2)
+	expectNone[Seal](r)
+	r.pass(DefaultConfig().DrainTime)
+	if _, ok := last[Seal](r); !ok {
+		t.Error("no seal for the switchover")
+	}
+	r = newRig(t, threeDomains)
+	r.view.Members[0].DomainOut = true
+	r.seeFor(time.Second, down, "a", threeDomains...)
+	if s, ok := last[Seal](r); !ok || !strings.Contains(s.Reason, "lost") {
+		t.Errorf("a lost primary is not replaced at once: %+v", s)
+	}
+}
+
 func TestSwitchoverWaitIsBounded(t *testing.T) {
 	r := newRig(t, threeDomains)
 	r.view.Members[0].DomainOut = true
--- a/internal/failover/types.go
+++ b/internal/failover/types.go
@@ -61,6 +61,10 @@
 	// CatchUpTimeout bounds the wait of a planned switchover for a replica
 	// that holds the last position of the primary.
 	CatchUpTimeout time.Duration
+	// DrainTime is how long a planned switchover waits for requests in progress.
+	// Hosts give a primary that has to move no new work, but what they have sent it
+	// is acknowledged only under its term, once a majority has it.
+	DrainTime time.Duration
 	// SwitchoverRetry is the time between two planned switchovers of a group.
 	SwitchoverRetry time.Duration
 	// FormGrace is how long a new group waits for its missing members once a
@@ -91,6 +95,7 @@
 		PromoteTimeout:   8 * time.Second,
 		SecondBestGrace:  time.Second,
 		CatchUpTimeout:   3 * time.Second,
+		DrainTime:        250 * time.Millisecond,
 		SwitchoverRetry:  3 * time.Second,
 		FormGrace:        3 * time.Second,
 		BestGrace:        300 * time.Millisecond,
