Estimate the wait for a rate from the next token

Cause: a request of a workspace over its rate was told to come back after the time of a whole token, although the next one may be due in a moment.

Change: the estimate is the time until the next token and that of those ahead.

Conclusion: kept, since the time that callers are told is truer.

--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -28,6 +28,8 @@
 	// over tells that the demand of the fleet has been above the workspace's rate
 	// for long.
 	over bool
+	// next is when the next token is expected.
+	next time.Time
 }
 
 type waiter struct {
@@ -74,7 +76,7 @@
 			h.quota.Withdraw(key, 1)
 			return nil, nil
 		}
-		q = &queue{over: decision.Over}
+		q = &queue{over: decision.Over, next: now.Add(min(decision.Wait, floor.wait()))}
 		h.queues[workspace] = q
 	}
 	deadline := now.Add(idleWait)
@@ -111,7 +113,7 @@
 	if rate <= 0 {
 		return 0, false
 	}
-	wait := time.Duration(float64(len(q.waiters)+1) / rate * float64(time.Second))
+	wait := max(q.next.Sub(now), 0) + time.Duration(float64(len(q.waiters))/rate*float64(time.Second))
 	return wait, now.Add(wait).After(deadline)
 }
 
@@ -180,7 +182,9 @@
 		q.over = decision.Over
 		if !decision.Granted {
 			if !floor.take(now) {
-				return min(decision.Wait, floor.wait())
+				wait := min(decision.Wait, floor.wait())
+				q.next = now.Add(wait)
+				return wait
 			}
 			h.quota.Withdraw(rateKey(workspace), 1)
 		}
