Leave half of a contended rate with its owner

Change: while the demand is above a rate, half of it stays with the owner, who hands its tokens to whoever is short, if the burst covers half a second of the rate.

--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -36,6 +36,16 @@
 // round trip or two (100 ms each).
 const openingTime = 400 * time.Millisecond
 
+// contendedPool is the part of a rate that stays with the owner while the demand is
+// above it. Holders that are short ask for its tokens, which so reach whoever has
+// requests; the tokens of a full share are lost.
+const contendedPool = 0.5
+
+// poolTime is the least time of its rate that a burst must cover for that: what
+// the owner hands out between two requests of a holder (askInterval) is bounded by
+// the burst.
+const poolTime = 5 * askInterval
+
 // minBurst is the smallest useful share: a bucket must hold one token.
 const minBurst = 1
 
@@ -258,6 +268,9 @@
 		capacity = k.limit.Burst
 	}
 	if k.demand > capacity {
+		if k.limit.Rate > 0 && k.limit.Burst >= k.limit.Rate*poolTime.Seconds() {
+			capacity *= 1 - contendedPool
+		}
 		return capacity * g.demand / k.demand
 	}
 	spare := capacity - k.demand
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -269,3 +269,25 @@
 		t.Fatalf("the second holder got %v of 4 units after the first ended", got)
 	}
 }
+
+// TestImpatientCallersUseASmallRate offers twice a rate of a few tokens a second
+// for each host, by callers who wait for a tenth of a second: seven eighths of the
+// rate are to be used.
+func TestImpatientCallersUseASmallRate(t *testing.T) {
+	const rate = 20.0
+	used := 0.0
+	const seeds = 5
+	for seed := range uint64(seeds) {
+		f := newFleet(seed, 3, 9, map[string]Limit{"workspace/a": {Rate: rate, Burst: rate}})
+		l := newLoad(f, "workspace/a", 2*rate)
+		l.patient = 100 * time.Millisecond
+		l.run(rand.New(rand.NewPCG(seed, 9)), 60*time.Second)
+		used += float64(l.served) / (rate * 60) / seeds
+		if v := f.violation(); v != "" {
+			t.Error(v)
+		}
+	}
+	if used < 7.0/8 {
+		t.Errorf("used %.2f of the rate", used)
+	}
+}
