Give up requests to a control host that is suspended

The leader is frozen for 7 s while a part of the hosts is cut off. When both end, at 9.5 s, the former leader reads requests from before, of hosts that had turned away and of relays, and passes them on: their revision of then holds the registration of every host that returns back for 2 s (registration_waits for the former leader, leases at 11.6 to 11.9 s).

Change: a host that turns to another control host gives up what is on its way also while it keeps a lease. A control host that does not lead takes no requests of relays, and drops those that it has when it ceases to lead.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -216,6 +216,7 @@
 	h.leading, h.confirmed = false, false
 	h.reads.failAll()
 	h.broker.Abort()
+	h.broker.Follow()
 	h.failover.stop()
 	h.failover = nil
 }
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -27,6 +27,9 @@
 }
 
 func (e renewEvent) handle(h *Host, now time.Time) {
+	if e.renew.Relay && !h.leading {
+		return // the relay will learn who leads
+	}
 	id := lease.ID{Host: e.from.Host, Incarnation: e.from.Incarnation}
 	h.broker.Receive(now, id, e.renew)
 	switch {
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -174,18 +174,18 @@
 	}
 }
 
-// turn makes another control host the upstream. A host without a valid lease
-// gives up what is on its way from the former one, which would otherwise count
-// for the revision that it names now.
+// turn makes another control host the upstream. The host gives up what is on its
+// way from the former one, which would otherwise count for the revision that it
+// names now; a valid lease it keeps.
 func (s *Subscriber) turn(now time.Time, next config.ControlHost) {
 	former := s.control()
 	s.choose(next)
 	s.heard, s.renewed = now, time.Time{}
 	s.metrics.turns.Inc()
-	if s.leased || former == next {
+	if former == next {
 		return
 	}
-	if err := s.opts.Peer.Send(former.Host, former.Addr, peer.KindRenew, s.holder.Release()); err != nil {
+	if err := s.opts.Peer.Send(former.Host, former.Addr, peer.KindRenew, s.holder.Release(s.leased)); err != nil {
 		s.log.Debug("release_failed", "control", former.Host, "err", err.Error())
 	}
 }
--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -106,9 +106,7 @@
 	}
 	delete(b.released, key)
 	if r.Release {
-		b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == key })
-		delete(b.sessions, key)
-		b.released[key], b.shrunk = r.Seq, true
+		b.release(key, r)
 		return
 	}
 	if !r.Relay && r.Applied == 0 {
@@ -139,6 +137,19 @@
 }
 
 // await lets a request wait for the next round, in place of an earlier one.
+// release ends the requests of a holder that has turned to another broker, and
+// its lease unless it keeps that.
+func (b *Broker) release(key sessionKey, r Renew) {
+	b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == key })
+	b.inRound = slices.DeleteFunc(b.inRound, func(w request) bool { return w.key == key })
+	b.released[key], b.shrunk = r.Seq, true
+	if s := b.sessions[key]; s != nil && r.Keeps {
+		s.pending = false
+		return
+	}
+	delete(b.sessions, key)
+}
+
 func (b *Broker) await(now time.Time, key sessionKey, seq uint64) {
 	b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == key })
 	b.waiting = append(b.waiting, request{key: key, seq: seq, at: now})
@@ -317,6 +328,20 @@
 	return b.settled
 }
 
+// Follow drops the requests and leases of relays, once the host does not lead any
+// more: relays ask the leader, and a new one counts or waits for all leases.
+func (b *Broker) Follow() {
+	ofRelay := func(w request) bool { return w.key.relay }
+	b.waiting = slices.DeleteFunc(b.waiting, ofRelay)
+	b.inRound = slices.DeleteFunc(b.inRound, ofRelay)
+	for key := range b.sessions {
+		if key.relay {
+			delete(b.sessions, key)
+			b.shrunk = true
+		}
+	}
+}
+
 // Learn takes a settled revision reported by the leader.
 func (b *Broker) Learn(settled uint64) { b.settled = max(b.settled, settled) }
 
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -36,13 +36,16 @@
 	return Renew{Seq: h.seq, Applied: applied}
 }
 
-// Release gives up all leases, also those that are on their way, and returns what
-// tells the broker so. Where nothing is told, the broker counts them to their end.
-func (h *Holder) Release() Renew {
+// Release gives up the leases that are on their way, and those in use unless they
+// are kept. It returns what tells the broker so: a broker that is not told, or was
+// suspended, counts each request as a lease from when it reads it.
+func (h *Holder) Release(keep bool) Renew {
 	h.seq++
 	clear(h.sent)
-	h.grants = nil
-	return Renew{Seq: h.seq, Release: true}
+	if !keep {
+		h.grants = nil
+	}
+	return Renew{Seq: h.seq, Release: true, Keeps: keep}
 }
 
 // Granted takes an answer. Answers to unknown requests are ignored.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -64,9 +64,11 @@
 	// Base is set in place of Holders when they are those of the answered
 	// request with that number.
 	Base uint64 `cbor:"5,keyasint,omitempty"`
-	// Release tells that the sender uses no lease of this broker any more, nor one
-	// that is still on its way.
+	// Release tells that the sender takes no lease from an answer that is still on
+	// its way. Unless it Keeps those that it has, it uses no lease of this broker any
+	// more.
 	Release bool `cbor:"6,keyasint,omitempty"`
+	Keeps   bool `cbor:"7,keyasint,omitempty"`
 }
 
 // RenewOK grants what the Renew with the same Seq asked for.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -253,7 +253,7 @@
 	r := h.Renew(now, 4)
 	b.Receive(now, id, r)
 	round, _ := b.Begin(now)
-	b.Receive(now, id, h.Release())
+	b.Receive(now, id, h.Release(false))
 	if got := b.Settle(now, 9, Electorate{}); got != 9 {
 		t.Errorf("settled %d", got)
 	}
@@ -291,9 +291,50 @@
 	}
 	relay.Receive(now, id, h.Renew(now, 4))
 	pass(relay.Begin(now))
-	relay.Receive(now, id, h.Release())
+	relay.Receive(now, id, h.Release(false))
 	pass(relay.Begin(now))
 	if got := leader.Settle(now, 9, Electorate{}); got != 9 {
 		t.Errorf("settled %d while nobody holds a lease", got)
 	}
 }
+
+// TestASuspendedBrokerCountsNoRequestThatWasGivenUp reads, after a suspension, the
+// requests of holders that have turned to another broker with a lease in use.
+func TestASuspendedBrokerCountsNoRequestThatWasGivenUp(t *testing.T) {
+	now := time.Unix(100, 0)
+	b, h, id := NewBroker(DefaultConfig(), 0), NewHolder(DefaultConfig(), 40), ID{"h", 1}
+	r := h.Renew(now, 4)
+	b.Receive(now, id, r)
+	round, _ := b.Begin(now)
+	for _, a := range b.Finish(round.ID, 4, 4) {
+		h.Granted(a.OK)
+	}
+	unread := []Renew{h.Renew(now, 4), h.Release(true)}
+	if h.ValidUntil(4).IsZero() {
+		t.Fatal("the host gave up the lease that it uses")
+	}
+	if got := b.Settle(now, 9, Electorate{}); got != 4 {
+		t.Fatalf("settled %d while the lease is in use", got)
+	}
+	later := now.Add(DefaultConfig().counted())
+	for _, r := range unread {
+		b.Receive(later, id, r)
+	}
+	if got := b.Settle(later, 9, Electorate{}); got != 9 {
+		t.Errorf("settled %d by requests that were given up", got)
+	}
+}
+
+// TestAFormerLeaderDropsWhatRelaysAskedIt reads the request of a relay after a
+// suspension, before it learns that another host leads.
+func TestAFormerLeaderDropsWhatRelaysAskedIt(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := NewBroker(DefaultConfig(), 0)
+	b.Receive(now, ID{"c", 1}, Renew{Seq: 1, Applied: 4, Relay: true, Holders: []ID{{"h", 1}}})
+	b.Follow()
+	b.Receive(now, ID{"i", 1}, Renew{Seq: 1, Applied: 9})
+	round, ok := b.Begin(now)
+	if !ok || round.Applied != 9 || len(round.Holders) != 1 {
+		t.Errorf("round %+v", round)
+	}
+}
--- a/internal/lease/sim_test.go
+++ b/internal/lease/sim_test.go
@@ -211,6 +211,7 @@
 	if c.leading && c.id != s.leader {
 		c.leading, c.believed = false, s.leader
 		c.broker.Abort()
+		c.broker.Follow()
 	}
 	c.applied = max(c.applied, revision)
 	for name, reg := range s.registry[c.applied] {
@@ -275,15 +276,15 @@
 	s.every(5*time.Second, func() { s.turn(h) })
 }
 
-// turn lets a holder ask another control host. One without a valid lease gives up
-// what is on its way.
+// turn lets a holder ask another control host. It gives up what is on its way, and
+// keeps a valid lease.
 func (s *sim) turn(h *simHolder) {
 	former := s.controls[h.control]
 	h.control = s.rng.IntN(len(s.controls))
-	if h.ended || !s.exclusive || s.acts(h) {
+	if h.ended || !s.exclusive {
 		return
 	}
-	r := h.lease.Release()
+	r := h.lease.Release(s.acts(h))
 	s.send(func() { s.receive(former, h.id, r) })
 }
 
@@ -299,6 +300,9 @@
 }
 
 func (s *sim) receive(c *simControl, from ID, r Renew) {
+	if r.Relay && !c.leading {
+		return
+	}
 	c.broker.Receive(s.local(c.rate), from, r)
 	s.pump(c)
 }
@@ -400,6 +404,7 @@
 			if s.leader == id {
 				other.leading, other.believed = false, id
 				other.broker.Abort()
+				other.broker.Follow()
 			}
 		})
 	}
