Tell that a primary takes no connection at once

Cause: a host that found a primary unreachable began to try it again and told what it saw only after the first of these attempts, 0.5 s later; opening packets were waited for during 0.4 s.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -154,6 +154,15 @@
 	state     *agreed.State
 	// taken and refunded count tokens of rates.
 	taken, refunded atomic.Int64
+
+	mu       sync.Mutex
+	evidence []Evidence
+}
+
+func (r *rig) observe(e Evidence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence = append(r.evidence, e)
 }
 
 func newRig(t *testing.T) *rig {
@@ -177,7 +186,7 @@
 	r.publish(time.Hour)
 	r.server = NewServer(Options{
 		View: r.view, Host: "h", Domain: "d", Dialer: r.endpoints, Limiter: noLimit{&r.taken, &r.refunded},
-		Connections: func(string, string) int { return 4 }, Observe: func(Evidence) {}, Log: log.New(io.Discard),
+		Connections: func(string, string) int { return 4 }, Observe: r.observe, Log: log.New(io.Discard),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -360,3 +369,22 @@
 		t.Errorf("%d tokens taken, %d given back", taken, refunded)
 	}
 }
+
+// TestARefusedConnectionIsToldAtOnce loses the primary: what a statement found out
+// is told before any further attempt to reach it.
+func TestARefusedConnectionIsToldAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.endpoints.dial = func(id string) error {
+		if id == "p" {
+			return errors.New("connection refused")
+		}
+		return nil
+	}
+	s := r.open("brief")
+	r.want(s, Statement{Kind: Write, Text: "x"}, result.EndpointLost, Idle)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.evidence) == 0 || r.evidence[0] != (Evidence{Service: "logs", Endpoint: "p", Lost: true}) {
+		t.Errorf("evidence %+v", r.evidence)
+	}
+}
--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -18,7 +18,7 @@
 	suspicionInterval = 250 * time.Millisecond
 	// suspicionTimeout bounds one attempt, well above a round trip between
 	// failure domains and the opening of a connection (some 15 ms).
-	suspicionTimeout = 500 * time.Millisecond
+	suspicionTimeout = 400 * time.Millisecond
 	// lagPause is how long reads keep off a replica that lacked a position: a few
 	// times the usual lag.
 	lagPause = 250 * time.Millisecond
@@ -133,6 +133,12 @@
 	return load{inflight: e.inflight, suspected: e.suspected, behind: now.Before(e.behindUntil), position: e.position}
 }
 
+// unreachable tells at once that the endpoint took no connection, and suspects it.
+func (e *endpoint) unreachable(workspace string, cause error) {
+	e.srv.opts.Observe(Evidence{Service: e.record.Service, Endpoint: e.record.ID, Lost: true})
+	e.suspect(workspace, cause)
+}
+
 // suspect tries the endpoint again and again until it answers, and tells what it
 // finds. It returns at once.
 func (e *endpoint) suspect(workspace string, cause error) {
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -263,7 +263,7 @@
 		return result.New(result.DeadlineInQueue, "waiting for a connection to %s", c.endpoint.record.ID)
 	}
 	if !reachable(err) {
-		c.endpoint.suspect(op.session.workspace, err)
+		c.endpoint.unreachable(op.session.workspace, err)
 	}
 	op.need.exclude = append(op.need.exclude, c.endpoint.record.ID)
 	return asResult(err, result.EndpointLost)
