Leave a connection for each host unused for restarts

Cause: after a loss of power endpoints count the connections of the lost processes for 3 s.

Change: a connection for each entry host is left unused, where the others have one each beside it.

--- a/internal/limits/keys.go
+++ b/internal/limits/keys.go
@@ -64,6 +64,10 @@
 	// negative for one for each watching failure domain and one for the control
 	// leader.
 	Probes int
+	// Headroom is how many connections for each entry host are left unused. After a
+	// loss of power an endpoint counts those of the lost processes for some seconds,
+	// and the hosts that start again need some beside them.
+	Headroom int
 	// RateFloor is the part of a rate that is divided evenly among the entry hosts
 	// for good: it needs no lease, and is there while a key has no owner.
 	RateFloor float64
@@ -129,7 +133,11 @@
 	if probes < 0 {
 		probes = min(f.domains, failover.MaxWatcherDomains) + 1
 	}
-	return max(connections-probes, 1)
+	connections -= probes
+	if spare := connections - f.cfg.Headroom*f.entryHosts; spare >= f.cfg.FloorConnections*f.entryHosts {
+		connections = spare
+	}
+	return max(connections, 1)
 }
 
 // floor is the number of connections that each entry host may have without a
