Let transactions run on without a slot, and count pinned connections

A statement of a transaction waited up to 0.4 s for a slot behind new requests, which waited for the connection that the transaction kept; new requests got slots for connections that were pinned, and waited behind the order of the gate.

Change: a statement of a transaction takes no slot; connections that transactions keep are not counted as slots.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/clock"
+	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -388,3 +389,29 @@
 		t.Errorf("evidence %+v", r.evidence)
 	}
 }
+
+// TestATransactionGoesOnWhileOthersWait takes all slots of the primary and runs a
+// statement of a transaction that has its connection.
+func TestATransactionGoesOnWhileOthersWait(t *testing.T) {
+	r := newRig(t)
+	s := r.open("launch")
+	r.want(s, Statement{Kind: Begin}, 0, InTransaction)
+	slots := r.server.slots("logs", "p")
+	if slots != 3 {
+		t.Errorf("%d slots on four connections, of which a transaction has one", slots)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for range slots {
+		leave, err := r.server.gate.Enter(ctx, gate.Admission{Endpoint: "p", Service: "logs", Workspace: "crew", Class: note.ClassInteractive})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer leave()
+	}
+	r.want(s, Statement{Kind: Write, Text: "x"}, 0, InTransaction)
+	r.want(s, Statement{Kind: Commit}, 0, Idle)
+	if n := r.server.slots("logs", "p"); n != 4 {
+		t.Errorf("%d slots after the transaction", n)
+	}
+}
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return refuse(err)
 	}
-	l.free()
+	l.pin()
 	s.tx = &transaction{lease: l, route: op.route, readOnly: readOnly}
 	s.state = InTransaction
 	return Reply{}
@@ -88,9 +88,7 @@
 	if err := s.mayContinue(); err != nil {
 		return s.abort(err)
 	}
-	if err := s.enter(deadline); err != nil {
-		return s.abort(err)
-	}
+	tx.lease.enter()
 	if err := s.restore(tx.lease, st, deadline); err != nil {
 		return s.lostInTransaction(err)
 	}
@@ -115,17 +113,11 @@
 	return Reply{Rows: a.Rows, Signature: a.Signature}
 }
 
-// enter takes a slot for a statement of the transaction.
-func (s *Session) enter(deadline time.Time) *result.Error {
-	ctx, cancel := context.WithDeadline(s.srv.ctx, deadline)
-	defer cancel()
-	leave, err := s.slot(ctx, s.tx.lease.choice, s.tx.route)
-	if err != nil {
-		return asResult(err, result.DeadlineInQueue)
-	}
-	s.tx.lease.leave = leave
-	s.tx.lease.endpoint.begin()
-	return nil
+// enter begins a statement of the transaction. It waits for no slot: it has a
+// connection, which comes free for others sooner.
+func (l *lease) enter() {
+	l.leave = func() {}
+	l.endpoint.begin()
 }
 
 // mayContinue checks that the host may still act for the caller and under the
@@ -176,12 +168,7 @@
 		s.state = Idle
 		return reply
 	}
-	deadline := time.Now().Add(time.Duration(tx.route.Timeout) * time.Millisecond)
-	if err := s.enter(deadline); err != nil {
-		reply := s.abort(err)
-		s.state = Idle
-		return reply
-	}
+	tx.lease.enter()
 	a, sent, err := s.exchange(tx.lease, tx.route, s.command(tx.lease, st, Position{}))
 	s.state = Idle
 	if err != nil {
