Hand out small rates by need, and ask again without waiting for a tick

(1) A request that came within 10 ms of the last round waited for the next tick, 100 ms later. (2) Nine shares held the whole rate and burst, in tokens that lay where nobody came, and the owner's pool was empty for up to 0.4 s.

Change: the next round is due 10 ms after the last while requests wait, except for workspaces over their rate. Where a mean share is below 20 tokens a second, half of the rate stays with its owner, who hands tokens out on request.

--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -133,22 +133,34 @@
 		case <-timer.C:
 		}
 		now := clock.Now()
-		timer.Reset(h.serve(now))
-		if h.waiting() && now.Sub(h.asked) >= urgentInterval {
-			h.round(now)
+		next := h.serve(now)
+		if h.urgent() {
+			if due := urgentInterval - now.Sub(h.asked); due > 0 {
+				next = min(next, due)
+			} else {
+				h.round(now)
+			}
 		}
+		timer.Reset(next)
 	}
 }
 
 // urgentInterval is the least time between two rounds while requests wait: a
-// host that has no share of a rate yet does not wait for the next tick.
+// host that has no share of a rate yet does not wait for the next tick. It is a
+// few round trips between failure domains (3 ms).
 const urgentInterval = 10 * time.Millisecond
 
-// waiting reports whether requests wait for tokens.
-func (h *Holder) waiting() bool {
+// urgent reports whether requests wait for tokens that the fleet has. Those of a
+// workspace over its rate wait for the next tick.
+func (h *Holder) urgent() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.queues) > 0
+	for _, q := range h.queues {
+		if !q.over {
+			return true
+		}
+	}
+	return false
 }
 
 // round reports the use of units and sends the requests that are due.
--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -36,10 +36,16 @@
 // round trip or two (100 ms each).
 const openingTime = 400 * time.Millisecond
 
-// contendedPool is the part of a rate that stays with the owner while the demand is
-// above it. Holders that are short ask for its tokens, which so reach whoever has
-// requests; the tokens of a full share are lost.
-const contendedPool = 0.5
+// pooled is the part of a rate that stays with the owner where each holder gets
+// few tokens a second, and while the demand is above the rate. Holders that are
+// short ask for its tokens, which so reach whoever has requests: tokens that are
+// spread over many small shares lie where nobody comes, and are lost once the
+// shares are full.
+const pooled = 0.5
+
+// smallShare is the rate of a mean share, in tokens a second, below which the rate
+// is pooled: an ask and its answer for each token are below 5 KB/s then.
+const smallShare = 20
 
 // poolTime is the least time of its rate that a burst must cover for that: what
 // the owner hands out between two requests of a holder (askInterval) is bounded by
@@ -259,18 +265,18 @@
 	return share
 }
 
-// aim divides the capacity: in proportion to demand when it is short, and
-// otherwise the demand and an equal part of the rest, of which one part stays
-// with the owner for holders to come.
+// aim divides the capacity that is not pooled: in proportion to demand when it is
+// short, and otherwise the demand and an equal part of the rest, of which one part
+// stays with the owner for holders to come.
 func (k *ownedKey) aim(g *grantee) float64 {
 	capacity := k.whole().Rate
 	if k.limit.Rate == 0 {
 		capacity = k.limit.Burst
 	}
+	if k.isPooled(capacity) {
+		capacity *= 1 - pooled
+	}
 	if k.demand > capacity {
-		if k.limit.Rate > 0 && k.limit.Burst >= k.limit.Rate*poolTime.Seconds() {
-			capacity *= 1 - contendedPool
-		}
 		return capacity * g.demand / k.demand
 	}
 	spare := capacity - k.demand
@@ -280,6 +286,14 @@
 	return g.demand + spare/float64(len(k.grantees)+1)
 }
 
+// isPooled reports whether a part of the rate stays with the owner.
+func (k *ownedKey) isPooled(capacity float64) bool {
+	if k.limit.Rate == 0 || k.limit.Burst < k.limit.Rate*poolTime.Seconds() {
+		return false
+	}
+	return k.demand > capacity || capacity < smallShare*float64(len(k.grantees))
+}
+
 // chooseUnits returns whole units, at least one for a holder that has demand. A
 // unit that rounding left over goes to a holder that wants it.
 func (k *ownedKey) chooseUnits(g *grantee, room Share) Share {
