Count connections that transactions keep as slots again

With two or three connections a host, of which transactions keep one or two, one request at a time was let in, while those that wait for a connection find one of their workspace more often.

Change: slots are as many as connections; statements of transactions go on without one.

--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -42,8 +42,6 @@
 
 	mu       sync.Mutex
 	inflight int
-	// pinned are the connections that transactions keep.
-	pinned int
 	// suspected is set while the endpoint is tried again and again.
 	suspected bool
 	// behindUntil is until when reads keep off for want of a position.
@@ -107,19 +105,11 @@
 	e.pace.Observe(now, excess, most)
 }
 
-// pin notes that transactions keep n connections more.
-func (e *endpoint) pin(n int) {
+// allowed returns how many of most statements may be in progress.
+func (e *endpoint) allowed(most int) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.pinned += n
-}
-
-// allowed returns how many statements outside of transactions may be in progress
-// on the given number of connections.
-func (e *endpoint) allowed(connections int) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return max(min(e.pace.Allowed(connections), connections-e.pinned), 1)
+	return e.pace.Allowed(most)
 }
 
 // behind notes that the endpoint lacked a position.
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -140,8 +140,6 @@
 	choice
 	conn  *conn
 	leave func()
-	// pinned: a transaction keeps the connection without a slot.
-	pinned bool
 }
 
 // free gives the slot back and keeps the connection.
@@ -153,21 +151,10 @@
 	}
 }
 
-// pin gives the slot back and keeps the connection for a transaction.
-func (l *lease) pin() {
-	l.pinned = true
-	l.endpoint.pin(1)
-	l.free()
-}
-
 // release gives the connection and the slot back, so that whoever gets the slot
 // finds the connection; a doubtful one is closed.
 func (l *lease) release(sound bool) {
 	l.endpoint.pool.Release(l.conn, sound)
-	if l.pinned {
-		l.endpoint.pin(-1)
-		l.endpoint.srv.gate.Resize()
-	}
 	l.free()
 }
 
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return refuse(err)
 	}
-	l.pin()
+	l.free()
 	s.tx = &transaction{lease: l, route: op.route, readOnly: readOnly}
 	s.state = InTransaction
 	return Reply{}
