--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -18,6 +18,7 @@
 	results  *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	backend  *prometheus.HistogramVec
+	waits    *prometheus.HistogramVec
 	dials    *prometheus.CounterVec
 	retries  prometheus.Counter
 	replica  *prometheus.CounterVec
@@ -35,6 +36,9 @@
 		backend: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "galenabridge_statement_endpoint_seconds", Help: "Time that a statement spent at its endpoint.", Buckets: latencyBuckets,
 		}, []string{"class"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "galenabridge_statement_wait_seconds", Help: "Time that an operation waited, by what for.", Buckets: latencyBuckets,
+		}, []string{"class", "for"}),
 		dials: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenabridge_endpoint_dials_total", Help: "Connections opened to endpoints, by outcome.",
 		}, []string{"outcome"}),
@@ -49,11 +53,23 @@
 		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.results, m.duration, m.backend, m.dials, m.retries, m.replica, m.sessions)
+		reg.MustRegister(m.results, m.duration, m.backend, m.waits, m.dials, m.retries, m.replica, m.sessions)
 	}
 	return m
 }
 
+// What an operation waits for.
+const (
+	waitRate       = "rate"
+	waitSlot       = "slot"
+	waitConnection = "connection"
+)
+
+// waited notes a wait that has begun at the given time.
+func (m *metrics) waited(class note.Class, what string, since time.Time) {
+	m.waits.WithLabelValues(string(class), what).Observe(time.Since(since).Seconds())
+}
+
 func (m *metrics) answered(kind Kind, code result.Code, workspace string, class note.Class, took time.Duration) {
 	m.results.WithLabelValues(kind.String(), strconv.Itoa(int(code))).Inc()
 	m.duration.WithLabelValues(workspace, string(class)).Observe(took.Seconds())
--- /dev/null
+++ b/internal/core/metrics_test.go
@@ -0,0 +1,39 @@
+package core
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenabridge/galenabridge/internal/note"
+)
+
+// TestThePageListsTheMetrics holds the operations page and the metrics together.
+func TestThePageListsTheMetrics(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry := prometheus.NewRegistry()
+	m := newMetrics(registry)
+	m.answered(Read, 0, "crew", note.ClassBulk, time.Millisecond)
+	m.waited(note.ClassBulk, waitRate, time.Now())
+	m.backend.WithLabelValues("bulk").Observe(0)
+	m.dials.WithLabelValues("ok").Inc()
+	m.replica.WithLabelValues("replica").Inc()
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(families) != 8 {
+		t.Errorf("%d metrics gathered", len(families))
+	}
+	for _, f := range families {
+		if !strings.Contains(string(page), "`"+f.GetName()) {
+			t.Errorf("%s is not on the page", f.GetName())
+		}
+	}
+}
--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -137,19 +137,6 @@
 }
 
 // await lets a request wait for the next round, in place of an earlier one.
-// release ends the requests of a holder that has turned to another broker, and
-// its lease unless it keeps that.
-func (b *Broker) release(key sessionKey, r Renew) {
-	b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == key })
-	b.inRound = slices.DeleteFunc(b.inRound, func(w request) bool { return w.key == key })
-	b.released[key], b.shrunk = r.Seq, true
-	if s := b.sessions[key]; s != nil && r.Keeps {
-		s.pending = false
-		return
-	}
-	delete(b.sessions, key)
-}
-
 func (b *Broker) await(now time.Time, key sessionKey, seq uint64) {
 	b.waiting = slices.DeleteFunc(b.waiting, func(w request) bool { return w.key == key })
 	b.waiting = append(b.waiting, request{key: key, seq: seq, at: now})
@@ -250,31 +237,6 @@
 	b.answered = false
 }
 
-// Supersede ends the leases of former processes of a host, where one process
-// proves that the former ones have ended.
-func (b *Broker) Supersede(id ID) {
-	if !b.cfg.Exclusive {
-		return
-	}
-	for key := range b.sessions {
-		if !key.relay && key.id.Host == id.Host && key.id.Incarnation < id.Incarnation {
-			delete(b.sessions, key)
-			b.shrunk = true
-		}
-	}
-	for key := range b.released {
-		if key.id.Host == id.Host && key.id.Incarnation < id.Incarnation {
-			delete(b.released, key)
-		}
-	}
-}
-
-// Release ends the leases of a process that has stopped to act.
-func (b *Broker) Release(id ID) {
-	delete(b.sessions, sessionKey{id: id})
-	b.shrunk = true
-}
-
 // Held reports which of the processes may hold a valid lease.
 func (b *Broker) Held(now time.Time, ids []ID) map[ID]bool {
 	held := make(map[ID]bool)
@@ -328,20 +290,6 @@
 	return b.settled
 }
 
-// Follow drops the requests and leases of relays, once the host does not lead any
-// more: relays ask the leader, and a new one counts or waits for all leases.
-func (b *Broker) Follow() {
-	ofRelay := func(w request) bool { return w.key.relay }
-	b.waiting = slices.DeleteFunc(b.waiting, ofRelay)
-	b.inRound = slices.DeleteFunc(b.inRound, ofRelay)
-	for key := range b.sessions {
-		if key.relay {
-			delete(b.sessions, key)
-			b.shrunk = true
-		}
-	}
-}
-
 // Learn takes a settled revision reported by the leader.
 func (b *Broker) Learn(settled uint64) { b.settled = max(b.settled, settled) }
 
