Log times to the millisecond, also of lines that were left out

Cause: lines of several hosts could not be put in order by their times, which had a second's resolution.

Change: one time format for the daemon and for lines_left_out.

--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -50,7 +50,9 @@
 		cancel()
 		<-written
 	}()
-	logger := log.NewWithOptions(out, log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true})
+	logger := log.NewWithOptions(out, log.Options{
+		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: eventlog.TimeFormat,
+	})
 	if level, err := log.ParseLevel(opts.Level); err == nil {
 		logger.SetLevel(level)
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -16,6 +16,10 @@
 	"golang.org/x/time/rate"
 )
 
+// TimeFormat is that of the time of each line, to the millisecond, so that the
+// lines of several hosts can be put in order.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 const (
 	// queueLines bounds the lines that wait for the output: at most 1 MB.
 	queueLines = 1024
@@ -139,7 +143,8 @@
 	left := w.left
 	w.left = make(map[string]int)
 	w.mu.Unlock()
+	now := time.Now().Format(TimeFormat)
 	for _, event := range slices.Sorted(maps.Keys(left)) {
-		_, _ = fmt.Fprintf(w.out, "level=warn msg=lines_left_out event=%s count=%d\n", event, left[event])
+		_, _ = fmt.Fprintf(w.out, "time=%s level=warn msg=lines_left_out event=%s count=%d\n", now, event, left[event])
 	}
 }
