Explain a request from the logs of several hosts

Cause: an engineer who has a request's id had to search the logs of fourteen hosts by hand.

Change: galenabridge explain ID [FILE...]: the lines of the request and the changes of belief around it in order, with their ages; the cause; what is missing. Lines are read by go-logfmt, which the logger brings already. The daemon is unchanged.

--- a/cmd/galenabridge/main.go
+++ b/cmd/galenabridge/main.go
@@ -11,6 +11,6 @@
 var version = "dev"
 
 func main() {
-	app := &cli.App{Stdout: os.Stdout, Stderr: os.Stderr, Version: version}
+	app := &cli.App{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Version: version}
 	os.Exit(app.Main(os.Args[1:]))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,6 +35,7 @@
 
 // App is one invocation of the command line.
 type App struct {
+	Stdin  io.Reader
 	Stdout io.Writer
 	Stderr io.Writer
 	// Version is the version of the build.
@@ -112,6 +113,7 @@
 		{"dev", "run a whole system", "Run control, two entry hosts and one database group of three stand-in endpoints on loopback.", &devCommand{}},
 		{"standin", "run a stand-in endpoint", "Run one stand-in database endpoint.", &standinCommand{}},
 		{"status", "show the state of the fleet", "Show hosts, leases, groups and endpoints.", &statusCommand{}},
+		{"explain", "explain a request from logs", "Join the log lines of several hosts about one request, and the changes of belief around it, into one account in order.", &explainCommand{}},
 		{"version", "print the version", "Print the version of this build.", &versionCommand{}},
 	}
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -101,3 +101,23 @@
 		t.Errorf("exit code %d: %s%s", code, stdout, stderr)
 	}
 }
+
+func TestExplainReadsLogs(t *testing.T) {
+	path := write(t, `time=2026-12-04T12:00:07.000Z level=warn msg=statement_refused host=h request=id-1 code=2004 result=rate_exceeded detail="over its rate" took_ms=0`+"\n")
+	for _, c := range []struct {
+		args []string
+		want int
+		text string
+	}{
+		{[]string{"explain", "id-1", path}, ExitOK, "cause: rate_exceeded (GB2004) at h: over its rate"},
+		{[]string{"explain", "--json", "id-1", path}, ExitOK, `"age_ms": 0`},
+		{[]string{"explain", "id-2", path}, ExitFailure, "missing: no line names the request"},
+		{[]string{"explain", "id-1", "/nonexistent"}, ExitUsage, ""},
+		{[]string{"explain"}, ExitUsage, ""},
+	} {
+		code, stdout, stderr := invoke(c.args...)
+		if code != c.want || !strings.Contains(stdout, c.text) {
+			t.Errorf("%v: exit code %d, %q, %s", c.args, code, stdout, stderr)
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,63 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/explain"
+)
+
+type explainCommand struct {
+	JSON bool `long:"json" description:"print JSON"`
+	Args struct {
+		Request string   `positional-arg-name:"ID" required:"yes" description:"id of the request"`
+		Files   []string `positional-arg-name:"FILE" description:"logs of the hosts; standard input if none is given"`
+	} `positional-args:"yes"`
+}
+
+func (c *explainCommand) run(app *App) error {
+	lines, skipped, err := c.read(app.Stdin)
+	if err != nil {
+		return exitWith(ExitUsage, err)
+	}
+	account := explain.Explain(lines, c.Args.Request)
+	if skipped > 0 {
+		account.Missing = append(account.Missing, fmt.Sprintf("%d lines hold no event", skipped))
+	}
+	if c.JSON {
+		err = writeJSON(app, account)
+	} else {
+		err = account.WriteText(app.Stdout)
+	}
+	if err == nil && len(account.Entries) == 0 {
+		err = exitWith(ExitFailure, errors.Errorf("nothing is known of request %q", c.Args.Request))
+	}
+	return err
+}
+
+func (c *explainCommand) read(stdin io.Reader) (lines []explain.Line, skipped int, err error) {
+	if len(c.Args.Files) == 0 {
+		return explain.Read(stdin)
+	}
+	for _, path := range c.Args.Files {
+		more, without, err := readLog(path)
+		if err != nil {
+			return nil, 0, err
+		}
+		lines, skipped = append(lines, more...), skipped+without
+	}
+	return lines, skipped, nil
+}
+
+func readLog(path string) ([]explain.Line, int, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "open log")
+	}
+	defer func() { _ = f.Close() }()
+	lines, skipped, err := explain.Read(f)
+	return lines, skipped, errors.Wrap(err, path)
+}
--- /dev/null
+++ b/internal/core/explain_test.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/eventlog"
+	"github.com/galenabridge/galenabridge/internal/explain"
+	"github.com/galenabridge/galenabridge/internal/result"
+)
+
+// TestARefusalIsExplainedFromItsLog refuses a write while the group is sealed and
+// reads the cause from what the host and the control leader logged.
+func TestARefusalIsExplainedFromItsLog(t *testing.T) {
+	r := newRig(t)
+	var entry, control bytes.Buffer
+	options := log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: eventlog.TimeFormat}
+	r.server.opts.Log = log.NewWithOptions(&entry, options).With("host", "h")
+	leader := log.NewWithOptions(&control, options).With("host", "c")
+
+	s := r.open("brief")
+	sealed := r.state.Groups["logs"]
+	sealed.Phase, sealed.Reason = agreed.PhaseSealed, "primary p is lost"
+	r.state.Groups["logs"] = sealed
+	leader.Info("group_status", "service", "logs", "reason", sealed.Reason)
+	r.publish(time.Hour)
+	r.want(s, Statement{Kind: Write, Text: "x"}, result.NoPrimary, Idle)
+
+	lines, _, err := explain.Read(strings.NewReader(entry.String() + control.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := explain.Explain(lines, "id")
+	if !strings.Contains(a.Cause, "no_primary") || !strings.Contains(a.Cause, sealed.Reason) || !strings.Contains(a.Cause, "since group_status") {
+		t.Errorf("cause %q of %+v", a.Cause, a.Entries)
+	}
+	if len(a.Missing) != 0 {
+		t.Errorf("missing %q", a.Missing)
+	}
+}
