Log late statements, and where each statement spent its time

Cause: a caller who complains of a late answer left no line, and a refusal did not tell which of its waits had used up the time.

Change: a success after the route's target is logged as statement_late; both events name the time spent on the rate, the slot, the connection and at the endpoint, with the endpoint and the attempts.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -32,8 +32,10 @@
 	ctx, cancel := context.WithTimeout(s.srv.ctx, rateWait(route))
 	defer cancel()
 	if s.workspace != "" {
-		defer s.srv.metrics.waited(route.Class, waitRate, time.Now())
-		if err := s.srv.opts.Limiter.Acquire(ctx, s.workspace); err != nil {
+		begun := time.Now()
+		err := s.srv.opts.Limiter.Acquire(ctx, s.workspace)
+		s.spent.rate = s.srv.metrics.waited(route.Class, waitRate, begun)
+		if err != nil {
 			return nil, asResult(err, result.RateExceeded)
 		}
 	}
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -65,9 +65,11 @@
 	waitConnection = "connection"
 )
 
-// waited notes a wait that has begun at the given time.
-func (m *metrics) waited(class note.Class, what string, since time.Time) {
-	m.waits.WithLabelValues(string(class), what).Observe(time.Since(since).Seconds())
+// waited notes a wait that has begun at the given time, and returns its length.
+func (m *metrics) waited(class note.Class, what string, since time.Time) time.Duration {
+	took := time.Since(since)
+	m.waits.WithLabelValues(string(class), what).Observe(took.Seconds())
+	return took
 }
 
 func (m *metrics) answered(kind Kind, code result.Code, workspace string, class note.Class, took time.Duration) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -122,13 +122,13 @@
 	defer cancel()
 	begun := time.Now()
 	leave, err := s.slot(ctx, c, op.route)
-	s.srv.metrics.waited(op.route.Class, waitSlot, begun)
+	s.spent.slot += s.srv.metrics.waited(op.route.Class, waitSlot, begun)
 	if err != nil {
 		return nil, asResult(err, result.DeadlineInQueue)
 	}
 	begun = time.Now()
 	held, err := c.endpoint.pool.Acquire(ctx, s.workspace, func(k *conn) bool { return k.user == s.id || k.fits(s.values) })
-	s.srv.metrics.waited(op.route.Class, waitConnection, begun)
+	s.spent.connection += s.srv.metrics.waited(op.route.Class, waitConnection, begun)
 	if err != nil {
 		leave()
 		return nil, op.noConnection(c, ctx, err)
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -114,6 +114,9 @@
 	at, sentAt := clock.Now(), time.Now()
 	answers, sent, err := l.conn.Exchange(sentAt.Add(timeout), c)
 	took := time.Since(sentAt)
+	s.spent.endpoint += took
+	s.spent.attempts++
+	s.spent.at = l.endpoint.record.ID
 	s.srv.metrics.backend.WithLabelValues(string(route.Class)).Observe(took.Seconds())
 	if err != nil {
 		return Answer{}, sent, err
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -34,6 +34,8 @@
 	tx      *transaction
 	// since is when the session last answered.
 	since time.Time
+	// spent is where the statement in progress has spent its time.
+	spent spent
 	// closed: the caller's connection was closed, and nothing may be sent on its
 	// behalf any more.
 	closed bool
@@ -139,6 +141,7 @@
 	if s.closed {
 		return refuse(result.New(result.ShuttingDown, "the session has ended"))
 	}
+	s.spent = spent{}
 	reply := s.serve(st)
 	s.since = clock.Now()
 	reply.State = s.state
@@ -146,25 +149,36 @@
 	return reply
 }
 
-// report logs and counts an answer. Successes that touched no endpoint are not
-// logged.
+// report logs and counts an answer. Successes are logged when they came later than
+// the route's target.
 func (s *Session) report(st Statement, reply Reply, took time.Duration) {
 	var code result.Code
 	if reply.Err != nil {
 		code = reply.Err.Code
 	}
-	class := note.ClassBulk
+	route := note.Route{Class: note.ClassBulk}
 	if v := s.srv.opts.View.Current(); v.State != nil {
-		class = v.State.Catalog.Routes[s.database].Class
+		route = v.State.Catalog.Routes[s.database]
 	}
-	s.srv.metrics.answered(st.Kind, code, s.workspace, class, took)
-	if code != 0 {
-		s.srv.opts.Log.Warn("statement_refused", "request", st.ID, "kind", st.Kind.String(), "database", s.database,
-			"workspace", s.workspace, "code", int(code), "result", result.Lookup(code).Name, "detail", reply.Err.Detail,
-			"took_ms", took.Milliseconds())
+	s.srv.metrics.answered(st.Kind, code, s.workspace, route.Class, took)
+	target := time.Duration(route.Target) * time.Millisecond
+	switch {
+	case code != 0:
+		s.srv.opts.Log.Warn("statement_refused", s.fields(st, took, "code", int(code), "result", result.Lookup(code).Name,
+			"detail", reply.Err.Detail)...)
+	case target > 0 && took >= target:
+		s.srv.opts.Log.Info("statement_late", s.fields(st, took, "target_ms", route.Target)...)
 	}
 }
 
+// fields are the pairs of a line about a statement.
+func (s *Session) fields(st Statement, took time.Duration, more ...any) []any {
+	all := []any{"request", st.ID, "kind", st.Kind.String(), "database", s.database, "workspace", s.workspace}
+	all = append(all, more...)
+	all = append(all, "took_ms", took.Milliseconds())
+	return append(all, s.spent.fields()...)
+}
+
 func (s *Session) serve(st Statement) Reply {
 	if s.state == Failed && st.Kind != Commit && st.Kind != Rollback {
 		return refuse(result.New(result.MalformedMessage, "the transaction has failed; end it first"))
