--- a/internal/failover/property_test.go
+++ b/internal/failover/property_test.go
@@ -41,6 +41,16 @@
 	})
 }
 
+// TestANewLeaderRepeatsARecordedChoice replaces the leader right after a choice.
+// The next one gives the recorded candidate another fence when one member has
+// answered it.
+func TestANewLeaderRepeatsARecordedChoice(t *testing.T) {
+	m := newModel(rand.New(rand.NewPCG(0x2ac9, 0)).IntN, 3, noFault)
+	if failure := m.run(faultySteps); failure != "" {
+		t.Fatal(failure)
+	}
+}
+
 // The model must notice a machine that breaks a rule, both by the rule itself
 // and by the lost write that follows from it.
 func TestModelNoticesFaults(t *testing.T) {
