--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -102,7 +102,7 @@
 
 // timing returns the configuration lease. It bounds how long a host out of touch
 // delays a change of a primary, and how long a fleet that starts again waits for
-// leases that it does not know; an election takes 0.3 to 0.6 s of it.
+// leases that it does not know; an election takes 0.1 to 0.6 s of it.
 func timing() lease.Config {
 	cfg := lease.DefaultConfig()
 	cfg.Duration, cfg.RenewInterval = 2*time.Second, 400*time.Millisecond
