--- a/internal/supervise/supervise_test.go
+++ b/internal/supervise/supervise_test.go
@@ -17,8 +17,10 @@
 	tree.backoff = func(context.Context, time.Duration) {}
 
 	siblingStarts := 0
+	started := make(chan struct{}, 8)
 	tree.Add("sibling", Func(func(ctx context.Context) error {
 		siblingStarts++
+		started <- struct{}{}
 		<-ctx.Done()
 		return nil
 	}))
@@ -41,6 +43,7 @@
 	done := make(chan error, 1)
 	go func() { done <- tree.Run(ctx) }()
 	<-recovered
+	<-started // else the end may come before its first start
 	cancel()
 	<-done
 	if siblingStarts != 1 {
