Ignore a release that arrives after a later request of its sender

Cause: a host that turned to another control host and back within the delay of its release lost its counted lease when the release arrived: the broker deleted the session of the later request. The settled revision then passed the one on which the host acted, so a promotion could have been ordered while it did.

Change: a release older than the sender's latest request is ignored.

--- a/internal/lease/broker.go
+++ b/internal/lease/broker.go
@@ -107,6 +107,9 @@
 	if r.Seq <= b.released[key] {
 		return // sent before the release, on another connection
 	}
+	if s := b.sessions[key]; r.Release && s != nil && s.seq > r.Seq {
+		return // the sender has come back since, and holds leases of its later requests
+	}
 	delete(b.released, key)
 	if r.Release {
 		b.release(key, r)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -32,6 +32,38 @@
 	})
 }
 
+// TestLateReleaseKeepsLaterLease delivers a release after a request that its sender has made
+// since. It guards against a lease that is in use and no longer counted: the settled revision
+// then passes the one on which its holder acts.
+func TestLateReleaseKeepsLaterLease(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.ExclusiveIdentity = true
+	now, id := time.Unix(100, 0), ID{Host: "h", Incarnation: 1}
+	b := NewBroker(cfg, 0)
+	b.Receive(now, id, Renew{Seq: 3, Applied: 5})
+	round, _ := b.BeginRound(now)
+	if answers := b.FinishRound(round.ID, 5, 5); len(answers) != 1 {
+		t.Fatalf("answers %+v, want one lease", answers)
+	}
+	b.Receive(now, id, Renew{Seq: 2, Release: true})
+	if !b.PossibleHolders(now, []ID{id})[id] {
+		t.Error("the lease of the later request is not counted")
+	}
+	if settled := b.Settle(now, 6, Registrations{Holders: []ID{id}, Changed: 1}); settled > 5 {
+		t.Errorf("settled revision %d while the holder may act on 5", settled)
+	}
+}
+
+// TestLateReleaseSchedule runs the schedule in which the fault of
+// TestLateReleaseKeepsLaterLease was found.
+func TestLateReleaseSchedule(t *testing.T) {
+	s := newSim(params{seed: 2, hosts: 1, lossRate: 0.00048828125, maxDelay: 24 * time.Millisecond, leaderChangeInterval: 2 * time.Second, exclusive: true})
+	s.run()
+	if s.violation != "" {
+		t.Error(s.violation)
+	}
+}
+
 // TestSimulationDetectsInjectedFaults checks that the simulation detects each fault
 // injected into its driver.
 func TestSimulationDetectsInjectedFaults(t *testing.T) {
