End peer connections whose bytes are not acknowledged for a second

Cause: after the control hosts of the large fleet had lost power for 1.7 s, 50 of 195 hosts regained their lease 1.0 to 1.7 s after a leader was elected, and the owners of rates heard all hosts 1.65 s after it. Their connections to the old processes were alive for the kernel, which retransmits at growing intervals and learns of the reset at the next one.

Change: the TCP user timeout on both ends of peer connections (package tcpopt, shared with the connections to endpoints), and a backoff that counts from the start of a dial, since a dial that timed out has waited already.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -14,7 +14,10 @@
 	maxBackoff = 400 * time.Millisecond
 	// connectTimeout bounds the TCP connect. A machine that is down does not respond, and
 	// the kernel would retransmit the SYN only after 1 s.
-	connectTimeout   = 400 * time.Millisecond
+	connectTimeout = 400 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged. It is the silence after
+	// which a forwarded statement is given up, and three losses of a packet fit into it.
+	unackedTimeout   = time.Second
 	handshakeTimeout = 2 * time.Second
 	writeTimeout     = 2 * time.Second
 	// pingInterval is the time without received messages after which a ping is sent on a
@@ -163,8 +166,10 @@
 }
 
 // connect dials the peer once. On failure it drops the queued messages, fails the
-// pending requests and waits for the backoff time.
+// pending requests and waits until the backoff time has passed since the dial began: a dial
+// that timed out has waited already.
 func (l *link) connect(ctx context.Context, backoff *time.Duration) *conn {
+	begun := time.Now()
 	addr := l.address()
 	if addr != "" {
 		c, err := l.node.dial(ctx, l, addr)
@@ -181,7 +186,7 @@
 	select {
 	case <-ctx.Done():
 		return nil
-	case <-time.After(*backoff):
+	case <-time.After(*backoff - time.Since(begun)):
 	}
 	*backoff = min(2**backoff, maxBackoff)
 	// The peer may have connected to this host in the meantime.
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/galenabridge/galenabridge/internal/activity"
 	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/tcpopt"
 )
 
 // Options configure a Node.
@@ -93,7 +94,7 @@
 // is called.
 func NewNode(opts Options) *Node {
 	if opts.Transport == nil {
-		opts.Transport = &tcp{dialer: net.Dialer{Timeout: connectTimeout}}
+		opts.Transport = &tcp{dialer: net.Dialer{Timeout: connectTimeout, Control: tcpopt.DialControl(unackedTimeout)}}
 	}
 	if opts.Logger == nil {
 		opts.Logger = log.Default()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenabridge/galenabridge/internal/config"
+	"github.com/galenabridge/galenabridge/internal/tcpopt"
 )
 
 // Transport opens the byte streams between hosts. Tests replace it to simulate a network.
@@ -24,7 +25,11 @@
 }
 
 func (t *tcp) Listen(addr string) (net.Listener, error) {
-	return net.Listen("tcp", addr)
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return tcpopt.Listener{TCPListener: listener.(*net.TCPListener), UnackedTimeout: unackedTimeout}, nil
 }
 
 func (t *tcp) Dial(ctx context.Context, addr string) (net.Conn, error) {
