Hand out rates again within half a second of an owner's loss

A frozen or cut owner kept its keys until it was deregistered, 4 s later, and hosts that were gone held up every takeover for as long. What nobody may hand out counted as overload of the workspace. Hosts that were cut off for some seconds were deregistered, and waited for a settled registration when they were back. A leader that had been suspended proposed to deregister all others.

Change: the agreed state tells holders of a new owner process. The leader takes silent control hosts out of the owners after 0.4 s (owner_watch) and marks entry hosts without a lease as absent (host_watch); both decide without network or clock, and judge nobody after a pause of their own. Shares of rates end when the configuration lease lapses. Reports say when each rate was last spent from, so that a new owner's bucket holds what accrued meanwhile. A key in quarantine is not overloaded.

--- a/internal/agreed/apply.go
+++ b/internal/agreed/apply.go
@@ -62,6 +62,10 @@
 		return setDomain(s, c.SetDomain.Domain)
 	case c.RetireEndpoint != nil:
 		return retireEndpoint(s, index, c.RetireEndpoint)
+	case c.MarkAbsent != nil:
+		return markAbsent(s, c.MarkAbsent.Processes)
+	case c.SetSilentOwners != nil:
+		return setSilentOwners(s, c.SetSilentOwners.Hosts)
 	default:
 		return nil, refuse(result.UnsupportedFeature, "the command is empty or unknown to this version")
 	}
--- a/internal/agreed/command.go
+++ b/internal/agreed/command.go
@@ -25,6 +25,19 @@
 	PutCatalog      *PutCatalog      `cbor:"10,keyasint,omitempty"`
 	SetDomain       *SetDomain       `cbor:"11,keyasint,omitempty"`
 	RetireEndpoint  *RetireEndpoint  `cbor:"12,keyasint,omitempty"`
+	SetSilentOwners *SetSilentOwners `cbor:"13,keyasint,omitempty"`
+	MarkAbsent      *MarkAbsent      `cbor:"14,keyasint,omitempty"`
+}
+
+// MarkAbsent sets Host.Absent of registered processes.
+type MarkAbsent struct {
+	// Processes are the incarnations by host. Any other incarnation is left alone.
+	Processes map[string]uint64 `cbor:"1,keyasint,omitempty"`
+}
+
+// SetSilentOwners replaces State.SilentOwners.
+type SetSilentOwners struct {
+	Hosts []string `cbor:"1,keyasint,omitempty"`
 }
 
 // PutCatalog replaces the whole catalog except the failure domains if its number is
--- a/internal/agreed/delta.go
+++ b/internal/agreed/delta.go
@@ -40,6 +40,8 @@
 	Catalog *CatalogHeader       `cbor:"15,keyasint,omitempty"`
 	Routes  *Changes[note.Route] `cbor:"16,keyasint,omitempty"`
 	Retired *Changes[Tombstone]  `cbor:"17,keyasint,omitempty"`
+	// SilentOwners is the field of the state after the change.
+	SilentOwners []string `cbor:"18,keyasint,omitempty"`
 }
 
 // CatalogHeader is the part of a catalog outside its maps. Document is the number of
@@ -75,6 +77,7 @@
 
 		HostsChanged: to.HostsChanged,
 		OwnersEpoch:  to.OwnersEpoch,
+		SilentOwners: to.SilentOwners,
 
 		Routes:  diffMap(from.Catalog.Routes, to.Catalog.Routes),
 		Retired: diffMap(from.Retired, to.Retired),
@@ -136,6 +139,7 @@
 	next.Groups = patchMap(s.Groups, d.Groups)
 	next.HostsChanged = d.HostsChanged
 	next.OwnersEpoch = d.OwnersEpoch
+	next.SilentOwners = d.SilentOwners
 	next.Catalog.Routes = patchMap(s.Catalog.Routes, d.Routes)
 	next.Retired = patchMap(s.Retired, d.Retired)
 	if d.Catalog != nil {
--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -19,6 +19,9 @@
 	Control     bool   `json:"control" cbor:"6,keyasint"`
 	// Registered is the revision at which this incarnation was registered.
 	Registered uint64 `json:"registered" cbor:"7,keyasint"`
+	// Absent is set once the configuration lease of this incarnation has ended. The process
+	// must not act until it has registered again, and has given up its shares of rates.
+	Absent bool `json:"absent,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // Endpoint is one database server of a service's group.
@@ -118,12 +121,15 @@
 	EntryRemoved uint64 `json:"departed,omitempty" cbor:"8,keyasint,omitempty"`
 	// HostsChanged is the revision of the last change of Hosts.
 	HostsChanged uint64 `json:"hosts_changed,omitempty" cbor:"9,keyasint,omitempty"`
-	// OwnersEpoch is incremented by each change of the set of control hosts, from
-	// which the owners of quotas are chosen.
+	// OwnersEpoch is incremented by each change of the hosts from which the owners of
+	// quotas are chosen (QuotaOwners).
 	OwnersEpoch uint64 `json:"owners_epoch,omitempty" cbor:"10,keyasint,omitempty"`
 	// Document is the source of the catalog, empty if the catalog was made by release
 	// notes.
 	Document Document `json:"document,omitzero" cbor:"11,keyasint,omitzero"`
+	// SilentOwners are the control hosts that own no quotas because the control leader
+	// does not hear them, in sorted order.
+	SilentOwners []string `json:"silent_owners,omitempty" cbor:"13,keyasint,omitempty"`
 	// Retired holds the tombstones of endpoints that left, by identity.
 	Retired map[string]Tombstone `json:"retired,omitempty" cbor:"12,keyasint,omitempty"`
 }
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -16,11 +16,16 @@
 	message consensus.Message
 }
 
-func (e consensusEvent) handle(h *Host, _ time.Time) {
+func (e consensusEvent) handle(h *Host, now time.Time) {
 	if e.message.From != e.from {
 		h.log.Warn("consensus_message_refused", "peer", e.from, "from", e.message.From)
 		return
 	}
+	if h.leading {
+		h.ownerWatch.observe(now, e.from)
+	} else if e.from == h.knownLeader.Load().leader {
+		h.formerLeader, h.formerHeard = e.from, now
+	}
 	if err := h.node.Step(e.message); err != nil {
 		h.log.Debug("consensus_message_refused", "peer", e.from, "err", err.Error())
 	}
@@ -36,6 +41,9 @@
 		h.nextLeaderTasks = now.Add(leaderTaskInterval)
 		h.runLeaderTasks(now)
 	}
+	if h.leading && h.confirmed {
+		h.updateOwners(now)
+	}
 	h.failover.tick(now)
 	h.metrics.update(h)
 }
@@ -215,7 +223,9 @@
 	h.leading, h.confirmed, h.term = true, false, term
 	h.broker.AbortRound()
 	h.broker.BecomeLeader(now)
-	clear(h.removalDelayStart)
+	h.hostWatch = newHostWatch(h.opts.Lease.Duration)
+	h.ownerWatch, h.proposedSilent = newOwnerWatch(now, h.formerLeader, h.formerHeard), nil
+	h.formerLeader = ""
 	if err := h.node.ConfirmQuorum(electionConfirmID); err != nil {
 		h.log.Warn("confirm_failed", "err", err.Error())
 	}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -74,10 +74,7 @@
 	announced    map[string]announcedEndpoint // by endpoint ID
 	// joinPositions are the positions required to join a group, by service.
 	joinPositions map[string]joinPosition
-	// removalDelayStart is the time from which hostRemovalDelay counts for a registered
-	// process: when it last may have held a lease, was first seen in this leadership, or
-	// its removal was last proposed.
-	removalDelayStart map[lease.ID]time.Time
+	hostWatch     hostWatch
 	// registered holds the registered processes of the state.
 	registered      []lease.ID
 	roundDeadline   time.Time // when the lease round in flight times out
@@ -93,6 +90,13 @@
 	confirmedAt time.Time
 	term        uint64
 	failover    *failoverDriver
+	ownerWatch  ownerWatch
+	// formerLeader is the leader that this host has followed, and formerHeard when it was
+	// last heard.
+	formerLeader string
+	formerHeard  time.Time
+	// proposedSilent is the last proposal of updateOwners, nil if it was applied.
+	proposedSilent *silentProposal
 }
 
 // leaderInfo is the role of this host and the known leader, empty for none.
@@ -217,7 +221,7 @@
 	h.pendingReads = newPendingReads()
 	h.announced = make(map[string]announcedEndpoint)
 	h.joinPositions = make(map[string]joinPosition)
-	h.removalDelayStart = make(map[lease.ID]time.Time)
+	h.hostWatch = newHostWatch(h.opts.Lease.Duration)
 	h.leading, h.confirmed = false, false
 	return nil
 }
--- a/internal/control/leader_tasks.go
+++ b/internal/control/leader_tasks.go
@@ -8,15 +8,10 @@
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/consensus"
-	"github.com/galenabridge/galenabridge/internal/lease"
 )
 
-// Timing of the leader's periodic tasks.
-const (
-	leaderTaskInterval = 250 * time.Millisecond
-	// hostRemovalDelay is how long a host stays registered after its lease expired.
-	hostRemovalDelay = 2 * time.Second
-)
+// leaderTaskInterval is the interval of the leader's periodic tasks.
+const leaderTaskInterval = 250 * time.Millisecond
 
 // runLeaderTasks runs the periodic tasks of a confirmed leader once.
 func (h *Host) runLeaderTasks(now time.Time) {
@@ -25,7 +20,7 @@
 	}
 	h.proposeFleetName()
 	h.changeMembers()
-	h.removeExpiredHosts(now)
+	h.releaseHosts(now)
 	h.expireAnnouncements(now)
 	h.updateSettled(now)
 	h.logRegistrationWait()
@@ -74,30 +69,16 @@
 	return h.node.NextChange(desired)
 }
 
-// removeExpiredHosts proposes to remove hosts whose lease expired more than
-// hostRemovalDelay ago. A host that may still hold a lease is never removed.
-func (h *Host) removeExpiredHosts(now time.Time) {
-	leased := h.broker.PossibleHolders(now, h.registered)
-	for _, host := range h.state.Hosts {
-		id := lease.ID{Host: host.ID, Incarnation: host.Incarnation}
-		if leased[id] {
-			h.removalDelayStart[id] = now
-			continue
-		}
-		start, ok := h.removalDelayStart[id]
-		if !ok {
-			h.removalDelayStart[id] = now
-			continue
-		}
-		if now.Sub(start) < hostRemovalDelay {
-			continue
-		}
-		h.removalDelayStart[id] = now
+// releaseHosts proposes to mark entry hosts as absent whose lease has ended, and to remove
+// hosts whose lease ended long ago.
+func (h *Host) releaseHosts(now time.Time) {
+	absent, removed := h.hostWatch.look(now, h.state, h.broker.PossibleHolders(now, h.registered))
+	if len(absent) > 0 {
+		h.log.Info("hosts_absent", "hosts", slices.Sorted(maps.Keys(absent)))
+		h.proposeNoReply(agreed.Command{MarkAbsent: &agreed.MarkAbsent{Processes: absent}})
+	}
+	for _, host := range removed {
 		h.log.Info("host_aged_out", "host", host.ID, "incarnation", host.Incarnation)
 		h.proposeNoReply(agreed.Command{RemoveHost: &agreed.RemoveHost{ID: host.ID, Incarnation: host.Incarnation}})
 	}
-	maps.DeleteFunc(h.removalDelayStart, func(id lease.ID, _ time.Time) bool {
-		host, ok := h.state.Hosts[id.Host]
-		return !ok || host.Incarnation != id.Incarnation
-	})
 }
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -250,11 +250,11 @@
 
 // publish publishes the state with the end of the lease. The view is not valid
 // before the registration of this process is settled, after the process was
-// replaced, or while it leaves.
+// replaced, while it is absent, or while it leaves.
 func (s *Subscriber) publish() {
 	v := view.View{State: s.state, Settled: s.holder.Settled()}
 	host, ok := s.state.Hosts[s.opts.Peer.Host()]
-	registered := ok && host.Incarnation == s.opts.Peer.Incarnation() && v.Settled >= host.Registered
+	registered := ok && host.Incarnation == s.opts.Peer.Incarnation() && !host.Absent && v.Settled >= host.Registered
 	if registered && !s.leaving {
 		v.ValidUntil = s.holder.ValidUntil(s.state.Revision)
 	}
--- a/internal/limits/fleetsize.go
+++ b/internal/limits/fleetsize.go
@@ -140,6 +140,20 @@
 	return f.cfg.Tolerance.allowance(w) * reserveFraction / float64(max(f.entryHosts, 1))
 }
 
+// idleBurstFraction is the fraction of the tolerance that may accrue beyond the burst of a
+// workspace without floors while nobody can spend any. The rest is left for the arrival of
+// statements, which lags behind their tokens.
+const idleBurstFraction = 1.0 / 2
+
+// idleBurst returns the tokens that a workspace's rate may accrue beyond its burst while its
+// owner or the fleet is lost. Where the hosts have floors, these hold the tolerance.
+func (f fleetSize) idleBurst(w note.Workspace) float64 {
+	if f.rateFloorSum(w) > 0 {
+		return 0
+	}
+	return f.cfg.Tolerance.allowance(w) * idleBurstFraction
+}
+
 // leasedConnections returns the number of an endpoint's connections that are leased
 // by demand: all that are available except the floors.
 func (f fleetSize) leasedConnections(connections int) int {
--- a/internal/limits/floor_test.go
+++ b/internal/limits/floor_test.go
@@ -116,6 +116,21 @@
 	})
 }
 
+// TestIdleBurstStaysWithinTolerance checks that what a workspace without floors may accrue
+// while nobody can spend any is at most the tolerance.
+func TestIdleBurstStaysWithinTolerance(t *testing.T) {
+	cfg := floorConfig()
+	cfg.RateFloor, cfg.Tolerance = 0, Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	w := note.Workspace{Name: "w", Rate: 13, Burst: 13}
+	state := agreed.New()
+	state.Catalog.Workspaces["w"] = w
+	state.Hosts["a"] = agreed.Host{ID: "a", Entry: true}
+	limit := limitsOf(cfg, state, &route.HomeTable{})[rateKey("w")]
+	if limit.IdleBurst <= 0 || limit.IdleBurst > cfg.Tolerance.allowance(w) {
+		t.Errorf("idle burst %v, want more than 0 and at most the tolerance of %v", limit.IdleBurst, cfg.Tolerance.allowance(w))
+	}
+}
+
 // homeFleet returns the sizes of a fleet whose hosts forward statements to home hosts, of a
 // workspace and of the services.
 func homeFleet(cfg Config, hosts, services int) (*agreed.State, fleetSize) {
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -52,6 +52,8 @@
 	mu    sync.Mutex
 	quota *quota.Holder
 	epoch uint64 // agreed.State.OwnersEpoch of the latest applied state
+	// leasedSince is view.View.LeasedSince when it was last observed.
+	leasedSince time.Time
 	// connectionFloors are the numbers of connections per endpoint that need no lease on a
 	// host that connects to it, by service. If homesOnly is set, only home hosts do.
 	connectionFloors map[string]int
@@ -128,10 +130,25 @@
 	}
 	h.homesOnly = size.homeHosts > 0
 	h.updateRateFloors(clock.Now(), state, size)
+	owners := state.QuotaOwners()
+	for _, owner := range owners {
+		h.quota.ObserveOwner(owner, state.Hosts[owner].Incarnation)
+	}
 	if state.OwnersEpoch != h.epoch {
 		h.epoch = state.OwnersEpoch
-		h.quota.SetEpoch(h.epoch, ownerHosts(state))
+		h.quota.SetEpoch(h.epoch, owners)
+	}
+}
+
+// observeLease ends the shares of rates when the configuration lease has lapsed since the
+// last call. The caller holds h.mu.
+func (h *Holder) observeLease(now time.Time) {
+	since := h.view.Current().LeasedSince
+	if since.Equal(h.leasedSince) {
+		return
 	}
+	h.leasedSince = since
+	h.quota.EndRates(now)
 }
 
 // Run requests shares from the owners and serves waiting requests until ctx ends.
@@ -194,6 +211,7 @@
 	usage := h.pool.Usage()
 	h.mu.Lock()
 	h.lastRound = now
+	h.observeLease(now)
 	h.applyState(state)
 	for _, u := range usage {
 		floor := h.connectionFloor(u.Service)
@@ -219,7 +237,9 @@
 
 func (h *Holder) receive(r quota.Reply) {
 	h.mu.Lock()
-	h.quota.Receive(clock.Now(), r)
+	now := clock.Now()
+	h.observeLease(now)
+	h.quota.Receive(now, r)
 	h.mu.Unlock()
 	h.pool.Resize()
 	h.notify()
--- a/internal/limits/keys.go
+++ b/internal/limits/keys.go
@@ -6,8 +6,6 @@
 package limits
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
@@ -39,7 +37,7 @@
 	size := sizeOf(cfg, state, homes)
 	for name, w := range state.Catalog.Workspaces {
 		leasedFraction := 1 - size.rateFloorSum(w)
-		all[rateKey(name)] = quota.Limit{Rate: w.Rate * leasedFraction, Burst: w.Burst * leasedFraction}
+		all[rateKey(name)] = quota.Limit{Rate: w.Rate * leasedFraction, Burst: w.Burst * leasedFraction, IdleBurst: size.idleBurst(w)}
 	}
 	for id, e := range state.Endpoints {
 		service, ok := state.Catalog.Services[e.Service]
@@ -52,23 +50,12 @@
 	return all
 }
 
-// ownerHosts returns the control hosts, among which the owners of keys are chosen,
-// in sorted order.
-func ownerHosts(state *agreed.State) []string {
-	var hosts []string
-	for _, id := range slices.Sorted(maps.Keys(state.Hosts)) {
-		if state.Hosts[id].Control {
-			hosts = append(hosts, id)
-		}
-	}
-	return hosts
-}
-
-// holderIDs returns the processes that may hold leases: those of the entry hosts.
+// holderIDs returns the processes that may hold shares of rates: those of the entry hosts
+// that are not absent.
 func holderIDs(state *agreed.State) []quota.HolderID {
 	var all []quota.HolderID
 	for _, h := range state.Hosts {
-		if h.Entry {
+		if h.Entry && !h.Absent {
 			all = append(all, quota.HolderID{Host: h.ID, Incarnation: h.Incarnation})
 		}
 	}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -208,7 +208,7 @@
 
 // ownerOf returns the owner of a key in a state.
 func ownerOf(state *agreed.State, key string) string {
-	return rendezvous.Owner(ownerHosts(state), key)
+	return rendezvous.Owner(state.QuotaOwners(), key)
 }
 
 // TestConnectionFloorsAndLeasesFitEndpoint checks that the connections of all hosts,
--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -33,6 +33,8 @@
 	homes  route.HomeTable
 	// startedAt is when Run started to follow the agreed state.
 	startedAt time.Time
+	// restarts is the number of former runs of the task in this process.
+	restarts uint64
 	// leasesKnown is the last logged value of quota.Owner.LeasesKnown.
 	leasesKnown bool
 }
@@ -61,9 +63,10 @@
 // Run grants shares until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
 	now := clock.Now()
-	// A restarted task has lost its grants and counts as a new process. Wall-clock
-	// time orders the incarnations, because clock.Now restarts with the machine.
-	o.quota = quota.NewOwner(quotaConfig(o.cfg.Lease), o.peers.Host(), uint64(time.Now().UnixNano()), now)
+	// A restarted task has lost its grants and counts as a new process. Holders know the
+	// incarnation of the first run from the agreed state.
+	o.quota = quota.NewOwner(quotaConfig(o.cfg.Lease), o.peers.Host(), o.peers.Incarnation()+o.restarts, now)
+	o.restarts++
 	o.state, o.limits, o.startedAt = nil, map[string]quota.Limit{}, now
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -86,7 +89,7 @@
 // logLeasesKnown logs when all leases of the owner's keys have become known, and
 // when they are unknown again.
 func (o *Owner) logLeasesKnown(now time.Time) {
-	known, lastSpentAt := o.quota.LeasesKnown()
+	known := o.quota.LeasesKnown()
 	if known == o.leasesKnown {
 		return
 	}
@@ -95,7 +98,7 @@
 		o.log.Info("limits_unknown")
 		return
 	}
-	o.log.Info("limits_known", "after_ms", now.Sub(o.startedAt).Milliseconds(), "quiet_ms", now.Sub(lastSpentAt).Milliseconds())
+	o.log.Info("limits_known", "after_ms", now.Sub(o.startedAt).Milliseconds())
 }
 
 func (o *Owner) handle(now time.Time, r ownerRequest) {
@@ -115,7 +118,7 @@
 	if state == nil || state == o.state {
 		return
 	}
-	o.quota.SetEpoch(now, state.OwnersEpoch, ownerHosts(state))
+	o.quota.SetEpoch(now, state.OwnersEpoch, state.QuotaOwners())
 	o.quota.SetHolders(now, holderIDs(state))
 	o.setLimits(now, state)
 	o.removeDeparted(now, state)
@@ -150,15 +153,20 @@
 	return o.state != nil && now.Sub(o.startedAt) > 2*(o.cfg.Lease.Duration+quota.DefaultShareLease)
 }
 
-// removeDeparted reclaims the shares of processes that are no longer registered. A
-// process is deregistered only after its configuration lease has ended.
+// removeDeparted reclaims the shares of processes that are no longer registered, and those
+// of rates of processes that have become absent. Either happens only after the configuration
+// lease of the process has ended.
 func (o *Owner) removeDeparted(now time.Time, state *agreed.State) {
 	if o.state == nil {
 		return
 	}
 	for id, former := range o.state.Hosts {
-		if current, ok := state.Hosts[id]; !ok || current.Incarnation != former.Incarnation {
+		current, ok := state.Hosts[id]
+		switch {
+		case !ok || current.Incarnation != former.Incarnation:
 			o.quota.RemoveHolder(now, id, former.Incarnation)
+		case current.Absent && !former.Absent:
+			o.quota.EndRates(now, id, former.Incarnation)
 		}
 	}
 }
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -64,6 +64,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := clock.Now()
+	h.observeLease(now)
 	key := rateKey(workspace)
 	q, floor := h.queues[workspace], h.rateFloors[workspace]
 	if q == nil && floor.takeIfFull(now) {
@@ -170,6 +171,7 @@
 func (h *Holder) serve(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.observeLease(now)
 	next := idleWait
 	for workspace, q := range h.queues {
 		next = min(next, h.serveQueue(now, workspace, q))
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -33,12 +33,6 @@
 	b.level = min(b.share.Burst, b.level+tokens)
 }
 
-// creditIdleTime raises the level to the tokens accrued during a period in which
-// none were spent.
-func (b *bucket) creditIdleTime(idle time.Duration) {
-	b.level = max(b.level, min(b.share.Burst, b.share.Rate*idle.Seconds()))
-}
-
 // timeUntil returns the time until the bucket holds n tokens.
 func (b *bucket) timeUntil(n float64) time.Duration {
 	if b.level >= n {
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -187,6 +187,13 @@
 	f.deliver()
 }
 
+// run advances the true time in steps of 5 ms.
+func (f *fleet) run(d time.Duration) {
+	for range int(d / (5 * time.Millisecond)) {
+		f.step(5 * time.Millisecond)
+	}
+}
+
 // adoptEpoch moves a reachable machine to the current epoch and reports whether its
 // epoch changed.
 func (f *fleet) adoptEpoch(m *machine) bool {
@@ -212,6 +219,18 @@
 	}
 }
 
+// announceOwners makes the processes of the owners known to all reachable holders, as
+// the agreed state does.
+func (f *fleet) announceOwners() {
+	for _, e := range f.entries {
+		for _, c := range f.controls {
+			if !e.isolated {
+				e.holder.ObserveOwner(c.name, c.incarnation)
+			}
+		}
+	}
+}
+
 func (f *fleet) send(m message) {
 	if f.bytes != nil {
 		if m.request != nil {
@@ -274,6 +293,13 @@
 	e.waiting = nil
 }
 
+// retryAll tries all waiting requests for a key once.
+func (f *fleet) retryAll(key string) {
+	for _, e := range f.entries {
+		e.waiting = slices.DeleteFunc(e.waiting, func(waiting string) bool { return waiting == key && f.retry(e, key) })
+	}
+}
+
 func (f *fleet) retry(e *entry, key string) bool {
 	if !e.holder.Take(e.clock(f.now), key, 1).Granted {
 		return false
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,8 +25,12 @@
 	order             []*heldKey // the keys in the order of their first use
 	// leaseReports tracks the report of all leases to each owner, by host.
 	leaseReports map[string]*leaseReport
-	// lastSpentAt is when a token was last spent, or when Requests was first called.
-	lastSpentAt time.Time
+	// spentAt is when a token of a rate was last spent, for those spent from within
+	// spentMemory. startedAt is when Requests was first called.
+	spentAt   map[string]time.Time
+	startedAt time.Time
+	// ratesSince is when EndRates was last called.
+	ratesSince time.Time
 }
 
 // leaseReport tracks whether an owner has acknowledged a request that lists all
@@ -38,9 +43,9 @@
 	nextAttempt time.Time
 }
 
-// maxReportedIdleTime bounds Request.IdleMS. It is far longer than the time in which
-// any burst refills.
-const maxReportedIdleTime = time.Hour
+// spentMemory is how long a holder remembers that it spent a token of a key. Most bursts
+// refill in that time.
+const spentMemory = 10 * time.Second
 
 // leaseReportInterval is the retry interval of the report of all leases.
 const leaseReportInterval = 100 * time.Millisecond
@@ -68,7 +73,7 @@
 	return &Holder{
 		cfg: cfg.withDefaults(), host: host, incarnation: incarnation,
 		ownerIncarnations: map[string]uint64{}, unitKeys: map[string]bool{}, keys: map[string]*heldKey{},
-		leaseReports: map[string]*leaseReport{},
+		leaseReports: map[string]*leaseReport{}, spentAt: map[string]time.Time{},
 	}
 }
 
@@ -86,6 +91,28 @@
 	}
 }
 
+// ObserveOwner records the incarnation of an owner as known from the agreed state. A new
+// process of an owner has lost its record of leases, and grants the rest of a limit only
+// once every holder has reported its leases, including those that use none of its keys.
+func (h *Holder) ObserveOwner(host string, incarnation uint64) {
+	if incarnation > h.ownerIncarnations[host] {
+		h.recordOwnerRestart(host, incarnation)
+	}
+}
+
+// EndRates ends the leases of all rates and rejects the grants of requests that were sent
+// before now. It is called when the host's configuration lease has lapsed: the owners take
+// back the shares of a host without one (Owner.EndRates).
+func (h *Holder) EndRates(now time.Time) {
+	h.ratesSince = now
+	for _, k := range h.keys {
+		if !k.isUnitLimit {
+			k.expires = time.Time{}
+			k.advance(now)
+		}
+	}
+}
+
 // SetUnits declares that a key is a limit of units, which are given back by
 // Release. It must be called before the first use of the key.
 func (h *Holder) SetUnits(key string) { h.unitKeys[key] = true }
@@ -128,7 +155,7 @@
 	case k.bucket.level >= n:
 		k.bucket.level -= n
 		k.retryDelay = 0
-		h.lastSpentAt = now
+		h.spentAt[key] = now
 		k.backlog = max(0, k.backlog-n)
 		return Decision{Granted: true}
 	}
@@ -192,9 +219,10 @@
 // Requests returns the requests that are due, at most one per owner, and forgets the
 // keys that are idle. It should be called every 100 ms.
 func (h *Holder) Requests(now time.Time) []Batch {
-	if h.lastSpentAt.IsZero() {
-		h.lastSpentAt = now
+	if h.startedAt.IsZero() {
+		h.startedAt = now
 	}
+	maps.DeleteFunc(h.spentAt, func(_ string, at time.Time) bool { return now.Sub(at) > spentMemory })
 	h.pruneSent(now)
 	b := batcher{holder: h, index: map[string]int{}}
 	kept := h.order[:0]
@@ -238,17 +266,33 @@
 		i := b.request(owner)
 		r := &b.batches[i].Request
 		r.Complete, report.seq = report.incarnation != 0, r.Seq
-		if r.Complete {
-			r.IdleMS = uint32(min(now.Sub(h.lastSpentAt), maxReportedIdleTime).Milliseconds())
-		}
+		r.IdleMS = uint32(h.idleTime(now, "").Milliseconds())
 		r.Keys = slices.DeleteFunc(r.Keys, func(kr KeyRequest) bool { return !kr.Release })
 		for _, k := range h.order {
 			if rendezvous.Owner(h.owners, k.name) == owner {
-				b.add(k, k.request(now))
+				kr := k.request(now)
+				kr.SpentMS = uint32(h.idleTime(now, k.name).Milliseconds())
+				b.add(k, kr)
 				k.recordRequest(now, h.cfg)
 			}
 		}
+		for _, key := range slices.Sorted(maps.Keys(h.spentAt)) {
+			if h.keys[key] == nil && rendezvous.Owner(h.owners, key) == owner {
+				r := &b.batches[i].Request
+				r.Keys = append(r.Keys, KeyRequest{Key: key, Release: true, SpentMS: uint32(h.idleTime(now, key).Milliseconds())})
+			}
+		}
+	}
+}
+
+// idleTime returns for how long no token of a key has been spent, as far as the process
+// remembers. For the empty key that is the time that it remembers.
+func (h *Holder) idleTime(now time.Time, key string) time.Duration {
+	idle := min(now.Sub(h.startedAt), spentMemory)
+	if at, ok := h.spentAt[key]; ok {
+		idle = min(idle, now.Sub(at))
 	}
+	return idle
 }
 
 // confirmLeaseReport records that an owner has acknowledged the latest request
@@ -345,7 +389,7 @@
 	expires := at.Add(time.Duration(r.LeaseMS) * time.Millisecond)
 	for _, g := range r.Grants {
 		k := h.keys[g.Key]
-		if k == nil || k.firstSeq == 0 || r.Seq < k.firstSeq {
+		if k == nil || k.firstSeq == 0 || r.Seq < k.firstSeq || !k.isUnitLimit && at.Before(h.ratesSince) {
 			continue
 		}
 		k.apply(now, g, Stamp{Epoch: r.Epoch, Incarnation: r.Incarnation, ID: g.ID}, expires)
--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -54,6 +54,7 @@
 	cfg           Config
 	name          string
 	limit         Limit
+	createdAt     time.Time
 	quarantineEnd time.Time
 	// reserved may be in use by holders that have not reported since the key was
 	// taken over. It is zero once quarantineEnd has passed.
@@ -65,8 +66,10 @@
 	// zero while it is not above it.
 	overloadedSince time.Time
 	pool            bucket
-	// adopted is set once a lease that a former owner granted has been adopted.
-	adopted bool
+	// idleBurst is the part of the burst that accrued while nobody could spend any, until
+	// idleBurstUntil.
+	idleBurst      float64
+	idleBurstUntil time.Time
 	// fullyAvailableAt is when the whole limit became available because all leases
 	// were known, zero if it has not. holderCount is the number of processes that may
 	// request shares of it.
@@ -84,7 +87,7 @@
 // newOwnedKey returns a key that up to expectedHolders processes may use.
 func newOwnedKey(cfg Config, name string, limit Limit, now, quarantineEnd time.Time, expectedHolders int) *ownedKey {
 	k := &ownedKey{
-		cfg: cfg, name: name, limit: limit, quarantineEnd: quarantineEnd, holders: map[HolderID]*holderState{},
+		cfg: cfg, name: name, limit: limit, createdAt: now, quarantineEnd: quarantineEnd, holders: map[HolderID]*holderState{},
 		expectedHolders: expectedHolders, expectedUntil: now.Add(cfg.ShareLease),
 	}
 	k.pool.refilledAt = now
@@ -98,7 +101,7 @@
 // total returns the limit as a share. The rate is reduced by the drift allowance, so
 // that holders with fast clocks do not exceed the limit.
 func (k *ownedKey) total() Share {
-	return Share{Rate: k.limit.Rate / (1 + k.cfg.Drift), Burst: k.limit.Burst}
+	return Share{Rate: k.limit.Rate / (1 + k.cfg.Drift), Burst: k.limit.Burst + k.idleBurst}
 }
 
 func (k *ownedKey) setLimit(now time.Time, limit Limit) {
@@ -112,9 +115,28 @@
 	return k.total().minus(k.leased).minus(k.reserved).max(Share{})
 }
 
-// unleased reports whether no holder has had a lease of the key since it was
-// taken over.
-func (k *ownedKey) unleased() bool { return !k.adopted && k.leased == (Share{}) }
+// idleBurstTime is how long tokens beyond the burst can be granted after nobody could spend
+// any. The callers of that time have been served or have given up by then.
+const idleBurstTime = reconnectWindow
+
+// creditIdleTime fills the pool with the tokens that accrued while no holder spent any, and
+// that are not in the buckets of holders. It answers the requests that have waited for the
+// owner. All hosts together spend at most rate*w + burst + IdleBurst in any interval of
+// length w, since the buckets never hold more than that.
+func (k *ownedKey) creditIdleTime(now time.Time, idle time.Duration) {
+	if k.limit.Rate == 0 {
+		return
+	}
+	accrued := k.free().Rate * idle.Seconds()
+	k.idleBurst = max(0, min(k.limit.IdleBurst, accrued-k.limit.Burst))
+	k.idleBurstUntil = now.Add(idleBurstTime)
+	k.resizePool(now)
+	k.pool.level = max(k.pool.level, min(k.pool.share.Burst, accrued-k.leased.Burst))
+}
+
+// quarantined reports whether a part of the limit is reserved for holders that have not
+// reported their leases.
+func (k *ownedKey) quarantined() bool { return k.reserved != (Share{}) }
 
 func (k *ownedKey) resizePool(now time.Time) { k.pool.resize(now, k.free()) }
 
@@ -125,7 +147,10 @@
 		k.expectedHolders = 0
 	}
 	k.thin = k.isThin()
-	if k.reserved != (Share{}) && !now.Before(k.quarantineEnd) {
+	if k.idleBurst > 0 && !now.Before(k.idleBurstUntil) {
+		k.idleBurst = 0
+	}
+	if k.quarantined() && !now.Before(k.quarantineEnd) {
 		k.reserved = Share{}
 	}
 	k.resizePool(now)
@@ -171,10 +196,9 @@
 // reserved part to the holder. After the quarantine nothing is reserved and the lease
 // is ignored.
 func (k *ownedKey) adopt(now time.Time, hs *holderState, lease *HeldLease) {
-	if k.reserved == (Share{}) || lease.RemainingMS == 0 {
+	if !k.quarantined() || lease.RemainingMS == 0 {
 		return
 	}
-	k.adopted = true
 	remaining := time.Duration(lease.RemainingMS) * time.Millisecond
 	share := lease.Share.min(k.reserved)
 	k.reserved = k.reserved.minus(share)
@@ -232,9 +256,12 @@
 }
 
 // overloaded reports whether the demand has exceeded overloadFactor times the limit
-// for overloadDelay, outside the reconnectWindow.
+// for overloadDelay, outside the reconnectWindow. A key in quarantine is not overloaded:
+// requests wait for it whatever the demand is.
 func (k *ownedKey) overloaded(now time.Time) bool {
 	switch {
+	case k.quarantined():
+		k.overloadedSince = time.Time{}
 	case k.demand <= overloadFactor*k.limit.capacity() && !k.isBacklogged():
 		k.overloadedSince = time.Time{}
 	case k.overloadedSince.IsZero():
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -29,9 +29,10 @@
 	holders     []HolderID
 	reported    map[HolderID]bool
 	leasesKnown bool
-	// lastSpentAt is the latest time at which a token may have been spent, according
-	// to the holders' lease reports.
-	lastSpentAt time.Time
+	// spentAt is the latest time at which a token of a rate may have been spent, and
+	// unlistedSpentAt that of the other rates, according to the holders' lease reports.
+	spentAt         map[string]time.Time
+	unlistedSpentAt time.Time
 }
 
 // NewOwner returns the Owner of a control host. The incarnation must be greater
@@ -40,7 +41,7 @@
 	return &Owner{
 		cfg: cfg.withDefaults(), host: host, incarnation: incarnation, ownedSince: now,
 		limits: map[string]Limit{}, neverLeased: map[string]bool{}, keys: map[string]*ownedKey{},
-		reported: map[HolderID]bool{},
+		reported: map[HolderID]bool{}, spentAt: map[string]time.Time{},
 	}
 }
 
@@ -56,7 +57,8 @@
 	o.epoch, o.owners, o.ownedSince = epoch, slices.Clone(owners), now
 	clear(o.neverLeased)
 	clear(o.reported)
-	o.leasesKnown, o.lastSpentAt = false, time.Time{}
+	clear(o.spentAt)
+	o.leasesKnown, o.unlistedSpentAt = false, time.Time{}
 	for key := range o.keys {
 		if !next || rendezvous.Owner(o.owners, key) != o.host {
 			delete(o.keys, key)
@@ -75,7 +77,7 @@
 	if limit == (Limit{}) {
 		delete(o.limits, key)
 		delete(o.keys, key)
-		o.lastSpentAt = now // holders may still spend their leases of the key
+		o.observeSpent(key, now) // holders may still spend their leases of the key
 		return
 	}
 	o.limits[key] = limit
@@ -90,28 +92,52 @@
 // SetHolders sets the processes that may hold leases. They must include all that
 // were registered when the epoch began.
 func (o *Owner) SetHolders(now time.Time, holders []HolderID) {
+	for _, former := range o.holders {
+		if !o.reported[former] && !slices.Contains(holders, former) {
+			o.unlistedSpentAt = now // it may have spent tokens until it left
+		}
+	}
 	o.holders = holders
 	o.endQuarantine(now)
 }
 
 // recordLeaseReport records that a holder has reported all its leases, and how long
-// ago it last spent a token. Once all holders have reported, no lease is unknown, and
-// the buckets of keys without a lease have refilled since lastSpentAt.
-func (o *Owner) recordLeaseReport(now time.Time, id HolderID, idle time.Duration) {
+// ago it last spent a token of each rate. Once all holders have reported, no lease is
+// unknown, and the buckets have refilled since the last token was spent.
+func (o *Owner) recordLeaseReport(now time.Time, id HolderID, req Request) {
 	o.reported[id] = true
-	if since := now.Add(-idle); since.After(o.lastSpentAt) {
-		o.lastSpentAt = since
+	ago := func(ms uint32) time.Time {
+		return now.Add(-o.cfg.subtractDrift(time.Duration(ms) * time.Millisecond))
+	}
+	for _, kr := range req.Keys {
+		o.observeSpent(kr.Key, ago(kr.SpentMS))
+	}
+	if since := ago(req.IdleMS); since.After(o.unlistedSpentAt) {
+		o.unlistedSpentAt = since
 	}
 	o.endQuarantine(now)
 }
 
-// LeasesKnown reports whether every holder has reported its leases to this owner in
-// the current epoch. It also returns the latest time at which any of them may have
-// spent a token before its report.
-func (o *Owner) LeasesKnown() (bool, time.Time) {
-	return o.leasesKnown, o.lastSpentAt
+// observeSpent records that a token of a key may have been spent at a time.
+func (o *Owner) observeSpent(key string, at time.Time) {
+	if at.After(o.spentAt[key]) {
+		o.spentAt[key] = at
+	}
 }
 
+// idleTime returns for how long no token of a key has been spent.
+func (o *Owner) idleTime(now time.Time, key string) time.Duration {
+	last := o.unlistedSpentAt
+	if at := o.spentAt[key]; at.After(last) {
+		last = at
+	}
+	return now.Sub(last)
+}
+
+// LeasesKnown reports whether every holder has reported its leases to this owner in
+// the current epoch.
+func (o *Owner) LeasesKnown() bool { return o.leasesKnown }
+
 // endQuarantine makes the whole limit of all keys available once every holder has
 // reported its leases.
 func (o *Owner) endQuarantine(now time.Time) {
@@ -125,12 +151,13 @@
 	}
 	o.leasesKnown = true
 	for _, k := range o.keys {
+		if k.createdAt.Before(o.ownedSince) {
+			continue // kept from the former epoch, with all its leases
+		}
 		k.quarantineEnd = now
 		k.advance(now)
 		k.fullyAvailableAt, k.holderCount = now, len(o.holders)
-		if k.unleased() {
-			k.pool.creditIdleTime(now.Sub(o.lastSpentAt))
-		}
+		k.creditIdleTime(now, o.idleTime(now, k.name))
 	}
 }
 
@@ -147,8 +174,7 @@
 		return reply
 	}
 	if reply.Complete = req.Complete; reply.Complete {
-		idle := time.Duration(req.IdleMS) * time.Millisecond
-		defer o.recordLeaseReport(now, HolderID{req.Host, req.Incarnation}, o.cfg.subtractDrift(idle))
+		defer o.recordLeaseReport(now, HolderID{req.Host, req.Incarnation}, req)
 	}
 	for _, kr := range req.Keys {
 		if g, ok := o.handleKey(now, HolderID{req.Host, req.Incarnation}, req.Seq, kr); ok {
@@ -205,7 +231,7 @@
 		k.pool.level = limit.Burst
 		delete(o.neverLeased, key)
 	} else if o.leasesKnown {
-		k.pool.creditIdleTime(now.Sub(o.lastSpentAt))
+		k.creditIdleTime(now, o.idleTime(now, key))
 	}
 	if o.leasesKnown {
 		k.fullyAvailableAt, k.holderCount = now, len(o.holders)
@@ -225,6 +251,18 @@
 	}
 }
 
+// EndRates reclaims the shares of rates of a process whose configuration lease has expired,
+// and which gives them up before it acts again (Holder.EndRates). It keeps its shares of
+// units: the units may still be in use.
+func (o *Owner) EndRates(now time.Time, host string, incarnation uint64) {
+	for _, k := range o.keys {
+		if hs := k.holders[HolderID{host, incarnation}]; hs != nil && k.limit.Rate > 0 {
+			k.advance(now)
+			k.removeHolder(HolderID{host, incarnation}, hs)
+		}
+	}
+}
+
 // Tick reclaims expired leases. It should be called at least once a second.
 func (o *Owner) Tick(now time.Time) {
 	for _, k := range o.keys {
--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -141,3 +141,190 @@
 		t.Errorf("grants %+v, want one with a rate", reply.Grants)
 	}
 }
+
+// TestOwnerRestartIdleHoldersReport restarts an owner while most holders use none of its
+// keys. It guards against an owner that waits for unknown leases to expire because holders
+// without a request for it never learn of its new process.
+func TestOwnerRestartIdleHoldersReport(t *testing.T) {
+	f := newFleet(1, 3, 20, map[string]Limit{"k": {Rate: 40, Burst: 20}})
+	for range 40 {
+		f.take(f.entries[0], "k")
+		f.step(50 * time.Millisecond)
+	}
+	f.withdrawAll(f.entries[0])
+	for _, c := range f.controls {
+		if c.owner.keys["k"] != nil {
+			f.startOwner(c)
+		}
+	}
+	f.announceOwners()
+	f.run(500 * time.Millisecond)
+	e := f.entries[1] // had no share before
+	for range 20 {    // a second
+		f.take(e, "k")
+		f.run(50 * time.Millisecond)
+		e.waiting = slices.DeleteFunc(e.waiting, func(key string) bool { return f.retry(e, key) })
+	}
+	if len(e.waiting) > 2 {
+		t.Errorf("%d of 20 requests at half of the rate wait after a second and a half, want at most 2", len(e.waiting))
+	}
+	if v := f.violation(); v != "" {
+		t.Error(v)
+	}
+}
+
+// TestEpochChangeKeepsSharesOfKeptKeys changes the owners while a holder uses most of a rate
+// whose owner stays. It guards against equal shares for all holders after the change: the
+// owner has known all leases of the key throughout.
+func TestEpochChangeKeepsSharesOfKeptKeys(t *testing.T) {
+	now := start
+	o := NewOwner(Config{}, "c", 1, now)
+	o.SetOwnerLease(now.Add(time.Minute))
+	o.SetEpoch(now, 1, []string{"c"})
+	o.SetHolders(now, []HolderID{{"busy", 1}, {"idle", 1}, {"other", 1}, {"another", 1}})
+	o.SetLimit(now, "k", Limit{Rate: 400, Burst: 40}, true)
+	seq := uint64(0)
+	ask := func(host string, epoch uint64, keys ...KeyRequest) Reply {
+		seq++
+		return o.Handle(now, Request{Host: host, Incarnation: 1, Epoch: epoch, OwnerIncarnation: 1, Seq: seq, Complete: true, Keys: keys})
+	}
+	report := func(epoch uint64) {
+		for _, host := range []string{"idle", "other", "another"} {
+			ask(host, epoch)
+		}
+	}
+	report(1)
+	ask("busy", 1, KeyRequest{Key: "k", Demand: 300})
+	now = now.Add(10 * time.Second)
+	granted := ask("busy", 1, KeyRequest{Key: "k", Demand: 300}).Grants[0]
+	o.SetEpoch(now, 2, []string{"c"})
+	held := &HeldLease{Stamp: Stamp{Epoch: 1, Incarnation: 1, ID: granted.ID}, Share: granted.Share, RemainingMS: 8000}
+	ask("busy", 2, KeyRequest{Key: "k", Demand: 300, Lease: held})
+	report(2)
+	if got := ask("busy", 2, KeyRequest{Key: "k", Demand: 300, Lease: held}).Grants[0].Share.Rate; got < 300 {
+		t.Errorf("rate %.0f after the change of the owners, want at least the demand of 300", got)
+	}
+}
+
+// TestRatesEndWithConfigurationLease cuts off a holder whose callers wait, takes back its
+// shares when its configuration lease has ended, and gives it another lease. It guards
+// against a share that is spent by its former holder and by those that got it since.
+func TestRatesEndWithConfigurationLease(t *testing.T) {
+	f := newFleet(1, 1, 3, map[string]Limit{"k": {Rate: 100, Burst: 100}})
+	cut, owner := f.entries[0], f.controls[0]
+	for range 200 {
+		f.take(cut, "k")
+		f.run(15 * time.Millisecond)
+	}
+	f.withdrawAll(cut)
+	cut.isolated = true
+	for range 40 { // two seconds
+		cut.holder.Offer(cut.clock(f.now), "k", 1)
+		cut.holder.Withdraw("k", 1)
+		f.run(50 * time.Millisecond)
+	}
+	owner.owner.EndRates(owner.clock(f.now), cut.name, cut.incarnation)
+	spend := func(d time.Duration, hosts ...*entry) {
+		for range int(d / (50 * time.Millisecond)) {
+			for _, e := range hosts {
+				for range 10 {
+					f.take(e, "k")
+				}
+			}
+			f.run(50 * time.Millisecond)
+			for _, e := range hosts {
+				e.waiting = slices.DeleteFunc(e.waiting, func(key string) bool { return f.retry(e, key) })
+			}
+		}
+	}
+	spend(time.Second, f.entries[1:]...)
+	cut.holder.EndRates(cut.clock(f.now))
+	spend(3*time.Second, f.entries...) // the cut holder has a lease again, but does not reach the owner
+	if v := f.violation(); v != "" {
+		t.Error(v)
+	}
+	cut.isolated = false
+	f.withdrawAll(f.entries[1])
+	f.withdrawAll(f.entries[2])
+	f.run(2 * time.Second)
+	if !f.retry(cut, "k") {
+		t.Error("the holder got no share after its return")
+	}
+}
+
+// TestQuarantineIsNoOverload restarts an owner while a holder cannot report. It guards
+// against refusals that blame a workspace for a rate that nobody may hand out yet.
+func TestQuarantineIsNoOverload(t *testing.T) {
+	f := newFleet(1, 1, 3, map[string]Limit{"k": {Rate: 100, Burst: 100}})
+	for range 100 {
+		f.take(f.entries[0], "k")
+		f.run(15 * time.Millisecond)
+	}
+	f.withdrawAll(f.entries[0])
+	f.entries[2].isolated = true
+	f.startOwner(f.controls[0])
+	f.announceOwners()
+	e := f.entries[1]
+	for range 40 { // two seconds at the rate
+		for range 5 {
+			f.take(e, "k")
+		}
+		f.run(50 * time.Millisecond)
+		if e.holder.Take(e.clock(f.now), "k", 1000).Overloaded {
+			t.Fatalf("overload reported %v after the restart of the owner", f.now)
+		}
+	}
+	f.controls[0].owner.SetHolders(f.controls[0].clock(f.now), f.holderIDs()[:2]) // the third is absent
+	f.run(500 * time.Millisecond)
+	if !f.retry(e, "k") {
+		t.Error("no token after the holder that cannot report was found absent")
+	}
+}
+
+// TestBacklogServedAfterOwnerLoss loses the owner of a small rate on many holders for three
+// seconds, the load of an election after the control hosts have lost power. It guards against
+// callers that wait for tokens although none were spent in that time.
+func TestBacklogServedAfterOwnerLoss(t *testing.T) {
+	const perSecond, outage = 8, 3
+	for _, restartHolders := range []bool{false, true} {
+		f := newFleet(1, 2, 40, map[string]Limit{"k": {Rate: 13, Burst: 13, IdleBurst: 14}})
+		f.checks["k"].limit.Burst += 14
+		turn := 0
+		load := func(d time.Duration) {
+			for range int(d.Seconds() * perSecond) {
+				turn++
+				f.take(f.entries[turn*7%len(f.entries)], "k")
+				f.run(time.Second / perSecond)
+				f.retryAll("k")
+			}
+		}
+		load(12 * time.Second)
+		f.loss = 1
+		if restartHolders {
+			f.net = nil
+			for _, e := range f.entries {
+				f.startHolder(e)
+			}
+		}
+		load(outage * time.Second)
+		for _, c := range f.controls {
+			f.startOwner(c)
+		}
+		f.announceOwners()
+		f.loss = 0
+		for range 10 { // half a second
+			f.run(50 * time.Millisecond)
+			f.retryAll("k")
+		}
+		waiting := 0
+		for _, e := range f.entries {
+			waiting += len(e.waiting)
+		}
+		if waiting > 2 {
+			t.Errorf("holders restarted %t: %d of %d requests wait half a second after the return of the owner, want at most 2", restartHolders, waiting, perSecond*outage)
+		}
+		if v := f.violation(); v != "" {
+			t.Errorf("holders restarted %t: %s", restartHolders, v)
+		}
+	}
+}
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -59,6 +59,9 @@
 	Rate float64
 	// Burst is in tokens, or is the number of units.
 	Burst float64
+	// IdleBurst is the number of tokens beyond Burst that accrue while nobody can spend any,
+	// as after the loss of an owner or of the whole fleet. The requests of that time wait.
+	IdleBurst float64
 }
 
 // Share is the part of a limit granted to one holder, in the units of Limit.
@@ -103,8 +106,8 @@
 	// owner's keys. Once all holders have sent such a request in the current epoch,
 	// the owner need not wait for unreported leases to expire.
 	Complete bool `cbor:"7,keyasint,omitempty"`
-	// IdleMS is the time since the process last spent a token, in milliseconds,
-	// rounded down. It is sent with Complete.
+	// IdleMS is the time in which the process has spent no token of the rates that are not
+	// listed in Keys, in milliseconds, rounded down. It is sent with Complete.
 	IdleMS uint32 `cbor:"8,keyasint,omitempty"`
 }
 
@@ -124,6 +127,9 @@
 	Release bool `cbor:"6,keyasint,omitempty"`
 	// Waiting is the number of tokens that requests wait for.
 	Waiting float32 `cbor:"7,keyasint,omitempty"`
+	// SpentMS is the time since the process last spent a token of the key, in milliseconds,
+	// rounded down. It is set in complete requests.
+	SpentMS uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // HolderID identifies a process that holds shares.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -18,6 +18,11 @@
 	Settled uint64
 	// ValidUntil is the end of the lease on the scale of package clock.
 	ValidUntil time.Time
+	// LeasedSince is when the lease was gained after the host had none, on the same scale.
+	// Publisher sets it.
+	LeasedSince time.Time
+	// formerEnd is when the lease of the views before this one ended, zero if there was none.
+	formerEnd time.Time
 }
 
 // Valid reports whether the host may act on the view now. Call it after any operation
@@ -26,6 +31,19 @@
 	return v.State != nil && clock.Now().Before(v.ValidUntil)
 }
 
+// LostFor returns for how long the host has had no lease, zero while it has one. It returns
+// false if the host never had one.
+func (v View) LostFor() (time.Duration, bool) {
+	if v.Valid() {
+		return 0, true
+	}
+	end := v.formerEnd
+	if v.ValidUntil.After(end) {
+		end = v.ValidUntil
+	}
+	return clock.Since(end), !end.IsZero()
+}
+
 // Source provides the current view.
 type Source interface {
 	// Current returns the view that was last published.
@@ -66,6 +84,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	stateChanged := p.view.State != v.State
+	now := clock.Now()
+	v.LeasedSince, v.formerEnd = p.view.LeasedSince, p.view.formerEnd
+	switch {
+	case now.Before(p.view.ValidUntil):
+		v.formerEnd = now
+	default:
+		v.LeasedSince = now
+		if p.view.ValidUntil.After(v.formerEnd) {
+			v.formerEnd = p.view.ValidUntil
+		}
+	}
 	p.view = v
 	if stateChanged {
 		close(p.changed)
