Refuse callers truthfully at the end of a shutdown, and be unready without a lease

Change: after the drain a host refuses new sessions and statements as shutting down, and waits for those in progress. A host is ready while it has a lease or lost it less than a second ago. Hosts of small fleets without a lease offer statements to the others, as those of large fleets did. How long a lease has been lost is kept where it is published, since a state can end it as well.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -91,7 +90,8 @@
 
 // lostLongAgo reports whether the host has had a lease that ended leaseLossPatience ago.
 func lostLongAgo(v view.View) bool {
-	return !v.ValidUntil.IsZero() && clock.Since(v.ValidUntil) > leaseLossPatience
+	lost, had := v.LostFor()
+	return had && lost > leaseLossPatience
 }
 
 // refund returns the rate token of an operation that was not sent to any endpoint.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -365,6 +365,24 @@
 	}
 }
 
+// TestRefuseNewEndsAcceptance guards against a statement that begins just before the process
+// ends and is cut off without an answer. A transaction in progress may still end.
+func TestRefuseNewEndsAcceptance(t *testing.T) {
+	f := newFixture(t)
+	idle, busy := f.open("launch"), f.open("launch")
+	f.expect(busy, Statement{Kind: Begin}, 0, InTransaction)
+	f.server.RefuseNew()
+	if _, err := f.server.Open("launch", idle.key, idle.caller); err == nil || err.Code != result.ShuttingDown {
+		t.Errorf("a session is opened with error %v, want ShuttingDown", err)
+	}
+	f.expect(idle, Statement{Kind: Write, Text: "x"}, result.ShuttingDown, Idle)
+	if n := f.endpoints.count(Write); n != 0 {
+		t.Errorf("%d writes were sent, want 0", n)
+	}
+	f.expect(busy, Statement{Kind: Write, Text: "x"}, 0, InTransaction)
+	f.expect(busy, Statement{Kind: Commit}, 0, Idle)
+}
+
 func TestIdleTransactionExpires(t *testing.T) {
 	f := newFixture(t)
 	s := f.open("launch")
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -78,6 +78,7 @@
 
 	lastSessionID atomic.Uint64
 	draining      atomic.Bool
+	refusing      atomic.Bool // set with mu held
 
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -307,6 +308,15 @@
 	}
 }
 
+// RefuseNew refuses new sessions and new statements outside of transactions. It is called at
+// the end of a shutdown, when no caller should come any more: a statement that began now
+// would be cut off by the end of the process.
+func (s *Server) RefuseNew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing.Store(true)
+}
+
 // Activity lists the counters that are reported in the log.
 func (s *Server) Activity() []activity.Counter { return s.metrics.activity() }
 
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -76,13 +76,25 @@
 		s.opts.Log.Info("session_refused", "database", database, "code", int(err.Code), "detail", err.Detail)
 		return nil, err
 	}
-	s.mu.Lock()
-	s.sessions[session] = struct{}{}
-	s.mu.Unlock()
+	if err := s.register(session); err != nil {
+		s.opts.Log.Info("session_refused", "database", database, "code", int(err.Code), "detail", err.Detail)
+		return nil, err
+	}
 	s.metrics.sessions.Inc()
 	return session, nil
 }
 
+// register adds a session unless new ones are refused.
+func (s *Server) register(session *Session) *result.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing.Load() {
+		return result.New(result.ShuttingDown, "the host is stopping")
+	}
+	s.sessions[session] = struct{}{}
+	return nil
+}
+
 // awaitAuthorization waits until the caller is authorized, or until a view with a valid
 // lease refuses it.
 func (s *Session) awaitAuthorization(timeout time.Duration) *result.Error {
@@ -153,7 +165,7 @@
 	started := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.closed || s.state == Idle && s.srv.refusing.Load() {
 		return refuse(result.New(result.ShuttingDown, "the session has ended"))
 	}
 	s.timings = timings{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,7 +87,6 @@
 	forwarder  *forward.Forwarder
 	core       *core.Server
 	stopping   atomic.Bool
-	hadLease   atomic.Bool // has held a configuration lease
 	// replaced is closed when a higher incarnation of this host was seen.
 	replaced chan struct{}
 }
@@ -189,14 +188,16 @@
 // Gatherer returns the metrics of the host.
 func (d *Daemon) Gatherer() prometheus.Gatherer { return d.registry }
 
-// Ready reports whether the host accepts callers: it has held a configuration lease and is
-// not stopping. It stays ready when it loses the lease, since callers would not be served
-// better by other hosts.
+// leaseLossPatience is how long a host stays ready without a configuration lease. An election
+// of the control leader takes up to 0.6 s; a host that has none for longer is probably cut off
+// from the control hosts, and hosts that are not serve its callers.
+const leaseLossPatience = time.Second
+
+// Ready reports whether the host accepts callers: it has a configuration lease, or lost it
+// less than leaseLossPatience ago, and is not stopping.
 func (d *Daemon) Ready() bool {
-	if d.view.Current().Valid() {
-		d.hadLease.Store(true)
-	}
-	return d.hadLease.Load() && !d.stopping.Load()
+	lost, had := d.view.Current().LostFor()
+	return had && lost < leaseLossPatience && !d.stopping.Load()
 }
 
 // SetSeeds replaces the seeds, which are addresses of control hosts.
@@ -289,26 +290,32 @@
 
 // drain accepts callers for the unreadyPeriod, then closes each session once it has no
 // transaction and no statement in progress. Transactions still open after transactionShare
-// of the grace period are aborted; their sessions get the time that remains to close.
+// of the grace period are aborted; their sessions get the time that remains to close. A
+// caller that comes after that is refused, and what it has begun is waited for.
 func (d *Daemon) drain(ctx context.Context) {
 	start := time.Now()
 	d.core.StopRemote() // other hosts have other home hosts at once
 	sleep(ctx, unreadyPeriod)
 	budget := time.Duration(float64(d.opts.GracePeriod) * transactionShare)
-	drainCtx, cancel := context.WithDeadline(ctx, start.Add(budget))
-	err := d.core.Drain(drainCtx)
-	cancel()
-	if err == nil {
-		return
+	if err := d.drainSessions(ctx, time.Until(start.Add(budget))); err != nil {
+		d.core.AbortTransactions()
+		if err := d.drainSessions(ctx, max(budget-3*replyFlushTime, replyFlushTime)); err != nil {
+			d.log.Warn("drain_incomplete", "err", err.Error())
+		}
 	}
-	d.core.AbortTransactions()
-	abortCtx, cancel := context.WithTimeout(ctx, max(budget-2*replyFlushTime, replyFlushTime))
-	defer cancel()
-	if err := d.core.Drain(abortCtx); err != nil {
+	d.core.RefuseNew()
+	if err := d.drainSessions(ctx, replyFlushTime); err != nil {
 		d.log.Warn("drain_incomplete", "err", err.Error())
 	}
 }
 
+// drainSessions waits until all sessions have closed, for at most the timeout.
+func (d *Daemon) drainSessions(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return d.core.Drain(ctx)
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/internal/route/hometable.go
+++ b/internal/route/hometable.go
@@ -69,11 +69,9 @@
 }
 
 // Others returns the home hosts that can run a workspace's statements on a service in place of
-// the given host, which is unable to, in order of preference.
+// the given host, which is unable to, in order of preference. It answers the loss of the lease
+// on this host while others have theirs, as after a cut between it and the control hosts.
 func (t *HomeTable) Others(self, service, workspace string) []string {
-	if AllAtHome(t.hosts) {
-		return nil
-	}
 	ranked := RankHomeHosts(t.homeHosts(service), service, workspace)
 	return slices.DeleteFunc(ranked, func(host string) bool { return host == self })
 }
