Place home hosts beside the endpoints, and hint when to come back

A refused request for a token told no time to come back when its rate had no owner, and one second to all callers otherwise.

--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/clock"
@@ -90,9 +91,9 @@
 	if q.overloaded {
 		deadline = earlier(deadline, now.Add(overloadMaxWait))
 	}
-	if wait, exceeds := h.exceedsDeadline(now, workspace, q, deadline); exceeds {
+	if h.exceedsDeadline(now, workspace, q, deadline) {
 		h.quota.Withdraw(key, 1)
-		return nil, rateExceeded(workspace, wait)
+		return nil, h.refuse(now, workspace, q)
 	}
 	w := &waiter{deadline: deadline, ready: make(chan error, 1)}
 	q.waiters = append(q.waiters, w)
@@ -110,16 +111,30 @@
 // exceedsDeadline estimates how long a new request would wait if all waiting requests
 // were served before it, and reports whether that exceeds its deadline. It reports
 // false unless the workspace is overloaded and the host has a share.
-func (h *Holder) exceedsDeadline(now time.Time, workspace string, q *queue, deadline time.Time) (time.Duration, bool) {
+func (h *Holder) exceedsDeadline(now time.Time, workspace string, q *queue, deadline time.Time) bool {
 	if !q.overloaded {
-		return 0, false
+		return false
 	}
 	rate := h.quota.Rate(now, rateKey(workspace))
 	if rate <= 0 {
-		return 0, false
+		return false
 	}
 	wait := max(q.nextTokenAt.Sub(now), 0) + time.Duration(float64(len(q.waiters))/rate*float64(time.Second))
-	return wait, now.Add(wait).After(deadline)
+	return now.Add(wait).After(deadline)
+}
+
+// refuse returns the refusal of a request for a token. It says whether the workspace is over
+// its rate, and when the caller should come back.
+func (h *Holder) refuse(now time.Time, workspace string, q *queue) error {
+	known := refusal{
+		overloaded: q.overloaded, waiting: len(q.waiters), rate: h.quota.Rate(now, rateKey(workspace)), nextToken: q.nextTokenAt.Sub(now),
+	}
+	err := result.New(result.DeadlineInQueue, "waiting for the rate of workspace %q", workspace)
+	if q.overloaded {
+		err = result.New(result.RateExceeded, "workspace %q is over its rate", workspace)
+	}
+	err.RetryAfter = known.retryAfter(rand.Float64())
+	return err
 }
 
 // abandon ends the wait of a request whose context or timeout has ended.
@@ -131,14 +146,10 @@
 		return <-w.ready // served in the meantime
 	}
 	h.quota.Withdraw(rateKey(workspace), 1)
-	overloaded := q.overloaded
 	if len(q.waiters) == 0 {
 		delete(h.queues, workspace)
 	}
-	if overloaded {
-		return rateExceeded(workspace, time.Second)
-	}
-	return result.New(result.DeadlineInQueue, "waiting for the rate of workspace %q", workspace)
+	return h.refuse(clock.Now(), workspace, q)
 }
 
 // Refund returns the token of an operation that was not sent to any endpoint.
@@ -160,12 +171,6 @@
 	return false
 }
 
-func rateExceeded(workspace string, wait time.Duration) error {
-	err := result.New(result.RateExceeded, "workspace %q is over its rate; retry after %d ms", workspace, wait.Milliseconds())
-	err.RetryAfter = wait
-	return err
-}
-
 // serve gives tokens to waiting requests and returns the time until the next
 // attempt.
 func (h *Holder) serve(now time.Time) time.Duration {
--- a/internal/route/home.go
+++ b/internal/route/home.go
@@ -1,6 +1,10 @@
 package route
 
-import "github.com/galenabridge/galenabridge/internal/rendezvous"
+import (
+	"slices"
+
+	"github.com/galenabridge/galenabridge/internal/rendezvous"
+)
 
 // HomeHostCount is the number of home hosts of a service in a fleet of more than
 // maxSmallFleetHosts hosts.
@@ -9,9 +13,11 @@
 // HomeHosts returns the home hosts of a service in order of preference: the hosts
 // that hold connections to its endpoints and acknowledge its writes. hosts lists
 // the hosts by failure domain. The home hosts are spread over as many domains as
-// possible: the domains are ranked first, then the hosts within each. In a small
-// fleet all hosts are home hosts of every service.
-func HomeHosts(service string, hosts map[string][]string) []string {
+// possible: the domains are ranked first, then the hosts within each. The domains of
+// the service's endpoints come before the others, so that statements cross between
+// domains once, on their way to the home host, where another order would let them cross
+// twice. In a small fleet all hosts are home hosts of every service.
+func HomeHosts(service string, hosts map[string][]string, endpointDomains []string) []string {
 	total := 0
 	domains := make([]string, 0, len(hosts))
 	for domain, names := range hosts {
@@ -19,6 +25,9 @@
 		domains = append(domains, domain)
 	}
 	ranked := rendezvous.Top(domains, service, len(domains))
+	slices.SortStableFunc(ranked, func(a, b string) int {
+		return domainOrder(endpointDomains, a) - domainOrder(endpointDomains, b)
+	})
 	size := min(total, max(HomeHostCount, smallFleetSize(total)))
 	byDomain := make([][]string, len(ranked))
 	for i, domain := range ranked {
@@ -35,6 +44,14 @@
 	return home
 }
 
+// domainOrder returns 0 for a domain with endpoints and 1 for any other.
+func domainOrder(endpointDomains []string, domain string) int {
+	if slices.Contains(endpointDomains, domain) {
+		return 0
+	}
+	return 1
+}
+
 // maxSmallFleetHosts is the number of hosts up to which every host is a home host of
 // every service.
 const maxSmallFleetHosts = 16
--- a/internal/route/home_test.go
+++ b/internal/route/home_test.go
@@ -18,7 +18,7 @@
 
 func TestHomeHostsSmallFleetIncludesAll(t *testing.T) {
 	for _, n := range []int{1, 9, maxSmallFleetHosts} {
-		if home := HomeHosts("s", fleet(n, 4)); len(home) != n {
+		if home := HomeHosts("s", fleet(n, 4), nil); len(home) != n {
 			t.Errorf("%d of %d hosts are home hosts, want all", len(home), n)
 		}
 	}
@@ -28,7 +28,7 @@
 	hosts := fleet(2000, 11)
 	load := map[string]int{}
 	for i := range 2200 {
-		home := HomeHosts(fmt.Sprint("db", i), hosts)
+		home := HomeHosts(fmt.Sprint("db", i), hosts, nil)
 		domains := map[string]bool{}
 		for _, h := range home {
 			load[h]++
@@ -55,11 +55,11 @@
 // TestHomeHostsStableAfterHostLoss guards against replacing more home hosts than the lost one.
 func TestHomeHostsStableAfterHostLoss(t *testing.T) {
 	hosts := fleet(200, 4)
-	before := HomeHosts("s", hosts)
+	before := HomeHosts("s", hosts, nil)
 	for domain, names := range hosts {
 		hosts[domain] = slices.DeleteFunc(names, func(h string) bool { return h == before[0] })
 	}
-	after := HomeHosts("s", hosts)
+	after := HomeHosts("s", hosts, nil)
 	for _, h := range before[1:] {
 		if !slices.Contains(after, h) {
 			t.Fatalf("%v became %v after the loss of %s", before, after, before[0])
--- a/internal/route/hometable.go
+++ b/internal/route/hometable.go
@@ -8,12 +8,15 @@
 )
 
 // HomeTable holds the home hosts of the services that are in use. It computes them on
-// first use and keeps them until the entry hosts change. It is not safe for concurrent use.
+// first use and keeps them until the entry hosts or the domains of the endpoints change. It
+// is not safe for concurrent use.
 type HomeTable struct {
-	state     *agreed.State
-	byDomain  map[string][]string // entry hosts by failure domain
-	hosts     int
-	byService map[string][]string
+	state *agreed.State
+	// endpointDomains are the failure domains of the endpoints by service, in sorted order.
+	endpointDomains map[string][]string
+	byDomain        map[string][]string // entry hosts by failure domain
+	hosts           int
+	byService       map[string][]string
 	// firstHomes are the results of FirstHomes by workspace, for the services in
 	// firstHomesOf.
 	firstHomes   map[string][]string
@@ -27,6 +30,7 @@
 	}
 	unchanged := t.state != nil && state.HostsChanged == t.state.HostsChanged
 	t.state = state
+	t.updateEndpointDomains()
 	if unchanged {
 		return
 	}
@@ -39,6 +43,24 @@
 	}
 }
 
+// updateEndpointDomains forgets the home hosts of the services whose endpoints have come to
+// other domains or left some.
+func (t *HomeTable) updateEndpointDomains() {
+	domains := make(map[string][]string)
+	for _, e := range t.state.Endpoints {
+		domains[e.Service] = append(domains[e.Service], e.Domain)
+	}
+	for service, names := range domains {
+		slices.Sort(names)
+		domains[service] = slices.Compact(names)
+		if !slices.Equal(domains[service], t.endpointDomains[service]) {
+			delete(t.byService, service)
+			clear(t.firstHomes)
+		}
+	}
+	t.endpointDomains = domains
+}
+
 // IsHome reports whether a host is a home host of a service.
 func (t *HomeTable) IsHome(host, service string) bool {
 	return slices.Contains(t.homeHosts(service), host)
@@ -48,7 +70,7 @@
 func (t *HomeTable) homeHosts(service string) []string {
 	home, ok := t.byService[service]
 	if !ok && t.hosts > 0 {
-		home = HomeHosts(service, t.byDomain)
+		home = HomeHosts(service, t.byDomain, t.endpointDomains[service])
 		t.byService[service] = home
 	}
 	return home
--- a/internal/route/hometable_test.go
+++ b/internal/route/hometable_test.go
@@ -59,3 +59,61 @@
 		t.Error("host0 is a home host of a fleet without hosts")
 	}
 }
+
+// domainOf returns the failure domain of a host of fleetState.
+func domainOf(s *agreed.State, host string) string { return s.Hosts[host].Domain }
+
+// TestHomeHostsNearEndpoints checks that home hosts lie in the domains of the endpoints as far
+// as there are any, each in a domain of its own, and follow an endpoint to another domain.
+func TestHomeHostsNearEndpoints(t *testing.T) {
+	var table HomeTable
+	s := fleetState(maxSmallFleetHosts + 8)
+	for i := range 8 { // six domains
+		id := fmt.Sprint("further", i)
+		s.Hosts[id] = agreed.Host{ID: id, Domain: fmt.Sprint("d", 4+i%2), Entry: true}
+	}
+	near := []string{"d1", "d4", "d5"}
+	for _, domain := range near {
+		s.Endpoints[domain+"-x"] = agreed.Endpoint{ID: domain + "-x", Service: "s", Domain: domain}
+	}
+	table.Update(s)
+	domains := map[string]bool{}
+	for _, host := range table.homeHosts("s") {
+		domains[domainOf(s, host)] = true
+	}
+	for _, domain := range near {
+		if !domains[domain] {
+			t.Errorf("home hosts in %v, want one in each of %v", domains, near)
+		}
+	}
+	if len(domains) != HomeHostCount {
+		t.Errorf("home hosts in %d domains, want each in a domain of its own", len(domains))
+	}
+	moved := *s
+	moved.Endpoints = map[string]agreed.Endpoint{}
+	for _, domain := range []string{"d0", "d2", "d3"} {
+		moved.Endpoints[domain+"-x"] = agreed.Endpoint{ID: domain + "-x", Service: "s", Domain: domain}
+	}
+	moved.Revision++
+	table.Update(&moved)
+	inNear := 0
+	for _, host := range table.homeHosts("s") {
+		if slices.Contains([]string{"d0", "d2", "d3"}, domainOf(s, host)) {
+			inNear++
+		}
+	}
+	if inNear != 3 {
+		t.Errorf("%d home hosts near the endpoints after these have moved, want 3", inNear)
+	}
+}
+
+// TestHomeTableOthersInSmallFleet checks that a host of a small fleet without a lease finds all
+// others.
+func TestHomeTableOthersInSmallFleet(t *testing.T) {
+	var table HomeTable
+	table.Update(fleetState(9))
+	others := table.Others("host0", "service", "crew")
+	if len(others) != 8 || slices.Contains(others, "host0") {
+		t.Errorf("others %v, want the 8 other entry hosts", others)
+	}
+}
