Grant the tokens of lost buckets when a whole fleet comes back

The buckets began empty: each process counted its idle time from when it had the agreed state, some 0.7 s after its start, and what the former buckets held was gone.

Change: a process whose identity is exclusive counts from its start, and reports that it is new.

Result: TestBacklogServedAfterLossOfFleet fails before (6 of 17 requests wait), as does TestNewProcessIdleSinceItsStart. TestSpentAroundLossOfFleetBounded holds the bound over random times.

--- a/internal/capacity/inprocess.go
+++ b/internal/capacity/inprocess.go
@@ -267,7 +267,7 @@
 		q.owner.SetLimit(q.now, key, quota.Limit{Rate: rate, Burst: rate / 2}, true)
 	}
 	for i := range quotaHolders {
-		h := quota.NewHolder(quota.Config{}, fmt.Sprintf("entry-%d", i), 1)
+		h := quota.NewHolder(quota.Config{}, fmt.Sprintf("entry-%d", i), 1, time.Time{})
 		h.SetEpoch(1, []string{"control-1"})
 		q.holders = append(q.holders, h)
 	}
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -69,12 +69,16 @@
 	wake         chan struct{}
 }
 
-// NewHolder returns a Holder and registers its handler with the peer node. Call
-// it before the node runs, and SetPool before Run.
+// NewHolder returns a Holder and registers its handler with the peer node. Call it after the
+// node listens and before it runs, and SetPool before Run.
 func NewHolder(peers *peer.Node, src view.Source, cfg Config, logger *log.Logger) *Holder {
+	var startedAt time.Time
+	if cfg.Lease.ExclusiveIdentity {
+		startedAt = clock.Now() // former processes have ended: this one listens on their address
+	}
 	h := &Holder{
 		peers: peers, view: src, log: logger, cfg: cfg,
-		quota:      quota.NewHolder(quotaConfig(cfg.Lease), peers.Host(), peers.Incarnation()),
+		quota:      quota.NewHolder(quotaConfig(cfg.Lease), peers.Host(), peers.Incarnation(), startedAt),
 		queues:     make(map[string]*queue),
 		rateFloors: make(map[string]*floorBucket),
 		wake:       make(chan struct{}, 1),
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -284,3 +284,22 @@
 		}
 	}
 }
+
+// TestNewProcessIdleSinceItsStart follows the state a second after the start of a process, as
+// when a fleet has lost power. It guards against a rate that accrues nothing until then: the
+// former process of the host ended before.
+func TestNewProcessIdleSinceItsStart(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Lease.ExclusiveIdentity = true
+	node := peer.NewNode(peer.Options{Host: "entry", Registry: prometheus.NewRegistry(), Logger: log.New(io.Discard)})
+	h := NewHolder(node, view.NewPublisher(), cfg, log.New(io.Discard))
+	h.quota.SetEpoch(1, []string{"control"})
+	h.quota.ObserveOwner("control", 1)
+	for _, b := range h.quota.Requests(clock.Now().Add(time.Second)) {
+		if b.Request.IdleMS < 1000 || !b.Request.New {
+			t.Errorf("idle for %d ms, new %t; want at least 1000 ms of a new process", b.Request.IdleMS, b.Request.New)
+		}
+		return
+	}
+	t.Error("no report of the leases")
+}
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -36,7 +36,7 @@
 		p.owner.SetLimit(start, key, Limit{Rate: demand / load, Burst: demand}, true)
 	}
 	for i := range holders {
-		h := NewHolder(Config{}, fmt.Sprintf("entry-%d", i), 1)
+		h := NewHolder(Config{}, fmt.Sprintf("entry-%d", i), 1, time.Time{})
 		h.SetEpoch(1, []string{"c0"})
 		p.holders = append(p.holders, h)
 	}
@@ -120,7 +120,7 @@
 
 // BenchmarkTake measures spending a token from a share.
 func BenchmarkTake(b *testing.B) {
-	h := NewHolder(Config{}, "e", 1)
+	h := NewHolder(Config{}, "e", 1, time.Time{})
 	h.SetEpoch(1, []string{"c0"})
 	o := NewOwner(Config{}, "c0", 1, start)
 	o.SetEpoch(start, 1, []string{"c0"})
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -149,7 +149,7 @@
 	}
 	e.incarnation++
 	e.waiting, e.absent = nil, false
-	e.holder = NewHolder(f.cfg, e.name, e.incarnation)
+	e.holder = NewHolder(f.cfg, e.name, e.incarnation, e.clock(f.now))
 	e.holder.SetEpoch(e.epoch, f.owners[e.epoch])
 	for key, l := range f.limits {
 		if l.Rate == 0 {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -26,7 +26,7 @@
 	// leaseReports tracks the report of all leases to each owner, by host.
 	leaseReports map[string]*leaseReport
 	// spentAt is when a token of a rate was last spent, for those spent from within
-	// spentMemory. startedAt is when Requests was first called.
+	// spentMemory. No other process of the host has spent any since startedAt.
 	spentAt   map[string]time.Time
 	startedAt time.Time
 	// ratesSince is when EndRates was last called.
@@ -68,10 +68,12 @@
 	Overloaded bool
 }
 
-// NewHolder returns the holder of an entry host.
-func NewHolder(cfg Config, host string, incarnation uint64) *Holder {
+// NewHolder returns the holder of an entry host. Former processes of the host have spent no
+// token since startedAt. It is zero if that is not known: then they have ended when Requests is
+// first called, under a lease of this process.
+func NewHolder(cfg Config, host string, incarnation uint64, startedAt time.Time) *Holder {
 	return &Holder{
-		cfg: cfg.withDefaults(), host: host, incarnation: incarnation,
+		cfg: cfg.withDefaults(), host: host, incarnation: incarnation, startedAt: startedAt,
 		ownerIncarnations: map[string]uint64{}, unitKeys: map[string]bool{}, keys: map[string]*heldKey{},
 		leaseReports: map[string]*leaseReport{}, spentAt: map[string]time.Time{},
 	}
@@ -267,6 +269,7 @@
 		r := &b.batches[i].Request
 		r.Complete, report.seq = report.incarnation != 0, r.Seq
 		r.IdleMS = uint32(h.idleTime(now, "").Milliseconds())
+		r.New = len(h.spentAt) == 0 && now.Sub(h.startedAt) < spentMemory
 		r.Keys = slices.DeleteFunc(r.Keys, func(kr KeyRequest) bool { return !kr.Release })
 		for _, k := range h.order {
 			if rendezvous.Owner(h.owners, k.name) == owner {
--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -121,13 +121,19 @@
 
 // creditIdleTime fills the pool with the tokens that accrued while no holder spent any, and
 // that are not in the buckets of holders. It answers the requests that have waited for the
-// owner. All hosts together spend at most rate*w + burst + IdleBurst in any interval of
-// length w, since the buckets never hold more than that.
-func (k *ownedKey) creditIdleTime(now time.Time, idle time.Duration) {
+// owner. If all holders are new processes, what was left in the buckets of the former ones is
+// unknown, and IdleBurst is granted in its place: the callers of the lost processes come back
+// together. All hosts together spend at most rate*w + burst + IdleBurst in any interval of
+// length w, since the buckets never hold more than that, and once more IdleBurst in one in
+// which the whole fleet was lost.
+func (k *ownedKey) creditIdleTime(now time.Time, idle time.Duration, fleetIsNew bool) {
 	if k.limit.Rate == 0 {
 		return
 	}
 	accrued := k.free().Rate * idle.Seconds()
+	if fleetIsNew {
+		accrued += k.limit.IdleBurst
+	}
 	k.idleBurst = max(0, min(k.limit.IdleBurst, accrued-k.limit.Burst))
 	k.idleBurstUntil = now.Add(idleBurstTime)
 	k.resizePool(now)
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -36,6 +36,9 @@
 	// unlistedSpentAt that of the other rates, according to the holders' lease reports.
 	spentAt         map[string]time.Time
 	unlistedSpentAt time.Time
+	// survived is set if a process that may hold or have spent tokens was not new when it
+	// reported its leases (Request.New).
+	survived bool
 }
 
 // NewOwner returns the Owner of a control host. The incarnation must be greater
@@ -61,7 +64,7 @@
 	clear(o.neverLeased)
 	clear(o.reported)
 	clear(o.spentAt)
-	o.leasesKnown, o.unitLeasesKnown, o.unlistedSpentAt = false, false, time.Time{}
+	o.leasesKnown, o.unitLeasesKnown, o.unlistedSpentAt, o.survived = false, false, time.Time{}, false
 	for key := range o.keys {
 		if !next || rendezvous.Owner(o.owners, key) != o.host {
 			delete(o.keys, key)
@@ -98,7 +101,7 @@
 func (o *Owner) SetHolders(now time.Time, holders, absent []HolderID) {
 	for _, former := range o.holders {
 		if !o.reported[former] && !slices.Contains(holders, former) {
-			o.unlistedSpentAt = now // it may have spent tokens until it left
+			o.unlistedSpentAt, o.survived = now, true // it may have spent tokens until it left
 		}
 	}
 	o.holders, o.absent = holders, absent
@@ -110,6 +113,7 @@
 // unknown, and the buckets have refilled since the last token was spent.
 func (o *Owner) recordLeaseReport(now time.Time, id HolderID, req Request) {
 	o.reported[id] = true
+	o.survived = o.survived || !req.New
 	ago := func(ms uint32) time.Time {
 		return now.Add(-o.cfg.subtractDrift(time.Duration(ms) * time.Millisecond))
 	}
@@ -166,7 +170,7 @@
 		k.quarantineEnd = now
 		k.advance(now)
 		k.fullyAvailableAt, k.holderCount = now, len(o.holders)
-		k.creditIdleTime(now, o.idleTime(now, k.name))
+		k.creditIdleTime(now, o.idleTime(now, k.name), !o.survived)
 	}
 }
 
@@ -244,7 +248,7 @@
 		k.pool.level = limit.Burst
 		delete(o.neverLeased, key)
 	} else if leasesKnown {
-		k.creditIdleTime(now, o.idleTime(now, key))
+		k.creditIdleTime(now, o.idleTime(now, key), !o.survived)
 	}
 	if leasesKnown {
 		k.fullyAvailableAt, k.holderCount = now, len(o.holders)
--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -373,3 +373,102 @@
 		t.Error(v)
 	}
 }
+
+// loseFleet ends all processes for a time and starts new ones, which reach each other only
+// after another one.
+func (f *fleet) loseFleet(down, unreachable time.Duration) {
+	f.net = nil
+	f.now += down
+	for _, e := range f.entries {
+		f.startHolder(e)
+	}
+	for _, c := range f.controls {
+		f.startOwner(c)
+	}
+	f.loss = 1
+	f.run(unreachable)
+	f.loss = 0
+	f.announceOwners()
+}
+
+// TestBacklogServedAfterLossOfFleet ends all processes for a second and a half, the load of a
+// loss of power, while callers of a small rate go on. All of them come back as soon as the hosts
+// may act. It guards against callers that wait for the tokens of buckets that were lost.
+func TestBacklogServedAfterLossOfFleet(t *testing.T) {
+	const perSecond, down, unreachable = 8, 1500 * time.Millisecond, 700 * time.Millisecond
+	f := newFleet(1, 2, 40, map[string]Limit{"k": {Rate: 13, Burst: 13, IdleBurst: 14}})
+	for i := range 10 * perSecond {
+		f.take(f.entries[i*7%len(f.entries)], "k")
+		f.run(time.Second / perSecond)
+		f.retryAll("k")
+	}
+	f.loseFleet(down, unreachable)
+	backlog := int((down + unreachable).Seconds() * perSecond)
+	for i := range backlog {
+		f.take(f.entries[i*7%len(f.entries)], "k")
+	}
+	for range 6 { // three hundred ms
+		f.run(50 * time.Millisecond)
+		f.retryAll("k")
+	}
+	waiting := 0
+	for _, e := range f.entries {
+		waiting += len(e.waiting)
+	}
+	if waiting > 1 {
+		t.Errorf("%d of %d requests wait 300 ms after the hosts may act, want at most 1", waiting, backlog)
+	}
+	if v := f.violation(); v != "" {
+		t.Error(v)
+	}
+}
+
+// TestSpentAroundLossOfFleetBounded spends whatever the fleet has of a rate before all
+// processes are lost and after they are back, at random times. Together that is at most the
+// limit, what accrues while nobody can spend, and once more as much for the lost buckets.
+func TestSpentAroundLossOfFleetBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{Rate: 13, Burst: 13, IdleBurst: 14}
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), 2, 5, map[string]Limit{"k": limit})
+		ms := func(label string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, label)) * time.Millisecond
+		}
+		f.checks["k"].limit.Burst += limit.IdleBurst // the credit for the lost buckets
+		f.checks["k"].level = limit.Burst
+		spend := func(d time.Duration) {
+			for end := f.now + d; f.now < end; f.run(50 * time.Millisecond) {
+				for _, e := range f.entries {
+					f.take(e, "k")
+				}
+				f.retryAll("k")
+			}
+		}
+		spend(ms("before", 3000))
+		f.checks["k"].level += limit.IdleBurst
+		f.loseFleet(ms("down", 2000), ms("unreachable", 1000))
+		spend(3 * time.Second)
+		if v := f.violation(); v != "" {
+			t.Error(v)
+		}
+	})
+}
+
+// TestSurvivorGetsNoCreditForLostBuckets restarts the owner and all holders but one. The tokens
+// that the last one holds are known, so that nothing is granted in place of lost ones.
+func TestSurvivorGetsNoCreditForLostBuckets(t *testing.T) {
+	now := start
+	o := NewOwner(Config{}, "c", 1, now)
+	o.SetOwnerLease(now.Add(time.Minute))
+	o.SetEpoch(now, 1, []string{"c"})
+	o.SetHolders(now, []HolderID{{"new", 1}, {"old", 1}}, nil)
+	o.SetLimit(now, "k", Limit{Rate: 10, Burst: 10, IdleBurst: 5}, false)
+	report := func(host string, isNew bool) {
+		o.Handle(now, Request{Host: host, Incarnation: 1, Epoch: 1, OwnerIncarnation: 1, Seq: 1, Complete: true, New: isNew})
+	}
+	report("new", true)
+	report("old", false)
+	o.Handle(now, Request{Host: "new", Incarnation: 1, Epoch: 1, OwnerIncarnation: 1, Seq: 2, Keys: []KeyRequest{{Key: "k", Demand: 1}}})
+	if level := o.keys["k"].pool.level; level > 0 {
+		t.Errorf("%v tokens in the bucket, want none", level)
+	}
+}
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -61,6 +61,8 @@
 	Burst float64
 	// IdleBurst is the number of tokens beyond Burst that accrue while nobody can spend any,
 	// as after the loss of an owner or of the whole fleet. The requests of that time wait.
+	// When all processes are new, as many are granted in place of those that were left in the
+	// buckets of the former ones.
 	IdleBurst float64
 }
 
@@ -109,6 +111,10 @@
 	// IdleMS is the time in which the process has spent no token of the rates that are not
 	// listed in Keys, in milliseconds, rounded down. It is sent with Complete.
 	IdleMS uint32 `cbor:"8,keyasint,omitempty"`
+	// New is set if the process has spent no token since it started, within the time that it
+	// remembers, so that it may have lost the tokens of its former process. It is sent with
+	// Complete.
+	New bool `cbor:"9,keyasint,omitempty"`
 }
 
 // KeyRequest is the part of a request for one key.
