Await the first lease of a new process, and leave a host that is cut off

Change: a process that never had a lease waits for it before it offers a statement, and takes one from others for up to 300 ms in the same way. A control host that is reached gets a third of a lease before a host leaves it. One registration is proposed at a time (registration, a decision of its own). A session whose statement was refused because the host is cut off is closed, so that its caller connects to another.

--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -22,20 +22,25 @@
 	// silenceDivisor is the divisor of the lease duration that gives the time without
 	// a grant after which the subscriber switches to another control host.
 	silenceDivisor = 3
-	// registerInterval is the time between two attempts to register. Each may take
-	// registerTimeout: after a power failure many hosts register at once.
-	registerInterval = 300 * time.Millisecond
-	registerTimeout  = time.Second
-	subscriberTick   = 50 * time.Millisecond
+	subscriberTick = 50 * time.Millisecond
 	// initialRenewInterval is the time between two lease requests of a host without a
 	// lease. It is short since the control hosts may be starting at the same time.
 	initialRenewInterval = 100 * time.Millisecond
 	// initialSilenceTimeout is how long a host without a lease waits for an answer of
-	// a control host before it tries another. An election after all control hosts
-	// have restarted takes 0.1 to 0.6 s.
+	// a control host that it does not reach before it tries another.
 	initialSilenceTimeout = 350 * time.Millisecond
 )
 
+// silenceTimeout returns how long a subscriber waits for a grant of its upstream before it
+// tries another. One that a host without a lease reaches is waiting for a leader, as the others
+// are: an election after all control hosts have restarted takes 0.1 to 0.6 s.
+func silenceTimeout(lease time.Duration, leased, reached bool) time.Duration {
+	if leased || reached {
+		return lease / silenceDivisor
+	}
+	return min(lease/silenceDivisor, initialSilenceTimeout)
+}
+
 // SubscriberOptions configures a Subscriber.
 type SubscriberOptions struct {
 	Fleet    string
@@ -76,7 +81,7 @@
 	// lastGrant is when the upstream last granted a lease, or was chosen.
 	lastGrant    time.Time
 	lastRenew    time.Time
-	lastRegister time.Time // when registration was last attempted
+	registration registration
 	leaving      bool
 	// leased is whether the view was valid at the last check; changes are logged.
 	leased bool
@@ -162,20 +167,19 @@
 	if s.leased {
 		s.logLeaseChange(s.isRegistered())
 	}
-	silenceTimeout, renewInterval := s.opts.Lease.Duration/silenceDivisor, s.opts.Lease.RenewInterval
+	renewInterval := s.opts.Lease.RenewInterval
 	if !s.leased {
-		silenceTimeout, renewInterval = min(silenceTimeout, initialSilenceTimeout), min(renewInterval, initialRenewInterval)
+		renewInterval = min(renewInterval, initialRenewInterval)
 	}
-	if now.Sub(s.lastGrant) > silenceTimeout {
+	if now.Sub(s.lastGrant) > silenceTimeout(s.opts.Lease.Duration, s.leased, s.opts.Peer.Reaches(s.upstream().Host)) {
 		s.switchUpstream(now, s.nextUpstream())
 		s.log.Info("control_host_silent", "next", s.upstream().Host)
 	}
 	if now.Sub(s.lastRenew) >= renewInterval {
 		s.renew(now)
 	}
-	if !s.isRegistered() && now.Sub(s.lastRegister) >= registerInterval {
-		s.lastRegister = now
-		s.register(ctx)
+	if !s.isRegistered() && s.registration.due(now, s.upstream().Host) {
+		s.register(ctx, now)
 	}
 }
 
@@ -229,11 +233,12 @@
 }
 
 // register proposes the registration in a goroutine. Success shows in the state.
-func (s *Subscriber) register(ctx context.Context) {
+func (s *Subscriber) register(ctx context.Context, now time.Time) {
 	if s.leaving {
 		return
 	}
 	c := s.upstream()
+	s.registration.begin(now, c.Host)
 	p := proposal{Command: agreed.Command{RegisterHost: &agreed.RegisterHost{Host: s.hostRecord(0)}}}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -242,6 +247,7 @@
 		switch {
 		case err != nil:
 			s.log.Debug("register_failed", "control", c.Host, "err", err.Error())
+			s.post(registrationFailedEvent{begun: now})
 		case out.Code == result.PeerIncarnation:
 			s.log.Error("host_replaced", "detail", out.Detail)
 		}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -314,6 +314,29 @@
 	}
 }
 
+// TestCutOffHostClosesSessions guards against callers that repeat their statements at a host
+// that is cut off while others could serve them. A session whose statement another host has run
+// stays open.
+func TestCutOffHostClosesSessions(t *testing.T) {
+	f := newForwardFixture(t)
+	s := f.open("launch")
+	f.fixture.publish(-2 * leaseLossPatience)
+	f.expect(s, Statement{Kind: Write, Text: "x"}, 0, Idle)
+	if s.ShouldClose() {
+		t.Error("closes a session that is served through another host")
+	}
+	f.forwarder.plan(notDelivered, notDelivered, notDelivered)
+	f.expect(s, Statement{Kind: Write, Text: "x"}, result.NoConfigLease, Idle)
+	if !s.ShouldClose() {
+		t.Error("keeps a session that no host serves")
+	}
+	f.fixture.publish(time.Hour)
+	f.expect(s, Statement{Kind: Write, Text: "x"}, 0, Idle)
+	if s.ShouldClose() {
+		t.Error("closes a session of a host that has a lease again")
+	}
+}
+
 // TestTransactionAbortedOnTermChange guards against a commit that is sent to a primary whose
 // term ended during the transaction.
 func TestTransactionAbortedOnTermChange(t *testing.T) {
--- a/internal/core/forward.go
+++ b/internal/core/forward.go
@@ -49,7 +49,7 @@
 // that should run it. It returns the reply of the first one that accepts, with its name. It
 // reports false if none does, so that this host has to run the statement.
 func (s *Session) forward(st Statement, a admission, writes bool) (reply Reply, host string, ok bool) {
-	if s.srv.opts.Forwarder == nil || s.isRemote {
+	if s.srv.opts.Forwarder == nil || s.isRemote || !s.awaitFirstLease(a.deadline) {
 		return Reply{}, "", false
 	}
 	hosts := s.srv.opts.Forwarder.Route(a.route.Service, s.workspace, !s.srv.opts.View.Current().Valid())
@@ -67,6 +67,17 @@
 	return Reply{}, "", false
 }
 
+// awaitFirstLease waits for the configuration lease of a process that has just started, and
+// reports whether it has come. One that has lost its lease does not wait: the others have
+// theirs. A new process is often one of a whole fleet that comes back; its statements would
+// find no host that takes them, and have it connect to all of them before it is needed.
+func (s *Session) awaitFirstLease(deadline time.Time) bool {
+	if _, had := s.srv.opts.View.Current().LostFor(); had {
+		return true
+	}
+	return s.awaitLease(deadline) == nil
+}
+
 func firstOf(hosts []string) []string { return hosts[:min(1, len(hosts))] }
 
 // forwardTo offers a statement to one host. It reports false if the host did not run it, or
--- a/internal/core/forward_test.go
+++ b/internal/core/forward_test.go
@@ -399,6 +399,48 @@
 	}
 }
 
+// TestNewProcessWaitsForFirstLease starts a host that has followed the state and has no lease
+// yet, as all hosts of a fleet that comes back. It guards against statements that are offered to
+// all home hosts before any of them can take one. The home host waits for its lease as well.
+func TestNewProcessWaitsForFirstLease(t *testing.T) {
+	f := newForwardFixture(t)
+	next := *f.state
+	start := func(host string) (*Server, *view.Publisher) {
+		f.homeView = view.NewPublisher()
+		f.homeView.Publish(view.View{State: &next})
+		return f.startServer(t, host), f.homeView
+	}
+	home, homeView := start("home1")
+	f.forwarder.hosts["home1"] = home
+	entry, entryView := start("h")
+	entry.opts.Forwarder = f.forwarder
+	s, refusal := entry.Open("launch", "k", fakeCaller{})
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	defer s.Close()
+	replies := make(chan Reply)
+	go func() { replies <- s.Do(Statement{ID: "id", Kind: Write, Text: "x"}) }()
+	time.Sleep(2 * retryDelay)
+	if asked := f.forwarder.takeAsked(); len(asked) > 0 {
+		t.Errorf("asked %v without a lease, want no host", asked)
+	}
+	lease := func(p *view.Publisher) {
+		p.Publish(view.View{State: &next, Settled: 1, ValidUntil: clock.Now().Add(time.Hour)})
+	}
+	lease(entryView)
+	for len(f.forwarder.takeAsked()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	lease(homeView)
+	if reply := <-replies; reply.Err != nil {
+		t.Errorf("got %v, want the statement served", reply.Err)
+	}
+	if n := f.endpoints.count(Write); n != 1 {
+		t.Errorf("%d writes, want 1", n)
+	}
+}
+
 // TestHostWithoutLeaseDoesNotAuthorize guards against a key that is still valid in the state
 // of a host without a lease and was withdrawn since.
 func TestHostWithoutLeaseDoesNotAuthorize(t *testing.T) {
--- a/internal/core/remote.go
+++ b/internal/core/remote.go
@@ -9,6 +9,7 @@
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/view"
 )
 
 // RemoteRequest is a statement of a session on another host. It carries whatever of the
@@ -83,6 +84,10 @@
 // takes longer to follow the agreed state declines.
 const maxRevisionWait = 100 * time.Millisecond
 
+// firstLeaseWait bounds it at a process that has not had a lease yet. When a fleet comes back
+// all hosts get theirs at about the same time, and the other home hosts are no better off.
+const firstLeaseWait = 300 * time.Millisecond
+
 // remoteCaller is the Caller of a session on another host, which watches the connection.
 type remoteCaller struct{}
 
@@ -118,7 +123,7 @@
 		}
 		return session.runRemote(key, r)
 	}
-	if !s.awaitRevision(r.Revision, min(r.Remaining, maxRevisionWait)) {
+	if !s.awaitRevision(r.Revision, min(r.Remaining, revisionWait(s.opts.View.Current()))) {
 		return RemoteResponse{Declined: true, Unavailable: true}
 	}
 	session := &Session{
@@ -156,6 +161,14 @@
 	return s.remoteRunning + len(s.remoteTransactions)
 }
 
+// revisionWait returns how long the host waits for the revision of a forwarded statement.
+func revisionWait(v view.View) time.Duration {
+	if _, had := v.LostFor(); !had {
+		return firstLeaseWait
+	}
+	return maxRevisionWait
+}
+
 // awaitRevision waits until the host may act on a revision, for at most the timeout.
 func (s *Server) awaitRevision(revision uint64, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -49,6 +49,9 @@
 	// closed: the caller's connection was closed by the server. No further statement
 	// may be sent to an endpoint on its behalf.
 	closed bool
+	// cutOff: the last statement was refused because the host lost its lease long ago and no
+	// other host ran it.
+	cutOff bool
 }
 
 // Caller is the connection to the caller of a session.
@@ -171,6 +174,7 @@
 	s.timings = timings{}
 	reply := s.serve(st)
 	s.lastReplyAt = clock.Now()
+	s.cutOff = reply.Err != nil && reply.Err.Code == result.NoConfigLease && lostLongAgo(s.srv.opts.View.Current())
 	reply.State = s.state
 	s.reportReply(st, reply, time.Since(started))
 	return reply
@@ -237,15 +241,14 @@
 
 func refuse(err *result.Error) Reply { return Reply{Err: err} }
 
-// ShouldClose reports whether the session should be closed after the current reply
-// because the server is draining and no transaction is in progress.
+// ShouldClose reports whether the session should be closed after the current reply: no
+// transaction is in progress, and the server is draining or the host is cut off from the rest
+// of the fleet. The caller then connects to another host, which can serve it, where it would
+// repeat its refused statement on this one.
 func (s *Session) ShouldClose() bool {
-	if !s.srv.draining.Load() {
-		return false
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state == Idle
+	return s.state == Idle && (s.cutOff || s.srv.draining.Load())
 }
 
 // minIdleBeforeClose is how long a session must have been idle before a shutdown
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -213,6 +213,17 @@
 	return incarnation >= newest
 }
 
+// Reaches reports whether there is a connection to a host. It always reaches itself.
+func (n *Node) Reaches(host string) bool {
+	if host == n.opts.Host {
+		return true
+	}
+	n.mu.Lock()
+	l := n.links[host]
+	n.mu.Unlock()
+	return l != nil && l.newest() != nil
+}
+
 // NewestIncarnation returns the highest incarnation recorded for a host, or zero.
 func (n *Node) NewestIncarnation(host string) uint64 {
 	n.mu.Lock()
