Serve from reserves while the owner of a small rate is unknown

With 20 services a rate is too small for a floor at each first home host.

Change: three fifths of the users' tolerance are whole tokens at the first home hosts of a workspace, each spent at most once in a window, and only while the owner has left a request unanswered for 100 ms or says that it does not know all leases. A new process begins without. A fifth (a half before) may still accrue in the owner's bucket.

--- a/internal/limits/fleetsize.go
+++ b/internal/limits/fleetsize.go
@@ -141,9 +141,8 @@
 }
 
 // idleBurstFraction is the fraction of the tolerance that may accrue beyond the burst of a
-// workspace without floors while nobody can spend any. The rest is left for the arrival of
-// statements, which lags behind their tokens.
-const idleBurstFraction = 1.0 / 2
+// workspace without floors while nobody can spend any; see gapFraction.
+const idleBurstFraction = 1.0 / 5
 
 // idleBurst returns the tokens that a workspace's rate may accrue beyond its burst while its
 // owner or the fleet is lost. Where the hosts have floors, these hold the tolerance.
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -61,6 +61,9 @@
 	homes            route.HomeTable
 	// rateFloors are the parts of rates that need no lease, by workspace.
 	rateFloors map[string]*floorBucket
+	// reserves are the tokens that may be spent while the owner of a rate is unknown, by
+	// workspace.
+	reserves map[string]*reserve
 	// lastRound is when requestRound last ran.
 	lastRound time.Time
 	// appliedState is the state from which the floors were derived.
@@ -81,6 +84,7 @@
 		quota:      quota.NewHolder(quotaConfig(cfg.Lease), peers.Host(), peers.Incarnation(), startedAt),
 		queues:     make(map[string]*queue),
 		rateFloors: make(map[string]*floorBucket),
+		reserves:   make(map[string]*reserve),
 		wake:       make(chan struct{}, 1),
 	}
 	peer.On(peers, peer.KindQuotaOK, func(_ peer.Identity, r quota.Reply) { h.receive(r) })
@@ -134,6 +138,7 @@
 	}
 	h.homesOnly = size.homeHosts > 0
 	h.updateRateFloors(clock.Now(), state, size)
+	h.updateReserves(clock.Now(), state, size)
 	owners := state.QuotaOwners()
 	for _, owner := range owners {
 		h.quota.ObserveOwner(owner, state.Hosts[owner].Incarnation)
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -194,10 +194,10 @@
 		decision := h.quota.Take(now, rateKey(workspace), 1)
 		q.overloaded = decision.Overloaded
 		if !decision.Granted {
-			if !floor.take(now) {
+			if !floor.take(now) && !h.takeReserve(now, workspace, q) {
 				wait := min(decision.Wait, floor.maxWait())
 				q.nextTokenAt = now.Add(wait)
-				return wait
+				return h.waitForReserve(now, workspace, wait)
 			}
 			h.quota.Withdraw(rateKey(workspace), 1)
 		}
@@ -207,3 +207,21 @@
 	}
 	return idleWait
 }
+
+// takeReserve spends a token of the reserve if the owner of the rate is unknown and the
+// workspace was within its rate.
+func (h *Holder) takeReserve(now time.Time, workspace string, q *queue) bool {
+	if q.overloaded || h.quota.UnknownIn(now, rateKey(workspace)) > 0 {
+		return false
+	}
+	return h.reserves[workspace].take(now)
+}
+
+// waitForReserve returns the time until the next attempt to serve a queue, which is at most
+// wait: the reserve can be used as soon as the owner counts as unknown.
+func (h *Holder) waitForReserve(now time.Time, workspace string, wait time.Duration) time.Duration {
+	if unknown := h.quota.UnknownIn(now, rateKey(workspace)); unknown > 0 && h.reserves[workspace] != nil {
+		return min(wait, unknown)
+	}
+	return wait
+}
--- a/internal/quota/held.go
+++ b/internal/quota/held.go
@@ -40,9 +40,10 @@
 	inUse        float64
 	// returned is the number of tokens to return with the next request.
 	returned float64
-	// overloaded and lowDemand are the values of the latest grant.
+	// overloaded, lowDemand and unknown are the values of the latest grant.
 	overloaded bool
 	lowDemand  bool
+	unknown    bool
 
 	offered        float64 // tokens requested since measuredAt
 	backlog        float64 // tokens or units of waiting requests
@@ -158,7 +159,7 @@
 		return
 	}
 	k.advance(now)
-	k.stamp, k.expires, k.overloaded, k.lowDemand = stamp, expires, g.Overloaded, g.LowDemand
+	k.stamp, k.expires, k.overloaded, k.lowDemand, k.unknown = stamp, expires, g.Overloaded, g.LowDemand, g.Unknown
 	k.returned += k.bucket.resize(now, g.Share)
 	k.bucket.add(g.Tokens)
 }
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -31,6 +31,8 @@
 	startedAt time.Time
 	// ratesSince is when EndRates was last called.
 	ratesSince time.Time
+	// unanswered is when the oldest request was sent that an owner has not answered, by host.
+	unanswered map[string]time.Time
 }
 
 // leaseReport tracks whether an owner has acknowledged a request that lists all
@@ -75,7 +77,7 @@
 	return &Holder{
 		cfg: cfg.withDefaults(), host: host, incarnation: incarnation, startedAt: startedAt,
 		ownerIncarnations: map[string]uint64{}, unitKeys: map[string]bool{}, keys: map[string]*heldKey{},
-		leaseReports: map[string]*leaseReport{}, spentAt: map[string]time.Time{},
+		leaseReports: map[string]*leaseReport{}, spentAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 	}
 }
 
@@ -88,6 +90,7 @@
 	}
 	h.epoch, h.owners = epoch, slices.Clone(owners)
 	clear(h.leaseReports)
+	maps.DeleteFunc(h.unanswered, func(owner string, _ time.Time) bool { return !slices.Contains(owners, owner) })
 	for _, k := range h.keys {
 		k.nextRequest = time.Time{}
 	}
@@ -247,6 +250,9 @@
 	h.reportAllLeases(now, &b)
 	for _, r := range b.batches {
 		h.sent = append(h.sent, sentRequest{seq: r.Request.Seq, at: now})
+		if _, waiting := h.unanswered[r.Owner]; !waiting {
+			h.unanswered[r.Owner] = now
+		}
 	}
 	return b.batches
 }
@@ -321,6 +327,26 @@
 	return 0
 }
 
+// ownerPatience is how long an owner may leave a request unanswered before it counts as
+// unknown: many round trips between failure domains (3 ms), and half of the shortest latency
+// target of a route (200 ms).
+const ownerPatience = 100 * time.Millisecond
+
+// UnknownIn returns the time until the owner of a key counts as unknown if it does not answer,
+// zero if it does already: it has left a request unanswered for ownerPatience, or does not know
+// all leases, or the key has none.
+func (h *Holder) UnknownIn(now time.Time, key string) time.Duration {
+	owner := rendezvous.Owner(h.owners, key)
+	if k := h.keys[key]; owner == "" || k != nil && k.unknown {
+		return 0
+	}
+	since, waiting := h.unanswered[owner]
+	if !waiting {
+		return ownerPatience
+	}
+	return max(0, ownerPatience-now.Sub(since))
+}
+
 // batcher collects key requests into one request per owner.
 type batcher struct {
 	holder  *Holder
@@ -388,6 +414,7 @@
 	if r.Incarnation > h.ownerIncarnations[r.Owner] {
 		h.recordOwnerRestart(r.Owner, r.Incarnation)
 	}
+	delete(h.unanswered, r.Owner)
 	h.confirmLeaseReport(r)
 	expires := at.Add(time.Duration(r.LeaseMS) * time.Millisecond)
 	for _, g := range r.Grants {
--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -258,6 +258,7 @@
 		Key: k.name, ID: stamp.ID, Share: share, Tokens: tokens,
 		Overloaded: k.overloaded(now),
 		LowDemand:  k.demand < lowDemandFraction*k.limit.capacity(),
+		Unknown:    k.quarantined(),
 	}
 }
 
--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -472,3 +472,38 @@
 		t.Errorf("%v tokens in the bucket, want none", level)
 	}
 }
+
+// TestOwnerUnknownToHolder checks when a holder counts the owner of a key as unknown: it leaves
+// a request unanswered, or does not know all leases.
+func TestOwnerUnknownToHolder(t *testing.T) {
+	f := newFleet(1, 1, 2, map[string]Limit{"k": {Rate: 100, Burst: 100}})
+	e := f.entries[0]
+	unknown := func() bool { return e.holder.UnknownIn(e.clock(f.now), "k") == 0 }
+	f.take(e, "k")
+	f.run(time.Second)
+	if unknown() {
+		t.Error("unknown although it answers")
+	}
+	f.loss = 1
+	f.run(2 * time.Second)
+	if !unknown() {
+		t.Error("known although it leaves requests unanswered")
+	}
+	f.loss = 0
+	f.entries[1].isolated = true
+	f.startOwner(f.controls[0])
+	f.announceOwners()
+	e.holder.EndRates(e.clock(f.now))
+	f.take(e, "k")
+	f.run(500 * time.Millisecond)
+	if !unknown() {
+		t.Error("known although it does not know all leases")
+	}
+	f.setAbsent(f.entries[1], true)
+	f.run(500 * time.Millisecond)
+	f.take(e, "k")
+	f.run(500 * time.Millisecond)
+	if unknown() {
+		t.Error("unknown although it knows all leases")
+	}
+}
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -181,4 +181,6 @@
 	// LowDemand is set if the total demand is below half of the limit, so that a new
 	// holder can be served from the free part.
 	LowDemand bool `cbor:"6,keyasint,omitempty"`
+	// Unknown is set while the owner grants nothing because it does not know all leases.
+	Unknown bool `cbor:"7,keyasint,omitempty"`
 }
