Let one read ask the primary for its position while the others wait

Endpoints refused 282 tries and answered 599 late in a second (busiest 5.7 times the mean) while replicas were idle.

Change: of the reads that lack a position one goes to the primary (freshness.inquire) and the others wait for its answer, up to 100 ms. The position in the answer to a session start counts, as that of any other answer of the primary under its lease.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -68,9 +69,32 @@
 		}
 	}
 	op.need = s.statementNeed(a.route, writes)
+	if op.need.unpositioned && s.awaitPosition(op.need, a.deadline) {
+		op.need = s.statementNeed(a.route, writes)
+	}
+	if op.need.unpositioned {
+		s.srv.metrics.unpositioned.Inc()
+	}
 	return op, nil
 }
 
+// awaitPosition waits for the position that another read asks the primary for, at most
+// inquiryWait. It reports false if there is no such read, so that this one should ask.
+func (s *Session) awaitPosition(n need, deadline time.Time) bool {
+	answered := s.srv.primaryPositions.inquire(n.service, n.term, clock.Now())
+	if answered == nil {
+		return false
+	}
+	timer := time.NewTimer(min(inquiryWait, time.Until(deadline)))
+	defer timer.Stop()
+	select {
+	case <-answered:
+	case <-timer.C:
+	case <-s.srv.ctx.Done():
+	}
+	return true
+}
+
 // awaitLease waits for a valid configuration lease. It runs before a rate token is
 // taken, because without a lease the token would be wasted.
 func (s *Session) awaitLease(deadline time.Time) *result.Error {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -28,6 +28,8 @@
 	dial     func(id string) error
 	received []receivedCommand
 	closed   int
+	// startPosition is the position in the answer to the start of a session.
+	startPosition Position
 }
 
 // receivedCommand is a command that an endpoint received.
@@ -60,6 +62,8 @@
 func (l *fakeLink) Alive() bool    { return true }
 func (l *fakeLink) Reusable() bool { return true }
 
+func (l *fakeLink) StartPosition() Position { return l.e.startPosition }
+
 func (l *fakeLink) Close() {
 	l.e.mu.Lock()
 	defer l.e.mu.Unlock()
--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -10,6 +10,7 @@
 	"github.com/galenabridge/galenabridge/internal/connpool"
 	"github.com/galenabridge/galenabridge/internal/pacing"
 	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/view"
 )
 
 const (
@@ -62,15 +63,30 @@
 }
 
 func (e *endpoint) dial(ctx context.Context, workspace string) (*conn, error) {
+	at, before := clock.Now(), e.srv.opts.View.Current()
 	link, err := e.srv.opts.Dialer.Dial(ctx, e.record, workspace)
 	if err != nil {
 		e.srv.metrics.dials.WithLabelValues("failed").Inc()
 		return nil, err
 	}
 	e.srv.metrics.dials.WithLabelValues("ok").Inc()
+	e.observePosition(link.StartPosition())
+	e.observePrimary(at, before, link.StartPosition())
 	return newConn(link), nil
 }
 
+// observePrimary records a position of the endpoint at a time if it was the active primary
+// under the view of that time and still is.
+func (e *endpoint) observePrimary(at time.Time, v view.View, p Position) {
+	if !v.Valid() || v.State == nil {
+		return
+	}
+	g := v.State.Groups[e.record.Service]
+	if c := (choice{endpoint: e, primary: true, term: g.Term}); g.Primary == e.record.ID && e.srv.stillValid(c) {
+		e.srv.primaryPositions.observe(e.record.Service, g.Term, at, p)
+	}
+}
+
 // isReachable reports whether a dial error shows that the endpoint can be reached, because
 // the endpoint itself sent the refusal.
 func isReachable(err error) bool {
--- a/internal/core/freshness.go
+++ b/internal/core/freshness.go
@@ -15,6 +15,9 @@
 	// stalenessMargin is subtracted from the staleness that a route allows. It covers the
 	// time from the first byte of the caller's request until the read is routed.
 	stalenessMargin = 50 * time.Millisecond
+	// inquiryWait bounds the wait for the position that another read asks the primary for: half
+	// of the shortest latency target of a route (200 ms).
+	inquiryWait = 100 * time.Millisecond
 )
 
 // sample is an observed position of a primary: every write acknowledged before at is
@@ -28,8 +31,18 @@
 // primary carries its position, so sampling needs no extra requests. It is safe for
 // concurrent use.
 type freshness struct {
-	mu       sync.Mutex
-	services map[string]*samples
+	mu        sync.Mutex
+	services  map[string]*samples
+	inquiries map[string]inquiry
+}
+
+// inquiry is a read that goes to the primary of a service since no position is known, and
+// learns one for the reads that follow.
+type inquiry struct {
+	term  uint64
+	begun time.Time
+	// answered is closed when a position has become known.
+	answered chan struct{}
 }
 
 // samples holds the samples of one service in one term of the group. A later term
@@ -40,7 +53,7 @@
 }
 
 func newFreshness() *freshness {
-	return &freshness{services: make(map[string]*samples)}
+	return &freshness{services: make(map[string]*samples), inquiries: make(map[string]inquiry)}
 }
 
 // observe records the position in an answer from the primary of a term. at is the time at
@@ -69,6 +82,25 @@
 		expired++
 	}
 	s.list = append(s.list[:0:0], s.list[expired:]...)
+	if q, ok := f.inquiries[service]; ok && q.term <= term {
+		delete(f.inquiries, service)
+		close(q.answered)
+	}
+}
+
+// inquire begins an inquiry for a read that lacks a position, and returns nil. If one has begun
+// less than inquiryWait ago, it returns the channel that is closed with the answer. It answers
+// the load after a fleet was lost: the reads of all callers come together, no host knows a
+// position, and the primary alone cannot run them.
+func (f *freshness) inquire(service string, term uint64, now time.Time) <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	q, ok := f.inquiries[service]
+	if ok && q.term == term && now.Sub(q.begun) < inquiryWait {
+		return q.answered
+	}
+	f.inquiries[service] = inquiry{term: term, begun: now, answered: make(chan struct{})}
+	return nil
 }
 
 // bound returns the lowest recorded position that includes every write acknowledged more
--- a/internal/core/pick.go
+++ b/internal/core/pick.go
@@ -37,6 +37,9 @@
 	primary bool
 	// minPosition is the position that a replica must have applied.
 	minPosition Position
+	// unpositioned: a replica would qualify if a position of the primary in the term were known.
+	unpositioned bool
+	term         uint64
 	// exclude lists the endpoints at which this statement has failed.
 	exclude []string
 }
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -302,18 +302,15 @@
 	term := v.State.Groups[route.Service].Term
 	age := time.Duration(route.MaxStaleness) * time.Millisecond
 	after, ok := s.srv.primaryPositions.bound(route.Service, term, clock.Now(), age)
+	own := Position{}
+	if ok && route.Policy == note.ReadOwnWrites {
+		own, ok = s.lastCommitPosition(route.Service, term)
+	}
 	if !ok {
-		s.srv.metrics.unpositioned.Inc()
+		n.unpositioned, n.term = true, term
 		return n
 	}
-	if route.Policy == note.ReadOwnWrites {
-		own, ok := s.lastCommitPosition(route.Service, term)
-		if !ok {
-			s.srv.metrics.unpositioned.Inc()
-			return n
-		}
-		after = later(after, own)
-	}
+	after = later(after, own)
 	n.primary, n.minPosition = false, after
 	return n
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -128,6 +128,8 @@
 // Link is a connection to an endpoint. It is not safe for concurrent use.
 type Link interface {
 	connpool.Conn
+	// StartPosition returns the position of the endpoint when it opened the connection.
+	StartPosition() Position
 	// Exchange sends the commands in one batch and returns their answers in order.
 	// After an error the state of the connection is unknown; sent reports whether
 	// any byte may have reached the endpoint.
