Count the tokens on their way to a holder once

The bound of what a holder may use counted the tokens on their way beside the share that covers them, and the pool was cut to what that left.

Change: the bound is the greatest sum of a grant's burst and the tokens of later ones, which is exact. A grant one by one needs room for its tokens once.

--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -211,23 +211,19 @@
 	hs.grants = []outstandingGrant{{stamp: lease.Stamp, share: share, expires: now.Add(k.cfg.addDrift(remaining))}}
 }
 
-// recomputeLeased updates the maximum that a holder may be using: the largest of its
-// outstanding grants and of its units in use, plus the tokens in flight.
+// recomputeLeased updates the maximum that a holder may be using. While it uses one of its
+// outstanding grants, its bucket holds at most the burst of that one, and the tokens of the
+// later ones may be on their way: the greatest such sum, and at least its units in use.
 func (k *ownedKey) recomputeLeased(now time.Time, hs *holderState) {
 	leased := Share{Burst: hs.inUse}
 	inFlight := 0.0
-	for _, g := range hs.grants {
+	for _, g := range slices.Backward(hs.grants) {
 		if !now.Before(g.expires) {
 			continue
 		}
-		// The tokens granted to a holder without a share arrive in an empty bucket, so
-		// the burst of the same grant covers them.
-		if leased != (Share{}) {
-			inFlight += g.tokensInFlight
-		}
-		leased = leased.max(g.share)
+		leased = leased.max(g.share.plus(Share{Burst: inFlight}))
+		inFlight += g.tokensInFlight
 	}
-	leased.Burst += inFlight
 	k.leased = k.leased.plus(leased.minus(hs.leased))
 	hs.leased = leased
 	k.resizePool(now)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -361,3 +362,34 @@
 	}
 	return len(data)
 }
+
+// TestThinRateKeepsItsTokens has more and more requests wait at each host of a returning fleet,
+// faster than the answers of the owner arrive. It guards against tokens that are lost because
+// those on their way count twice.
+func TestThinRateKeepsItsTokens(t *testing.T) {
+	const hosts, each = 10, 4
+	now := start
+	o := NewOwner(Config{}, "c", 1, now)
+	o.SetOwnerLease(now.Add(time.Minute))
+	o.SetEpoch(now, 1, []string{"c"})
+	var holders []HolderID
+	for i := range 2 * hosts * each {
+		holders = append(holders, HolderID{fmt.Sprint("h", i), 1})
+	}
+	o.SetHolders(now, holders, nil)
+	o.SetLimit(now, "k", Limit{Rate: 0.001, Burst: hosts * each}, true)
+	granted := 0.0
+	for waiting := range each {
+		for _, id := range holders[:hosts] {
+			reply := o.Handle(now, Request{
+				Host: id.Host, Incarnation: 1, Epoch: 1, OwnerIncarnation: 1, Seq: uint64(waiting + 1),
+				Keys: []KeyRequest{{Key: "k", Waiting: float32(waiting + 1)}},
+			})
+			granted += reply.Grants[0].Tokens
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	if granted < hosts*each {
+		t.Errorf("%.0f of %d tokens granted", granted, hosts*each)
+	}
+}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -77,15 +77,16 @@
 // chooseTokens returns the whole tokens that the holder gets now, and a share without a
 // rate for them, the tokens on their way and those that it keeps. It returns a surplus
 // of an earlier share. The rate stays in the pool, so that no token accrues at a holder
-// without requests. Tokens that follow an earlier grant count twice until they are
-// reported (recomputeLeased).
+// without requests. Both the share and, beside the earlier ones, its tokens must fit into the
+// limit (recomputeLeased).
 func (k *ownedKey) chooseTokens(now time.Time, hs *holderState, level float64) (Share, float64) {
 	onTheirWay := hs.tokensOnTheirWay(now)
 	needed := math.Ceil(hs.waiting) + math.Floor(hs.demand*prefetchTime.Seconds())
 	kept := min(level, max(needed, minBurst))
-	room := hs.leased.Burst + k.free().Burst - kept - onTheirWay
+	free := k.free().Burst
+	room := hs.leased.Burst + free - kept - onTheirWay
 	if len(hs.grants) > 0 {
-		room /= 2
+		room = min(room, free)
 	}
 	tokens := max(0, math.Floor(min(needed-level-onTheirWay, k.pool.level, room)))
 	return Share{Burst: kept + onTheirWay + tokens}, tokens
