Begin with few statements at an endpoint that no latency is known of

Change: a host begins with its part of two statements a slot (pacing.StartOf). Until a usual latency is known, a quarter of the route's target is expected.

--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -57,7 +57,7 @@
 }
 
 func newEndpoint(srv *Server, e agreed.Endpoint, limit int) *endpoint {
-	ep := &endpoint{record: e, srv: srv, pace: pacing.NewLimit(pacing.DefaultConfig())}
+	ep := &endpoint{record: e, srv: srv, pace: pacing.NewLimit(pacing.DefaultConfig(), srv.startOfPace(e))}
 	ep.pool = connpool.New(ep.dial, limit)
 	return ep
 }
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -18,6 +18,7 @@
 	"github.com/galenabridge/galenabridge/internal/limits"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pacing"
+	"github.com/galenabridge/galenabridge/internal/route"
 	"github.com/galenabridge/galenabridge/internal/view"
 )
 
@@ -129,7 +130,34 @@
 func (s *Server) latencyExcess(route note.Route, kind Kind, took time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.baselines.Excess(route.Database+" "+kind.String(), took)
+	expected := time.Duration(route.Target) * time.Millisecond / expectedTargetDivisor
+	return s.baselines.Excess(route.Database+" "+kind.String(), took, expected)
+}
+
+// expectedTargetDivisor is the divisor of the target latency of a route that gives the time a
+// statement is expected to take at an endpoint, before its usual latency is known.
+const expectedTargetDivisor = 4
+
+// startOfPace returns the number of statements that the host begins to send to an endpoint.
+func (s *Server) startOfPace(e agreed.Endpoint) int {
+	v := s.opts.View.Current()
+	if v.State == nil {
+		return pacing.StartOf(0, 1)
+	}
+	slots := e.Slots
+	if slots == 0 {
+		slots = v.State.Catalog.Services[e.Service].Slots
+	}
+	hosts := 0
+	for _, h := range v.State.Hosts {
+		if h.Entry {
+			hosts++
+		}
+	}
+	if !route.AllAtHome(hosts) {
+		hosts = route.HomeHostCount
+	}
+	return pacing.StartOf(slots, hosts)
 }
 
 // Run applies changes of the agreed state and expires idle transactions and
--- a/internal/pacing/baseline.go
+++ b/internal/pacing/baseline.go
@@ -32,15 +32,15 @@
 func NewBaseline() *Baseline { return &Baseline{kinds: make(map[string]*kindBaseline)} }
 
 // Excess records the latency of a statement and returns by how much it is above the
-// baseline of its kind. The result may be negative, and is zero until the first
-// batch of the kind is complete.
-func (b *Baseline) Excess(kind string, latency time.Duration) time.Duration {
+// baseline of its kind. The result may be negative. Until the first batch of the kind is
+// complete, it is what exceeds the expected latency, if any.
+func (b *Baseline) Excess(kind string, latency, expected time.Duration) time.Duration {
 	k := b.kinds[kind]
 	if k == nil {
 		k = &kindBaseline{}
 		b.kinds[kind] = k
 	}
-	excess := time.Duration(0)
+	excess := max(0, latency-expected)
 	if k.initialized {
 		excess = latency - k.latency
 	}
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -32,10 +32,10 @@
 // decreaseFactor is the factor by which the limit is multiplied in a reduction.
 const decreaseFactor = 0.75
 
-// Limit bounds the number of statements in progress at one endpoint. There is no
-// bound until the mean excess latency first exceeds Config.DecreaseAbove, and none
-// again once the limit has risen to the host's maximum. It is not safe for concurrent
-// use.
+// Limit bounds the number of statements in progress at one endpoint. It begins at a number
+// of statements and rises, until there is no bound once it has reached the host's maximum. There
+// is one again when the mean excess latency exceeds Config.DecreaseAbove. It is not safe for
+// concurrent use.
 type Limit struct {
 	cfg       Config
 	bounded   bool
@@ -45,8 +45,26 @@
 	changedAt time.Time
 }
 
-// NewLimit returns a Limit without a bound.
-func NewLimit(cfg Config) *Limit { return &Limit{cfg: cfg} }
+// NewLimit returns a Limit that begins at a number of statements (StartOf).
+func NewLimit(cfg Config, start int) *Limit {
+	return &Limit{cfg: cfg, bounded: true, limit: float64(start)}
+}
+
+// queueFactor is how many statements all hosts together begin to send, for each slot of an
+// endpoint: as many wait there as run, so that no slot is idle.
+const queueFactor = 2
+
+// StartOf returns the number of statements that a host begins to send to an endpoint with the
+// given slots, which so many hosts use. It answers the load of a fleet that comes back: the
+// statements of all callers wait at the hosts, and no host has seen a latency yet. An endpoint
+// refuses what does not fit into its queue.
+func StartOf(slots, hosts int) int {
+	hosts = max(hosts, 1)
+	return max((queueFactor*slots+hosts-1)/hosts, minStart)
+}
+
+// minStart is the least number of statements to begin with.
+const minStart = 2
 
 // Allowed returns how many statements may be in progress, given the maximum that
 // other limits of the host allow. It is at least one if the maximum is.
--- a/internal/pacing/sim_test.go
+++ b/internal/pacing/sim_test.go
@@ -50,8 +50,10 @@
 
 const (
 	simSlots = 5
-	// simWork is the mean time of a statement.
-	simWork = 35 * time.Millisecond
+	// simWork is the mean time of a statement, and simExpected the longest one that is expected
+	// before a latency was seen.
+	simWork     = 35 * time.Millisecond
+	simExpected = 100 * time.Millisecond
 )
 
 func newSim(seed uint64, load float64, rates []float64) *sim {
@@ -61,10 +63,10 @@
 		total += r
 	}
 	for _, r := range rates {
-		h := &simHost{rate: load * simSlots / simWork.Seconds() * r / total, limit: NewLimit(DefaultConfig()), baseline: NewBaseline()}
+		h := &simHost{rate: load * simSlots / simWork.Seconds() * r / total, limit: NewLimit(DefaultConfig(), StartOf(simSlots, len(rates))), baseline: NewBaseline()}
 		s.hosts = append(s.hosts, h)
 		for range 2 * batchSize { // initial baseline
-			h.baseline.Excess("read", s.draw())
+			h.baseline.Excess("read", s.draw(), simExpected)
 		}
 		s.arrive(h)
 	}
@@ -120,7 +122,7 @@
 			s.served++
 			j.host.running--
 			took := s.now - j.sent
-			j.host.limit.Observe(time.Unix(0, int64(s.now)), j.host.baseline.Excess("read", took), s.maxInProgress)
+			j.host.limit.Observe(time.Unix(0, int64(s.now)), j.host.baseline.Excess("read", took, simExpected), s.maxInProgress)
 			s.start()
 			s.pump(j.host)
 		})
@@ -181,3 +183,35 @@
 		}
 	}
 }
+
+// TestReturningFleetQueuesAtHosts plays the statements of all callers of a fleet that comes
+// back: four hosts that have seen no latency, each with as many as arrive in two seconds. It
+// guards against hosts that send them all at once, of which the endpoint refuses most.
+func TestReturningFleetQueuesAtHosts(t *testing.T) {
+	const hosts, backlog, endpointQueue = 4, 60, 40
+	for seed := range uint64(5) {
+		s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), slots: simSlots, maxInProgress: 18}
+		for range hosts {
+			h := &simHost{limit: NewLimit(DefaultConfig(), StartOf(simSlots, hosts)), baseline: NewBaseline()}
+			h.waiting = make([]time.Duration, backlog)
+			s.hosts = append(s.hosts, h)
+		}
+		for _, h := range s.hosts {
+			s.pump(h)
+		}
+		longest := len(s.queue)
+		for len(s.events) > 0 {
+			next := s.events[0]
+			s.events = s.events[1:]
+			s.now = next.at
+			next.run()
+			longest = max(longest, len(s.queue))
+		}
+		if longest > endpointQueue {
+			t.Errorf("seed %d: %d statements in the endpoint's queue, of which it refuses those beyond %d", seed, longest, endpointQueue)
+		}
+		if used := s.busy.Seconds() / (simSlots * s.now.Seconds()); s.served != hosts*backlog || used < 0.9 {
+			t.Errorf("seed %d: %d of %d served, %.2f of the slots used; want all and at least 0.9", seed, s.served, hosts*backlog, used)
+		}
+	}
+}
