Split the tolerance between owners that are lost and fleets that come back

Change: half of the tolerance for the reserves at first home hosts, half for a restart of the whole fleet, after which the reserves are empty for a window: together they never exceed it. A fifth beyond the burst while only the owner is lost, as before.

--- a/internal/limits/fleetsize.go
+++ b/internal/limits/fleetsize.go
@@ -140,17 +140,32 @@
 	return f.cfg.Tolerance.allowance(w) * reserveFraction / float64(max(f.entryHosts, 1))
 }
 
-// idleBurstFraction is the fraction of the tolerance that may accrue beyond the burst of a
-// workspace without floors while nobody can spend any; see gapFraction.
-const idleBurstFraction = 1.0 / 5
+// The fractions of the tolerance of a workspace without floors that it may use where a host or
+// an owner lacks information. The reserves of the hosts and what accrues beyond the burst leave
+// the rest for the arrival of statements, which lags behind their tokens. New processes begin
+// without reserves, so that the reserves and the tokens of a restart fit into one window.
+const (
+	gapFraction       = 1.0 / 2 // the reserves of all hosts (reserve)
+	idleBurstFraction = 1.0 / 5 // what accrues while nobody can spend any
+	restartFraction   = 1.0 / 2 // what replaces the buckets of a fleet that was lost
+)
 
 // idleBurst returns the tokens that a workspace's rate may accrue beyond its burst while its
 // owner or the fleet is lost. Where the hosts have floors, these hold the tolerance.
 func (f fleetSize) idleBurst(w note.Workspace) float64 {
+	return f.toleranceWithoutFloors(w) * idleBurstFraction
+}
+
+// restartBurst returns the tokens that a workspace gets in place of those of a lost fleet.
+func (f fleetSize) restartBurst(w note.Workspace) float64 {
+	return f.toleranceWithoutFloors(w) * restartFraction
+}
+
+func (f fleetSize) toleranceWithoutFloors(w note.Workspace) float64 {
 	if f.rateFloorSum(w) > 0 {
 		return 0
 	}
-	return f.cfg.Tolerance.allowance(w) * idleBurstFraction
+	return f.cfg.Tolerance.allowance(w)
 }
 
 // leasedConnections returns the number of an endpoint's connections that are leased
--- a/internal/limits/keys.go
+++ b/internal/limits/keys.go
@@ -37,7 +37,10 @@
 	size := sizeOf(cfg, state, homes)
 	for name, w := range state.Catalog.Workspaces {
 		leasedFraction := 1 - size.rateFloorSum(w)
-		all[rateKey(name)] = quota.Limit{Rate: w.Rate * leasedFraction, Burst: w.Burst * leasedFraction, IdleBurst: size.idleBurst(w)}
+		all[rateKey(name)] = quota.Limit{
+			Rate: w.Rate * leasedFraction, Burst: w.Burst * leasedFraction,
+			IdleBurst: size.idleBurst(w), RestartBurst: size.restartBurst(w),
+		}
 	}
 	for id, e := range state.Endpoints {
 		service, ok := state.Catalog.Services[e.Service]
--- a/internal/limits/reserve.go
+++ b/internal/limits/reserve.go
@@ -9,11 +9,6 @@
 	"github.com/galenabridge/galenabridge/internal/rendezvous"
 )
 
-// gapFraction is the fraction of the tolerance that the hosts of a fleet without floors hold as
-// reserves. Another part may accrue in the bucket of the owner (idleBurstFraction), and the rest
-// is left for the arrival of statements, which lags behind their tokens.
-const gapFraction = 3.0 / 5
-
 // reserve holds the tokens that a host may spend beyond a workspace's limit while the owner of
 // the rate is unknown to it: between the loss of an owner and the first grant of the next. It
 // answers the load of that time, some requests of each workspace at its first home hosts. A
--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -122,19 +122,20 @@
 // creditIdleTime fills the pool with the tokens that accrued while no holder spent any, and
 // that are not in the buckets of holders. It answers the requests that have waited for the
 // owner. If all holders are new processes, what was left in the buckets of the former ones is
-// unknown, and IdleBurst is granted in its place: the callers of the lost processes come back
-// together. All hosts together spend at most rate*w + burst + IdleBurst in any interval of
-// length w, since the buckets never hold more than that, and once more IdleBurst in one in
+// unknown, and RestartBurst is granted in its place: the callers of the lost processes come
+// back together. All hosts together spend at most rate*w + burst + IdleBurst in any interval of
+// length w, since the buckets never hold more than that, and RestartBurst beside it in one in
 // which the whole fleet was lost.
 func (k *ownedKey) creditIdleTime(now time.Time, idle time.Duration, fleetIsNew bool) {
 	if k.limit.Rate == 0 {
 		return
 	}
-	accrued := k.free().Rate * idle.Seconds()
+	accrued, beyond := k.free().Rate*idle.Seconds(), k.limit.IdleBurst
 	if fleetIsNew {
-		accrued += k.limit.IdleBurst
+		accrued += k.limit.RestartBurst
+		beyond = max(beyond, k.limit.RestartBurst)
 	}
-	k.idleBurst = max(0, min(k.limit.IdleBurst, accrued-k.limit.Burst))
+	k.idleBurst = max(0, min(beyond, accrued-k.limit.Burst))
 	k.idleBurstUntil = now.Add(idleBurstTime)
 	k.resizePool(now)
 	k.pool.level = max(k.pool.level, min(k.pool.share.Burst, accrued-k.leased.Burst))
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -61,9 +61,10 @@
 	Burst float64
 	// IdleBurst is the number of tokens beyond Burst that accrue while nobody can spend any,
 	// as after the loss of an owner or of the whole fleet. The requests of that time wait.
-	// When all processes are new, as many are granted in place of those that were left in the
-	// buckets of the former ones.
 	IdleBurst float64
+	// RestartBurst is the number of tokens that are granted when all processes are new, in
+	// place of those that were left in the buckets of the former ones.
+	RestartBurst float64
 }
 
 // Share is the part of a limit granted to one holder, in the units of Limit.
