End a panic with the message that it was about

Cause (report of other operators: one malformed message took a whole process down; found by reading): only the tasks of the supervisor tree were protected. A panic while a caller's message, a peer's message or a background task of the core was handled would have ended the process, and with it all sessions.

Change: supervise.Recover in those goroutines logs it with its stack. A peer's request is answered with an error without a result code: it may have run in part, so that the sender calls its outcome unknown.

--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -19,6 +19,7 @@
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pacing"
 	"github.com/galenabridge/galenabridge/internal/route"
+	"github.com/galenabridge/galenabridge/internal/supervise"
 	"github.com/galenabridge/galenabridge/internal/view"
 )
 
@@ -206,6 +207,7 @@
 	s.tasks.Add(1)
 	go func() {
 		defer s.tasks.Done()
+		defer supervise.Recover(s.opts.Log, "core")
 		task(s.ctx)
 	}()
 }
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/supervise"
 )
 
 // pendingCall is a request that awaits its reply.
@@ -201,11 +202,22 @@
 			n.reply(from, e, nil, result.New(result.UnsupportedFeature, "no handler for %s", e.Kind))
 			return
 		}
-		answer, err := handle(n.ctx, from, e.Body)
+		answer, err := n.runHandler(handle, from, e)
 		n.reply(from, e, answer, err)
 	}()
 }
 
+// errHandlerFailed is the answer to a request whose handler panicked. It has no result code: the
+// request may have been handled in part.
+var errHandlerFailed = errors.New("the request failed unexpectedly")
+
+// runHandler runs the handler of a request. A panic fails the request only.
+func (n *Node) runHandler(handle CallHandler, from Identity, e envelope) (answer any, err error) {
+	err = errHandlerFailed
+	defer supervise.Recover(n.opts.Logger, "peer "+e.Kind.String())
+	return handle(n.ctx, from, e.Body)
+}
+
 func (n *Node) reply(to Identity, request envelope, answer any, err error) {
 	e := envelope{Kind: request.Kind, ID: request.ID, Reply: true}
 	if err == nil && answer != nil {
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/galenabridge/galenabridge/internal/activity"
 	"github.com/galenabridge/galenabridge/internal/result"
+	"github.com/galenabridge/galenabridge/internal/supervise"
 	"github.com/galenabridge/galenabridge/internal/tcpopt"
 )
 
@@ -260,8 +261,9 @@
 }
 
 // deliver dispatches a received message to the pending call or the handler that it is for.
-// A one-way message without a handler is dropped.
+// A one-way message without a handler is dropped, as is one whose handler panics.
 func (n *Node) deliver(from Identity, e envelope) {
+	defer supervise.Recover(n.opts.Logger, "peer "+e.Kind.String())
 	switch {
 	case e.Reply:
 		n.finishCall(from.Host, e)
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -113,6 +114,15 @@
 	return err
 }
 
+// Recover ends a panic of the calling goroutine and logs it. It must be deferred. It is for
+// goroutines that serve one message, statement or connection: what they served is lost, and the
+// process goes on.
+func Recover(logger *log.Logger, task string) {
+	if v := recover(); v != nil {
+		logger.Error("task_panicked", "task", task, "cause", v, "stack", string(debug.Stack()))
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
