Push the settled revision when a registration has settled

Change: the leader sends the settled revision to the other control hosts, and each to its subscribers, when a registration settles with it.

--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -23,6 +23,9 @@
 	peer.On(n, peer.KindRelayOK, func(_ peer.Identity, ok lease.RenewOK) {
 		h.post(relayOKEvent{ok: ok})
 	})
+	peer.On(n, peer.KindRelaySettled, func(from peer.Identity, p settledPush) {
+		h.post(relaySettledEvent{from: from.Host, settled: p.Settled})
+	})
 	peer.On(n, peer.KindAnnounce, func(_ peer.Identity, a Announcement) {
 		h.post(announceEvent{announcement: a})
 	})
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -163,6 +163,9 @@
 	if settled > before && h.failover != nil {
 		h.failover.settled(now, settled)
 	}
+	if settlesRegistration(h.state, before, settled) {
+		h.pushSettled(settled)
+	}
 	return settled
 }
 
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -115,6 +115,9 @@
 	peer.On(opts.Peer, peer.KindRenewNo, func(from peer.Identity, _ renewRefusal) {
 		s.post(renewRefusedEvent{from.Host})
 	})
+	peer.On(opts.Peer, peer.KindSettled, func(from peer.Identity, p settledPush) {
+		s.post(settledEvent{from: from.Host, settled: p.Settled})
+	})
 	peer.On(opts.Peer, peer.KindRenewOK, func(from peer.Identity, ok lease.RenewOK) {
 		s.post(grantEvent{from.Host, ok})
 	})
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// ObserveSettled raises the settled revision to one that the broker has sent unasked.
+func (h *Holder) ObserveSettled(settled uint64) { h.settled = max(h.settled, settled) }
+
 // ValidUntil returns the end of the lease for a host that has applied the revision, on
 // the holder's clock. It is the zero time when no grant covers that revision.
 func (h *Holder) ValidUntil(applied uint64) time.Time {
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -24,6 +24,9 @@
 	KindDocument Kind = 18 // request for the accepted configuration
 	KindRenewNo  Kind = 19 // refusal of a lease request by a control host without state
 
+	KindRelaySettled Kind = 20 // settled revision, for a control host
+	KindSettled      Kind = 21 // settled revision, for a subscriber
+
 	KindObservation Kind = 30 // observed condition of an endpoint, for the leader
 	KindPosition    Kind = 31 // request to probe an endpoint
 	KindPromote     Kind = 32 // request to promote an endpoint
@@ -66,6 +69,8 @@
 	KindStatus:         {name: "status"},
 	KindDocument:       {name: "document"},
 	KindRenewNo:        {name: "renew_no", droppable: true},
+	KindRelaySettled:   {name: "relay_settled", droppable: true},
+	KindSettled:        {name: "settled", droppable: true},
 	KindObservation:    {name: "observation", droppable: true},
 	KindPosition:       {name: "position"},
 	KindPromote:        {name: "promote"},
