Add galenabridge account: late and refused statements by second and cause

Cause: after a bad hour an operator has the logs of hundreds of hosts and asks what its callers lost, when and to what; explain follows one request only.

Change: explain.Account counts the lines of late and refused statements in each interval, by what they waited for most or their result, and prints a bar for each.

Result: golden and command line tests.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -117,6 +117,7 @@
 		{"standin", "run a stand-in endpoint", "Run one stand-in database endpoint.", &standinCommand{}},
 		{"status", "show the state of the fleet", "Show hosts, leases, groups and endpoints.", &statusCommand{}},
 		{"explain", "explain a request from logs", "Merge the log lines of several hosts about one request, and the state changes around it, in order of time.", &explainCommand{}},
+		{"account", "count late and refused statements from logs", "Count the statements that were late or refused in each interval, by cause, from the logs of several hosts.", &accountCommand{}},
 		{"version", "print the version", "Print the version of this build.", &versionCommand{}},
 	}
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -117,6 +117,9 @@
 		{[]string{"explain", "id-2", path}, ExitFailure, "missing: no line names the request"},
 		{[]string{"explain", "id-1", "/nonexistent"}, ExitUsage, ""},
 		{[]string{"explain"}, ExitUsage, ""},
+		{[]string{"account", path}, ExitOK, "refused: rate_exceeded=1"},
+		{[]string{"account", "--json", "--interval", "1m", path}, ExitOK, `"rate_exceeded": 1`},
+		{[]string{"account", "--interval", "0s", path}, ExitUsage, ""},
 	} {
 		code, stdout, stderr := invoke(c.args...)
 		if code != c.want || !strings.Contains(stdout, c.text) {
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -19,7 +19,7 @@
 }
 
 func (c *explainCommand) run(app *App) error {
-	lines, skipped, err := c.read(app.Stdin)
+	lines, skipped, err := readLogs(app.Stdin, c.Args.Files)
 	if err != nil {
 		return exitWith(ExitUsage, err)
 	}
@@ -38,12 +38,13 @@
 	return err
 }
 
-// read returns the events of all logs and the number of lines without one.
-func (c *explainCommand) read(stdin io.Reader) (lines []explain.Line, skipped int, err error) {
-	if len(c.Args.Files) == 0 {
+// readLogs returns the events of all logs, or of standard input if there are none, and the number
+// of lines without one.
+func readLogs(stdin io.Reader, files []string) (lines []explain.Line, skipped int, err error) {
+	if len(files) == 0 {
 		return explain.Read(stdin)
 	}
-	for _, path := range c.Args.Files {
+	for _, path := range files {
 		fileLines, fileSkipped, err := readLog(path)
 		if err != nil {
 			return nil, 0, err
