Refuse requests for a rate at once that its backlog leaves no token for

The tokens went to the newest requests, and no host knew that the others waited in vain.

Change: the grants of a small rate tell the time of its backlog, from the requests that wait and arrive at all holders.

--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -35,14 +35,19 @@
 }
 
 type waiter struct {
-	deadline time.Time
-	ready    chan error // receives nil once a token was taken; buffered
+	enqueuedAt time.Time
+	deadline   time.Time
+	// judged is set once it was decided whether the request can be served in time.
+	judged bool
+	// ready receives nil once a token was taken, or the refusal; buffered.
+	ready chan error
 }
 
 // Acquire implements entry.Limiter. A request waits for a token until its deadline.
-// It is refused early only if the workspace exceeds its rate across the fleet: after
+// It is refused early if the workspace exceeds its rate across the fleet: after
 // overloadMaxWait, or at once if the waiting requests already fill the time until
-// the deadline.
+// the deadline. It is also refused once the requests that wait in the fleet leave no token for
+// it in time (refuseBacklog).
 func (h *Holder) Acquire(ctx context.Context, workspace string) error {
 	w, err := h.takeOrEnqueue(ctx, workspace)
 	if w == nil {
@@ -95,7 +100,7 @@
 		h.quota.Withdraw(key, 1)
 		return nil, h.refuse(now, workspace, q)
 	}
-	w := &waiter{deadline: deadline, ready: make(chan error, 1)}
+	w := &waiter{enqueuedAt: now, deadline: deadline, ready: make(chan error, 1)}
 	q.waiters = append(q.waiters, w)
 	h.notify()
 	return w, nil
@@ -128,6 +133,7 @@
 func (h *Holder) refuse(now time.Time, workspace string, q *queue) error {
 	known := refusal{
 		overloaded: q.overloaded, waiting: len(q.waiters), rate: h.quota.Rate(now, rateKey(workspace)), nextToken: q.nextTokenAt.Sub(now),
+		backlog: h.quota.Backlog(now, rateKey(workspace)),
 	}
 	err := result.New(result.DeadlineInQueue, "waiting for the rate of workspace %q", workspace)
 	if q.overloaded {
@@ -197,6 +203,7 @@
 			if !floor.take(now) && !h.takeReserve(now, workspace, q) {
 				wait := min(decision.Wait, floor.maxWait())
 				q.nextTokenAt = now.Add(wait)
+				h.refuseBacklog(now, workspace, q)
 				return h.waitForReserve(now, workspace, wait)
 			}
 			h.quota.Withdraw(rateKey(workspace), 1)
--- a/internal/limits/retry_hint.go
+++ b/internal/limits/retry_hint.go
@@ -19,9 +19,10 @@
 
 // refusal is what a host knows about a rate when it refuses a request for a token of it.
 type refusal struct {
-	// overloaded is set if the workspace exceeds its rate. Otherwise the rate has no owner
-	// that answers.
+	// overloaded is set if the workspace exceeds its rate. Otherwise requests wait in the fleet
+	// for the time of backlog, or the rate has no owner that answers.
 	overloaded bool
+	backlog    time.Duration
 	// waiting is the number of requests that wait for tokens of the rate on this host.
 	waiting int
 	// rate is that of the host's share in tokens per second, zero if it has none.
@@ -40,6 +41,8 @@
 		hint = max(r.nextToken, 0) + time.Duration(float64(r.waiting+1)/r.rate*float64(time.Second))
 	case r.overloaded:
 		hint = overloadRetryHint
+	case r.backlog > 0:
+		hint = r.backlog
 	}
 	hint = min(max(hint, minRetryHint), maxRetryHint)
 	return hint + time.Duration(random*retrySpread*float64(hint))
--- a/internal/quota/held.go
+++ b/internal/quota/held.go
@@ -44,6 +44,9 @@
 	overloaded bool
 	lowDemand  bool
 	unknown    bool
+	// backlogUntil is when the requests that waited at all holders will have their tokens,
+	// according to the latest grant.
+	backlogUntil time.Time
 
 	offered        float64 // tokens requested since measuredAt
 	backlog        float64 // tokens or units of waiting requests
@@ -160,6 +163,7 @@
 	}
 	k.advance(now)
 	k.stamp, k.expires, k.overloaded, k.lowDemand, k.unknown = stamp, expires, g.Overloaded, g.LowDemand, g.Unknown
+	k.backlogUntil = now.Add(time.Duration(g.BacklogMS) * time.Millisecond)
 	k.returned += k.bucket.resize(now, g.Share)
 	k.bucket.add(g.Tokens)
 }
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -347,6 +347,15 @@
 	return max(0, ownerPatience-now.Sub(since))
 }
 
+// Backlog returns the time until the requests that wait for a key at all holders will have
+// their tokens, as its owner expects, zero if there are enough or it is not known.
+func (h *Holder) Backlog(now time.Time, key string) time.Duration {
+	if k := h.keys[key]; k != nil {
+		return max(0, k.backlogUntil.Sub(now))
+	}
+	return 0
+}
+
 // batcher collects key requests into one request per owner.
 type batcher struct {
 	holder  *Holder
--- a/internal/quota/owned.go
+++ b/internal/quota/owned.go
@@ -234,7 +234,7 @@
 func (k *ownedKey) grant(now time.Time, hs *holderState, kr KeyRequest, stamp Stamp) Grant {
 	var share Share
 	var tokens float64
-	level := k.pool.level
+	level, arrivals := k.pool.level, k.arrivalRate()
 	if k.thin {
 		share, tokens = k.chooseTokens(now, hs, float64(kr.Level))
 	} else {
@@ -256,6 +256,7 @@
 		Overloaded: k.overloaded(now),
 		LowDemand:  k.demand < lowDemandFraction*k.limit.capacity(),
 		Unknown:    k.quarantined(),
+		BacklogMS:  uint32(k.backlog(arrivals).Milliseconds()),
 	}
 }
 
@@ -281,6 +282,31 @@
 	return k.thin && k.waiting > (overloadFactor-1)*k.limit.Rate*backlogTarget.Seconds()
 }
 
+// minDrainFraction is the least part of a rate that is taken to be left for waiting requests
+// beside those that arrive.
+const minDrainFraction = 0.1
+
+// arrivalRate returns the rate at which requests arrive at all holders: the demand without what
+// serves the waiting ones.
+func (k *ownedKey) arrivalRate() float64 {
+	return max(0, k.demand-k.waiting/backlogTarget.Seconds())
+}
+
+// backlog returns the time in which the waiting requests will have tokens, while tokens are
+// granted one by one. The requests that arrive meanwhile are served first, since the holders
+// serve the newest first.
+func (k *ownedKey) backlog(arrivals float64) time.Duration {
+	short := k.waiting - k.pool.level
+	if !k.thin || short < 1 || k.quarantined() {
+		return 0
+	}
+	drain := max(k.limit.Rate-arrivals, minDrainFraction*k.limit.Rate)
+	return min(time.Duration(short/drain*float64(time.Second)), maxBacklog)
+}
+
+// maxBacklog bounds the time that a grant reports for waiting requests.
+const maxBacklog = time.Minute
+
 // capacity returns the limit in the unit of demand: tokens per second, or units.
 func (l Limit) capacity() float64 {
 	if l.Rate > 0 {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -393,3 +393,25 @@
 		t.Errorf("%.0f of %d tokens granted", granted, hosts*each)
 	}
 }
+
+// TestGrantTellsBacklog has more requests wait for a small rate than it has tokens. The grants
+// tell how long that lasts beside the requests that arrive, and nothing while there are tokens.
+func TestGrantTellsBacklog(t *testing.T) {
+	now := start
+	o := NewOwner(Config{}, "c", 1, now)
+	o.SetOwnerLease(now.Add(time.Minute))
+	o.SetEpoch(now, 1, []string{"c"})
+	o.SetHolders(now, make([]HolderID, 20), nil)
+	o.SetLimit(now, "k", Limit{Rate: 10, Burst: 10}, true)
+	ask := func(seq uint64, waiting, demand float32) Grant {
+		return o.Handle(now, Request{
+			Host: "h", Incarnation: 1, Epoch: 1, OwnerIncarnation: 1, Seq: seq, Keys: []KeyRequest{{Key: "k", Waiting: waiting, Demand: demand}},
+		}).Grants[0]
+	}
+	if g := ask(1, 2, 2); g.BacklogMS != 0 {
+		t.Errorf("a backlog of %d ms although there are tokens", g.BacklogMS)
+	}
+	if g := ask(2, 40, 46); g.BacklogMS < 5000 || g.BacklogMS > 15000 {
+		t.Errorf("a backlog of %d ms for some 30 requests that get 4 to 6 tokens a second", g.BacklogMS)
+	}
+}
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -182,6 +182,9 @@
 	// LowDemand is set if the total demand is below half of the limit, so that a new
 	// holder can be served from the free part.
 	LowDemand bool `cbor:"6,keyasint,omitempty"`
+	// BacklogMS is the time in which the requests that wait at all holders will have their
+	// tokens, in milliseconds, while tokens are granted one by one.
+	BacklogMS uint32 `cbor:"8,keyasint,omitempty"`
 	// Unknown is set while the owner grants nothing because it does not know all leases.
 	Unknown bool `cbor:"7,keyasint,omitempty"`
 }
