Bound what a control host keeps and sends for hosts that are behind

Change: kept are the revisions that were pushed, 64 of them; pushes lead to the last of those. What was pushed counts against an assumed rate before it is repeated. The Go runtime may use seven tenths of the memory limit of the settings.

Result: TestRecentStatesAreThosePushed and TestSnapshotOverThinLinkSentOnce fail before.

--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -81,12 +82,19 @@
 // exceeds any step by which a platform corrects the time of day.
 const incarnationStep = time.Hour
 
+// heapShare is the part of the memory limit that the Go runtime may use. The rest is for what it
+// does not count: the C library and the unread bytes of connections.
+const heapShare = 0.7
+
 // run builds a host from its settings and runs it until ctx ends.
 func run(ctx context.Context, opts options, logger *log.Logger, incarnationOffset time.Duration) error {
 	settings, err := platform.LoadSettings(opts.Settings)
 	if err != nil {
 		return err
 	}
+	if settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryLimit)))
+	}
 	logger = logger.With("host", settings.Name, "role", opts.Args.Role)
 	d, err := daemon.New(daemon.Options{
 		Settings: settings.Settings, Dialer: platform.Dialer{},
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -163,7 +163,6 @@
 		return
 	}
 	h.state = s
-	h.recent.add(s)
 	h.registered = registeredProcesses(s)
 	for _, id := range h.registered {
 		h.broker.Supersede(id)
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -13,13 +13,18 @@
 
 // Limits of the distribution of states to subscribers.
 const (
-	// maxRecentStates is the number of revisions kept as the base of deltas. A
-	// subscriber further behind gets a snapshot.
-	maxRecentStates = 256
+	// maxRecentStates is the number of pushed revisions kept as the base of deltas: those of
+	// 2.5 s of changes. A subscriber further behind gets a snapshot. Each may hold a copy of
+	// every map of the state.
+	maxRecentStates = 64
 	// resendDelay is how long a subscriber may lag behind the pushed revision before
 	// the pushes are considered lost and repeated. It is many round trips between
 	// failure domains (3 ms).
 	resendDelay = 100 * time.Millisecond
+	// assumedRate is added to resendDelay for what was pushed since: bytes a second, less than
+	// half of the thinnest link (2 Mbit/s). A snapshot that is still on its way over such a link
+	// must not be followed by another.
+	assumedRate = 100_000
 	// pushInterval is the minimum time between two pushes to all subscribers. The first
 	// change is pushed at once. When many hosts register at the same time, each push
 	// carries the registrations of an interval, and is answered by one lease request.
@@ -41,22 +46,40 @@
 	// behindSince is since when the host has lagged behind sent without progress.
 	// Once it has missed a delta it cannot apply the later ones.
 	behindSince time.Time
-	lastSeen    time.Time
+	// inFlight is the number of bytes pushed since the host last made progress.
+	inFlight int
+	lastSeen time.Time
 }
 
-// recentStates holds the last maxRecentStates states in ascending order of
+// resendAfter returns how long the host may lag without progress before pushes are repeated.
+func (s *subscription) resendAfter() time.Duration {
+	return resendDelay + time.Duration(s.inFlight)*time.Second/assumedRate
+}
+
+// recentStates holds the last maxRecentStates states that were pushed, in ascending order of
 // revision.
 type recentStates struct {
 	states []*agreed.State
 }
 
 func (r *recentStates) add(s *agreed.State) {
+	if n := len(r.states); n > 0 && r.states[n-1].Revision >= s.Revision {
+		return
+	}
 	r.states = append(r.states, s)
 	if len(r.states) > maxRecentStates {
 		r.states = slices.Delete(r.states, 0, len(r.states)-maxRecentStates)
 	}
 }
 
+// last returns the latest state, or nil if none is held.
+func (r *recentStates) last() *agreed.State {
+	if len(r.states) == 0 {
+		return nil
+	}
+	return r.states[len(r.states)-1]
+}
+
 // at returns the state at a revision, or nil if it is not held.
 func (r *recentStates) at(revision uint64) *agreed.State {
 	i, ok := slices.BinarySearchFunc(r.states, revision, func(s *agreed.State, revision uint64) int {
@@ -90,12 +113,12 @@
 
 // acknowledge records the revision that the host has applied. It reports whether
 // the next push should start there: nothing is in flight, or what is in flight is
-// considered lost after resendDelay without progress.
+// considered lost after resendAfter without progress.
 func (s *subscription) acknowledge(now time.Time, applied uint64) bool {
 	if applied != s.applied {
-		s.applied, s.behindSince = applied, now
+		s.applied, s.behindSince, s.inFlight = applied, now, 0
 	}
-	if s.sent > applied && now.Sub(s.behindSince) < resendDelay {
+	if s.sent > applied && now.Sub(s.behindSince) < s.resendAfter() {
 		return false
 	}
 	s.sent = applied
@@ -140,6 +163,7 @@
 // pushAll pushes the state to every subscriber that lacks it and drops expired
 // subscriptions.
 func (h *Host) pushAll(now time.Time) {
+	h.recent.add(h.state)
 	h.pushes.pushed = h.state.Revision
 	for id, sub := range h.subscribers {
 		if now.Sub(sub.lastSeen) > subscriptionTimeout {
@@ -152,28 +176,30 @@
 	}
 }
 
-// push sends a delta. A subscriber that is too far behind gets a snapshot before it.
+// push sends a delta to the latest pushed state. A subscriber that is too far behind gets a
+// snapshot before it.
 func (h *Host) push(now time.Time, id lease.ID, sub *subscription) {
-	if h.recent.at(sub.sent) == nil && !h.pushSnapshot(now, id, sub) {
+	target := h.recent.last()
+	if target == nil || h.recent.at(sub.sent) == nil && !h.pushSnapshot(now, id, sub, target) {
 		return
 	}
-	if sub.sent == h.state.Revision {
+	if sub.sent == target.Revision {
 		return
 	}
-	data, err := h.encodedDelta(sub.sent)
+	data, err := h.encodedDelta(sub.sent, target)
 	if err != nil {
 		h.log.Error("push_encode_failed", "err", err.Error())
 		return
 	}
-	h.sendPush(now, id, sub, peer.KindDelta, data, h.state.Revision)
+	h.sendPush(now, id, sub, peer.KindDelta, data, target.Revision)
 }
 
-// pushSnapshot sends a snapshot of the state or of a recent one, and reports whether it was
-// sent.
-func (h *Host) pushSnapshot(now time.Time, id lease.ID, sub *subscription) bool {
+// pushSnapshot sends a snapshot of a state or of one pushed shortly before, and reports whether
+// it was sent.
+func (h *Host) pushSnapshot(now time.Time, id lease.ID, sub *subscription, target *agreed.State) bool {
 	p := &h.pushes
 	if p.snapshot == nil || now.Sub(p.snapshotAt) > snapshotReuse || h.recent.at(p.snapshotRevision) == nil {
-		state, err := h.state.ForSubscriber().Encode()
+		state, err := target.ForSubscriber().Encode()
 		if err == nil {
 			p.snapshot, err = peer.Marshal(snapshotPush{State: state})
 		}
@@ -181,22 +207,22 @@
 			h.log.Error("push_encode_failed", "err", err.Error())
 			return false
 		}
-		p.snapshotRevision, p.snapshotAt = h.state.Revision, now
+		p.snapshotRevision, p.snapshotAt = target.Revision, now
 	}
 	return h.sendPush(now, id, sub, peer.KindSnapshot, p.snapshot, p.snapshotRevision)
 }
 
-// encodedDelta returns the delta from a revision to the present one. Subscribers at the same
-// revision share it.
-func (h *Host) encodedDelta(from uint64) (cbor.RawMessage, error) {
+// encodedDelta returns the delta from a revision to a state. Subscribers at the same revision
+// share it.
+func (h *Host) encodedDelta(from uint64, target *agreed.State) (cbor.RawMessage, error) {
 	p := &h.pushes
-	if p.encoded == nil || p.encodedFor != h.state.Revision {
-		p.encoded, p.encodedFor = make(map[uint64]cbor.RawMessage), h.state.Revision
+	if p.encoded == nil || p.encodedFor != target.Revision {
+		p.encoded, p.encodedFor = make(map[uint64]cbor.RawMessage), target.Revision
 	}
 	data, ok := p.encoded[from]
 	if !ok {
 		var err error
-		if data, err = peer.Marshal(agreed.Diff(h.recent.at(from), h.state)); err != nil {
+		if data, err = peer.Marshal(agreed.Diff(h.recent.at(from), target)); err != nil {
 			return nil, err
 		}
 		p.encoded[from] = data
@@ -211,5 +237,6 @@
 		return false
 	}
 	sub.recordPush(now, revision)
+	sub.inFlight += len(data)
 	return true
 }
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -118,3 +118,46 @@
 		t.Errorf("the snapshot was encoded again %v before the end, want once within %v", now.Sub(at), snapshotReuse)
 	}
 }
+
+// TestSnapshotOverThinLinkSentOnce subscribes a host without state, which asks each 100 ms while a
+// large snapshot is on its way. It guards against a snapshot for each question: the links of a
+// fleet that comes back would carry nothing else.
+func TestSnapshotOverThinLinkSentOnce(t *testing.T) {
+	const size = 200_000 // bytes, 0.8 s over 2 Mbit/s
+	sub := &subscription{}
+	now := time.Unix(100, 0)
+	sends := 0
+	for range 20 { // two seconds
+		if sub.acknowledge(now, 0) {
+			sends++
+			sub.recordPush(now, 9)
+			sub.inFlight += size
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if sends != 1 {
+		t.Errorf("%d snapshots sent in two seconds, want one", sends)
+	}
+	for range 100 {
+		if now = now.Add(100 * time.Millisecond); sub.acknowledge(now, 0) {
+			return
+		}
+	}
+	t.Error("a snapshot that was lost is not repeated")
+}
+
+// TestRecentStatesAreThosePushed plays a storm of changes. It guards against a copy of the maps of
+// a large fleet for each of hundreds of revisions, of which subscribers have few.
+func TestRecentStatesAreThosePushed(t *testing.T) {
+	h := newPushHost(t, 1)
+	now := time.Unix(100, 0)
+	for i := range 1000 {
+		next, _ := agreed.Apply(h.state, h.state.Revision+1, agreed.Command{RegisterHost: &agreed.RegisterHost{Host: agreed.Host{ID: fmt.Sprint("new", i%50), Incarnation: uint64(i + 1), Entry: true}}})
+		h.state = next
+		h.pushChanges(now)
+		now = now.Add(time.Millisecond)
+	}
+	if n := len(h.recent.states); n > 1000/int(pushInterval/time.Millisecond)+2 {
+		t.Errorf("%d states kept after a second of changes, want one for each push", n)
+	}
+}
