--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -1,8 +1,13 @@
 package control
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/failover"
 )
@@ -15,9 +20,43 @@
 	Forwarded bool `cbor:"2,keyasint,omitempty"`
 }
 
-// snapshotPush carries the whole agreed state, encoded by agreed.State.Encode.
+// snapshotPush carries the whole agreed state, encoded by agreed.State.Encode and compressed: a
+// state of a large fleet takes a second on a link of 2 Mbit/s, and all its hosts may need it at
+// once.
 type snapshotPush struct {
-	State []byte `cbor:"1,keyasint"`
+	Deflated []byte `cbor:"2,keyasint"`
+}
+
+// maxSnapshotBytes bounds the size of a decompressed snapshot.
+const maxSnapshotBytes = 64 << 20
+
+// newSnapshotPush encodes and compresses a state.
+func newSnapshotPush(s *agreed.State) (snapshotPush, error) {
+	data, err := s.Encode()
+	if err != nil {
+		return snapshotPush{}, err
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.DefaultCompression)
+	if err != nil {
+		return snapshotPush{}, errors.Wrap(err, "compress state")
+	}
+	if _, err := w.Write(data); err != nil {
+		return snapshotPush{}, errors.Wrap(err, "compress state")
+	}
+	if err := w.Close(); err != nil {
+		return snapshotPush{}, errors.Wrap(err, "compress state")
+	}
+	return snapshotPush{Deflated: out.Bytes()}, nil
+}
+
+// state decompresses and decodes the state.
+func (p snapshotPush) state() (*agreed.State, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p.Deflated)), maxSnapshotBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress state")
+	}
+	return agreed.Decode(data)
 }
 
 // renewRefusal answers a lease request at a control host that has no state yet and
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -199,9 +199,9 @@
 func (h *Host) pushSnapshot(now time.Time, id lease.ID, sub *subscription, target *agreed.State) bool {
 	p := &h.pushes
 	if p.snapshot == nil || now.Sub(p.snapshotAt) > snapshotReuse || h.recent.at(p.snapshotRevision) == nil {
-		state, err := target.ForSubscriber().Encode()
+		push, err := newSnapshotPush(target.ForSubscriber())
 		if err == nil {
-			p.snapshot, err = peer.Marshal(snapshotPush{State: state})
+			p.snapshot, err = peer.Marshal(push)
 		}
 		if err != nil {
 			h.log.Error("push_encode_failed", "err", err.Error())
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -161,3 +161,30 @@
 		t.Errorf("%d states kept after a second of changes, want one for each push", n)
 	}
 }
+
+// TestSnapshotCompressed checks that a snapshot of many hosts leads to the same state in a third of
+// its size, and that one that is cut short is refused.
+func TestSnapshotCompressed(t *testing.T) {
+	h := newPushHost(t, 0)
+	for i := range 200 {
+		h.register(fmt.Sprintf("10.1.0.%d:7400", i))
+	}
+	plain, err := h.state.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	push, err := newSnapshotPush(h.state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(push.Deflated)*3 > len(plain) {
+		t.Errorf("%d bytes of %d, want a third at most", len(push.Deflated), len(plain))
+	}
+	state, err := push.state()
+	if err != nil || len(state.Hosts) != 200 || state.Revision != h.state.Revision {
+		t.Errorf("got %d hosts at revision %d, error %v", len(state.Hosts), state.Revision, err)
+	}
+	if _, err := (snapshotPush{Deflated: push.Deflated[:len(push.Deflated)/2]}).state(); err == nil {
+		t.Error("a snapshot that is cut short is accepted")
+	}
+}
--- a/internal/control/subscriber_events.go
+++ b/internal/control/subscriber_events.go
@@ -31,7 +31,7 @@
 }
 
 func (e snapshotEvent) handle(s *Subscriber, now time.Time) {
-	next, err := agreed.Decode(e.push.State)
+	next, err := e.push.state()
 	if err != nil {
 		s.log.Warn("snapshot_refused", "err", err.Error())
 		return
