Scan leases and first home hosts only where a change of the hosts needs it

With 335 services a change of the hosts had each entry host rank 47,000 pairs of workspace and service for reserves that would hold no token.

Change: former processes are superseded when the hosts have changed. Reserves exist with up to 32 services.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -162,10 +162,13 @@
 	if s.Revision < h.state.Revision {
 		return
 	}
+	hostsChanged := s.HostsChanged != h.state.HostsChanged
 	h.state = s
-	h.registered = registeredProcesses(s)
-	for _, id := range h.registered {
-		h.broker.Supersede(id)
+	if hostsChanged {
+		h.registered = registeredProcesses(s)
+		for _, id := range h.registered {
+			h.broker.Supersede(id)
+		}
 	}
 	h.pushChanges(now)
 	h.failover.stateChanged()
--- a/internal/limits/reserve.go
+++ b/internal/limits/reserve.go
@@ -49,10 +49,15 @@
 	return true
 }
 
+// maxReserveServices is the number of services up to which the hosts have reserves. With more,
+// most first home hosts of a small rate would have no token, and finding them takes longer than
+// a change of the hosts may.
+const maxReserveServices = 32
+
 // reserveTokens returns the capacity of a host's reserve for a workspace. The first home hosts of
 // the workspace share what the tolerance allows, if the hosts have no floors.
 func (f fleetSize) reserveTokens(host string, w note.Workspace) int {
-	if f.homeHosts == 0 || f.rateFloorSum(w) > 0 {
+	if f.homeHosts == 0 || len(f.services) > maxReserveServices || f.rateFloorSum(w) > 0 {
 		return 0
 	}
 	hosts := f.homes.FirstHomes(f.services, w.Name)
