--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -295,11 +295,11 @@
 	h := NewHolder(node, view.NewPublisher(), cfg, log.New(io.Discard))
 	h.quota.SetEpoch(1, []string{"control"})
 	h.quota.ObserveOwner("control", 1)
-	for _, b := range h.quota.Requests(clock.Now().Add(time.Second)) {
-		if b.Request.IdleMS < 1000 || !b.Request.New {
-			t.Errorf("idle for %d ms, new %t; want at least 1000 ms of a new process", b.Request.IdleMS, b.Request.New)
-		}
-		return
+	batches := h.quota.Requests(clock.Now().Add(time.Second))
+	if len(batches) != 1 {
+		t.Fatalf("%d reports of the leases, want one", len(batches))
+	}
+	if r := batches[0].Request; r.IdleMS < 1000 || !r.New {
+		t.Errorf("idle for %d ms, new %t; want at least 1000 ms of a new process", r.IdleMS, r.New)
 	}
-	t.Error("no report of the leases")
 }
