--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	scripts/slopes.sh docs/capacity/slopes.json
 
 capacity: build ## generate docs/CAPACITY.md from the slopes and the target
-	$(BIN)/bridgecap render --target docs/capacity/target.json --slopes docs/capacity/slopes.json --out docs/CAPACITY.md --plots docs/capacity
+	$(BIN)/bridgecap render --target docs/capacity/target.json --slopes docs/capacity/slopes.json --sweep docs/capacity/sweep.json --out docs/CAPACITY.md --plots docs/capacity
 
 integration: ## run the integration tests with real processes
 	go test -tags fleet -count=1 -timeout 30m ./test/integration
--- a/cmd/bridgecap/main.go
+++ b/cmd/bridgecap/main.go
@@ -56,6 +56,7 @@
 type renderCommand struct {
 	Target string `long:"target" required:"yes" value-name:"FILE" description:"size of the fleet and bounds"`
 	Slopes string `long:"slopes" required:"yes" value-name:"FILE" description:"measurements"`
+	Sweep  string `long:"sweep" required:"yes" value-name:"FILE" description:"figures of whole fleets of several sizes"`
 	Out    string `long:"out" required:"yes" value-name:"FILE" description:"page to write"`
 	Plots  string `long:"plots" value-name:"DIR" description:"folder for plots of the measurements"`
 }
@@ -70,7 +71,11 @@
 	if err := readJSON(c.Slopes, &measured); err != nil {
 		return err
 	}
-	page, err := capacity.Page(goal, measured)
+	var sweep capacity.Sweep
+	if err := readJSON(c.Sweep, &sweep); err != nil {
+		return err
+	}
+	page, err := capacity.Page(goal, measured, sweep)
 	if err != nil {
 		return err
 	}
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -18,6 +18,7 @@
 type pageData struct {
 	Goal     Goal
 	Measured Measurements
+	Sweep    Sweep
 	Roles    []roleData
 	Timing   []timingRow
 	Storms   []rareEventRow
@@ -43,13 +44,16 @@
 }
 
 // Page renders the capacity page. It returns an error if a slope that the model
-// needs is missing.
-func Page(goal Goal, m Measurements) ([]byte, error) {
+// needs is missing, or if the sweep is incomplete.
+func Page(goal Goal, m Measurements, sweep Sweep) ([]byte, error) {
+	if err := sweep.check(); err != nil {
+		return nil, err
+	}
 	roles, err := modelRoles(goal.Target, m)
 	if err != nil {
 		return nil, err
 	}
-	data := pageData{Goal: goal, Measured: m, Timing: timings(goal.Bounds), Storms: rareEvents(goal.Target, m)}
+	data := pageData{Goal: goal, Measured: m, Sweep: sweep, Timing: timings(goal.Bounds), Storms: rareEvents(goal.Target, m)}
 	for i, r := range roles {
 		d := roleData{Role: r, Sum: r.Total()}
 		if i == 0 {
@@ -160,7 +164,7 @@
 }
 
 var pageTemplate = template.Must(template.New("capacity").Funcs(template.FuncMap{
-	"size": formatBytes, "verdict": verdict, "number": formatNumber,
+	"size": formatBytes, "verdict": verdict, "number": formatNumber, "value": sweepValue,
 	"percent": func(x float64) string { return fmt.Sprintf("%.3f%%", 100*x) },
 	"seconds": func(x float64) string { return fmt.Sprintf("%.1f s", x) },
 	"days":    func(x float64) string { return (time.Duration(x) * time.Second).String() },
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -25,7 +25,8 @@
 func TestPageMatchesCommittedPage(t *testing.T) {
 	goal := loadJSON[Goal](t, "../../docs/capacity/target.json")
 	measured := loadJSON[Measurements](t, "../../docs/capacity/slopes.json")
-	page, err := Page(goal, measured)
+	sweep := loadJSON[Sweep](t, "../../docs/capacity/sweep.json")
+	page, err := Page(goal, measured, sweep)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,7 +50,25 @@
 // missing slope as zero.
 func TestPageMissingSlopeReturnsError(t *testing.T) {
 	goal := loadJSON[Goal](t, "../../docs/capacity/target.json")
-	if _, err := Page(goal, Measurements{}); err == nil || !strings.Contains(err.Error(), "no measurement") {
+	if _, err := Page(goal, Measurements{}, Sweep{}); err == nil || !strings.Contains(err.Error(), "no measurement") {
 		t.Errorf("got %v, want an error with \"no measurement\"", err)
 	}
 }
+
+// TestPageIncompleteSweepReturnsError guards against columns of a sweep that are shifted by a
+// missing figure, and checks the verdict on what a row comes to at the target.
+func TestPageIncompleteSweepReturnsError(t *testing.T) {
+	goal := loadJSON[Goal](t, "../../docs/capacity/target.json")
+	measured := loadJSON[Measurements](t, "../../docs/capacity/slopes.json")
+	sweep := Sweep{Machines: []int{30, 100}, Served: []float64{1, 1}, Rows: []SweepRow{{What: "memory", Values: []float64{1}}}}
+	if _, err := Page(goal, measured, sweep); err == nil || !strings.Contains(err.Error(), "memory") {
+		t.Errorf("got %v, want an error that names the row", err)
+	}
+	for want, row := range map[string]SweepRow{
+		"no bound": {AtTarget: 9}, "**misses** (bound 5)": {AtTarget: 9, Bound: 5}, "within half of the bound (bound 50)": {AtTarget: 9, Bound: 50},
+	} {
+		if got := row.Verdict(); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
--- a/internal/capacity/text.go
+++ b/internal/capacity/text.go
@@ -13,6 +13,19 @@
 runs the other side of the exchange or the measuring itself, so they are upper
 bounds. Resident memory of a whole process is measured apart (below).
 
+## Whole fleets
+
+{{with .Sweep}}Played on the users' platform ({{.Source}}, code of {{.Revision}}, {{.Date}}): the busiest host
+of each role and the longest times, the power of the number of machines with which each
+grows, and what that leads to at {{.TargetMachines}} machines. Nothing larger than the last size was played.
+
+| figure | unit |{{range .Machines}} {{.}} |{{end}} power | at {{.TargetMachines}} | verdict | rests on |
+|---|---|{{range .Machines}}---|{{end}}---|---|---|---|
+| worth served | share |{{range .Served}} {{value .}} |{{end}} | | | |
+{{range .Rows}}| {{.What}} | {{.Unit}} |{{range .Values}} {{value .}} |{{end}} {{printf "%.2f" .Power}} | {{value .AtTarget}} | {{.Verdict}} | {{.Mechanism}} |
+{{end}}{{end}}
+The tables below divide such figures by mechanism. Where they differ, the whole fleets count.
+
 ## Target and assumptions
 
 {{with .Goal.Target}}| | |
