Keep leases in mind when a limit is removed and set again, and route around leaving endpoints

Change: such a key is in quarantine until the leases of before have expired. A member that leaves is out of use.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -119,9 +119,9 @@
 		Active: group.Phase == agreed.PhaseActive, Leaving: svc.Leaving, Reason: group.Reason,
 	}
 	for _, id := range group.Members {
-		domain := state.Endpoints[id].Domain
+		e := state.Endpoints[id]
 		v.Members = append(v.Members, route.Member{
-			Endpoint: id, Domain: domain, OutOfUse: state.Catalog.Domains[domain].Out, Slots: svc.Slots,
+			Endpoint: id, Domain: e.Domain, OutOfUse: e.Leaving || state.Catalog.Domains[e.Domain].Out, Slots: svc.Slots,
 		})
 	}
 	return v
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -21,8 +22,10 @@
 	ownerLeaseEnd time.Time
 	limits        map[string]Limit
 	neverLeased   map[string]bool // keys of which no lease was ever granted
-	keys          map[string]*ownedKey
-	lastID        uint64
+	// leasedUntil is until when leases of keys whose limit was removed may be in use.
+	leasedUntil map[string]time.Time
+	keys        map[string]*ownedKey
+	lastID      uint64
 	// holders are the processes that may hold leases, and absent those that may only hold
 	// leases of units. reported contains the processes that have reported all their leases
 	// to this owner in this epoch. leasesKnown is set once it contains all holders, and
@@ -46,7 +49,7 @@
 func NewOwner(cfg Config, host string, incarnation uint64, now time.Time) *Owner {
 	return &Owner{
 		cfg: cfg.withDefaults(), host: host, incarnation: incarnation, ownedSince: now,
-		limits: map[string]Limit{}, neverLeased: map[string]bool{}, keys: map[string]*ownedKey{},
+		limits: map[string]Limit{}, neverLeased: map[string]bool{}, leasedUntil: map[string]time.Time{}, keys: map[string]*ownedKey{},
 		reported: map[HolderID]bool{}, spentAt: map[string]time.Time{},
 	}
 }
@@ -78,16 +81,19 @@
 
 // SetLimit sets the limit of a key. If neverLeased is set, no lease of the key can
 // exist because the key is new in the fleet; its whole burst is then available at
-// once. A zero limit removes the key.
+// once. A zero limit removes the key; if it is set again, it is in quarantine until the leases of
+// before have expired.
 func (o *Owner) SetLimit(now time.Time, key string, limit Limit, neverLeased bool) {
 	if limit == (Limit{}) {
 		delete(o.limits, key)
 		delete(o.keys, key)
+		delete(o.neverLeased, key)
+		o.leasedUntil[key] = now.Add(o.cfg.addDrift(o.cfg.ShareLease))
 		o.observeSpent(key, now) // holders may still spend their leases of the key
 		return
 	}
 	o.limits[key] = limit
-	if neverLeased {
+	if neverLeased && !now.Before(o.leasedUntil[key]) {
 		o.neverLeased[key] = true
 	}
 	if k := o.keys[key]; k != nil {
@@ -243,6 +249,9 @@
 	if o.neverLeased[key] || leasesKnown {
 		quarantineEnd = o.ownedSince
 	}
+	if until := o.leasedUntil[key]; until.After(quarantineEnd) {
+		quarantineEnd = until
+	}
 	k := newOwnedKey(o.cfg, key, limit, now, quarantineEnd, len(o.holders))
 	if o.neverLeased[key] {
 		k.pool.level = limit.Burst
@@ -285,6 +294,7 @@
 	for _, k := range o.keys {
 		k.expire(now)
 	}
+	maps.DeleteFunc(o.leasedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
 // Pairs returns the number of (holder, key) pairs in the owner's state.
--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -508,3 +508,41 @@
 		t.Error("unknown although it knows all leases")
 	}
 }
+
+// TestLimitRemovedAndAddedKeepsLeases takes a limit away and puts it back while a holder has a
+// lease of it and reaches nobody, as a workspace that is withdrawn and added again. It guards
+// against a whole limit beside the lease.
+func TestLimitRemovedAndAddedKeepsLeases(t *testing.T) {
+	limit := Limit{Rate: 20, Burst: 20}
+	f := newFleet(1, 1, 2, map[string]Limit{"k": limit})
+	cut, owner := f.entries[0], f.controls[0]
+	for range 40 {
+		f.take(cut, "k")
+		f.run(50 * time.Millisecond)
+	}
+	f.withdrawAll(cut)
+	cut.isolated = true
+	owner.owner.SetLimit(owner.clock(f.now), "k", Limit{}, false)
+	f.run(100 * time.Millisecond)
+	owner.owner.SetLimit(owner.clock(f.now), "k", limit, false)
+	for range 100 { // five seconds, less than a lease
+		for _, e := range f.entries {
+			for range 3 {
+				f.take(e, "k")
+			}
+		}
+		f.run(50 * time.Millisecond)
+		f.retryAll("k")
+	}
+	if v := f.violation(); v != "" {
+		t.Error(v)
+	}
+	f.withdrawAll(cut)
+	f.run(6 * time.Second) // the lease has ended
+	f.withdrawAll(f.entries[1])
+	f.take(f.entries[1], "k")
+	f.run(500 * time.Millisecond)
+	if f.retryAll("k"); len(f.entries[1].waiting) > 0 {
+		t.Error("the limit is not available after the end of the lease")
+	}
+}
