--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -40,9 +40,12 @@
 	if h.pushes.due {
 		h.pushChanges(now)
 	}
-	if h.leading && !now.Before(h.nextLeaderTasks) {
-		h.nextLeaderTasks = now.Add(leaderTaskInterval)
-		h.runLeaderTasks(now)
+	if !now.Before(h.nextTasks) {
+		h.nextTasks = now.Add(leaderTaskInterval)
+		if h.leading {
+			h.runLeaderTasks(now)
+		}
+		h.logRegistrationWait()
 	}
 	if h.leading && h.confirmed {
 		h.updateOwners(now)
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -97,12 +97,12 @@
 	joinPositions map[string]joinPosition
 	hostWatch     hostWatch
 	// registered holds the registered processes of the state.
-	registered      []lease.ID
-	roundDeadline   time.Time // when the lease round in flight times out
-	nextRound       time.Time // when the next lease round is due
-	nextLeaderTasks time.Time // when the leader's periodic tasks are due
-	waitingFor      string    // the host that registrations wait for, as last logged
-	saveErr         error     // of the last save to the store, nil after a success
+	registered    []lease.ID
+	roundDeadline time.Time // when the lease round in flight times out
+	nextRound     time.Time // when the next lease round is due
+	nextTasks     time.Time // when the periodic tasks are due
+	waitingFor    string    // the host that registrations wait for, as last logged
+	saveErr       error     // of the last save to the store, nil after a success
 
 	leading bool
 	// confirmed is set once a quorum has confirmed this leader in its term. Only a
--- a/internal/control/leader_tasks.go
+++ b/internal/control/leader_tasks.go
@@ -23,7 +23,6 @@
 	h.releaseHosts(now)
 	h.expireAnnouncements(now)
 	h.updateSettled(now)
-	h.logRegistrationWait()
 }
 
 // proposeFleetName records the configured fleet name in a state that has none.
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -106,7 +106,11 @@
 		h.subscribers[id] = sub
 	}
 	sub.addr, sub.lastSeen = addr, now
+	sent, behind, inFlight := sub.sent, sub.behindSince, sub.inFlight
 	if sub.acknowledge(now, applied) && sub.sent < h.pushes.pushed {
+		if sent > applied {
+			h.log.Info("push_repeated", "peer", id.Host, "sent", sent, "applied", applied, "after_ms", now.Sub(behind).Milliseconds(), "bytes", inFlight)
+		}
 		h.push(now, id, sub)
 	}
 }
@@ -195,10 +199,11 @@
 }
 
 // pushSnapshot sends a snapshot of a state or of one pushed shortly before, and reports whether
-// it was sent.
+// it was sent. It is newer than what the subscriber has, which may be a revision that another
+// control host has pushed and this one has not: the subscriber ignores an older one.
 func (h *Host) pushSnapshot(now time.Time, id lease.ID, sub *subscription, target *agreed.State) bool {
 	p := &h.pushes
-	if p.snapshot == nil || now.Sub(p.snapshotAt) > snapshotReuse || h.recent.at(p.snapshotRevision) == nil {
+	if p.snapshot == nil || p.snapshotRevision <= sub.sent || now.Sub(p.snapshotAt) > snapshotReuse || h.recent.at(p.snapshotRevision) == nil {
 		push, err := newSnapshotPush(target.ForSubscriber())
 		if err == nil {
 			p.snapshot, err = peer.Marshal(push)
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -188,3 +188,41 @@
 		t.Error("a snapshot that is cut short is accepted")
 	}
 }
+
+// TestSubscriberOfAnotherControlHostGetsNewerSnapshot subscribes a host that got its revision
+// from another control host, which had pushed it, while this one has not. It guards against
+// a shared snapshot that is older than what the host has applied: the host ignores it, cannot
+// apply the delta after it, and delays the settled revision of the fleet for snapshotReuse.
+func TestSubscriberOfAnotherControlHostGetsNewerSnapshot(t *testing.T) {
+	h := newPushHost(t, 0)
+	now := time.Unix(100, 0)
+	h.pushChanges(now)
+	newcomer := func(id string, applied uint64) *subscription {
+		h.updateSubscriber(now, lease.ID{Host: id, Incarnation: 1}, "127.0.0.1:1", applied)
+		return h.subscribers[lease.ID{Host: id, Incarnation: 1}]
+	}
+	newcomer("first", 0) // the snapshot is encoded for it
+	for i := range 4 {
+		now = now.Add(pushInterval)
+		// Two registrations are pushed at once, so that the revision between them is not.
+		for part := range 2 {
+			next, _ := agreed.Apply(h.state, h.state.Revision+1, agreed.Command{RegisterHost: &agreed.RegisterHost{
+				Host: agreed.Host{ID: fmt.Sprint("new", i, part), Incarnation: 1, Entry: true},
+			}})
+			h.state = next
+		}
+		h.pushChanges(now)
+	}
+	for _, applied := range []uint64{h.state.Revision - 1, h.state.Revision - 3} {
+		if h.recent.at(applied) != nil {
+			t.Fatalf("revision %d was pushed", applied)
+		}
+		sub := newcomer(fmt.Sprint("from", applied), applied)
+		if sub.sent != h.state.Revision {
+			t.Errorf("a host at revision %d was sent %d, want %d", applied, sub.sent, h.state.Revision)
+		}
+		if h.pushes.snapshotRevision <= applied {
+			t.Errorf("a host at revision %d was sent the snapshot of %d, which it ignores", applied, h.pushes.snapshotRevision)
+		}
+	}
+}
