Grant the tokens of a restart to processes whose predecessors have ended

An owner that starts with a stored state knows the former processes. Each that a newer one replaced counted as one that had spent tokens until then, and had survived.

Change: a process is covered by the report of a newer one of its host, which tells for how long the host has spent nothing. The owner logs rates with a backlog.

Result: TestRestartedOwnerKnowsFormerProcessesEnded fails before (2 tokens of 13). TestDepartedProcessMayHaveSpent keeps what was right.

--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -37,6 +37,8 @@
 	restarts uint64
 	// leasesKnown is the last logged value of quota.Owner.LeasesKnown.
 	leasesKnown bool
+	// backlogLogged is when the backlog of a key was last logged.
+	backlogLogged map[string]time.Time
 }
 
 type ownerRequest struct {
@@ -68,6 +70,7 @@
 	o.quota = quota.NewOwner(quotaConfig(o.cfg.Lease), o.peers.Host(), o.peers.Incarnation()+o.restarts, now)
 	o.restarts++
 	o.state, o.limits, o.startedAt = nil, map[string]quota.Limit{}, now
+	o.backlogLogged = make(map[string]time.Time)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -107,11 +110,29 @@
 	}
 	o.quota.SetOwnerLease(o.view.Current().ValidUntil)
 	reply := o.quota.Handle(now, r.request)
+	o.logBacklogs(now, reply.Grants)
 	if err := o.peers.Send(r.from.Host, r.from.Addr, peer.KindQuotaOK, reply); err != nil {
 		o.log.Debug("quota_reply_failed", "peer", r.from.Host, "err", err.Error())
 	}
 }
 
+// backlogLogInterval is the least time between two log lines about the backlog of a rate.
+const backlogLogInterval = time.Second
+
+// logBacklogs logs for which rates requests wait longer than a token takes to come.
+func (o *Owner) logBacklogs(now time.Time, grants []quota.Grant) {
+	for _, g := range grants {
+		if g.BacklogMS == 0 || now.Sub(o.backlogLogged[g.Key]) < backlogLogInterval {
+			continue
+		}
+		o.backlogLogged[g.Key] = now
+		if s, ok := o.quota.Status(g.Key); ok {
+			o.log.Info("rate_backlog", "key", g.Key, "backlog_ms", g.BacklogMS, "waiting", s.Waiting, "tokens", s.Pool, "leased", s.Leased,
+				"demand", s.Demand, "rate", s.Limit.Rate, "burst", s.Limit.Burst, "holders", s.Holders)
+		}
+	}
+}
+
 // applyState applies a changed agreed state.
 func (o *Owner) applyState(now time.Time) {
 	state := o.view.Current().State
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -106,7 +106,7 @@
 // were registered when the epoch began.
 func (o *Owner) SetHolders(now time.Time, holders, absent []HolderID) {
 	for _, former := range o.holders {
-		if !o.reported[former] && !slices.Contains(holders, former) {
+		if !o.reported[former] && !hasProcessOf(holders, former) {
 			o.unlistedSpentAt, o.survived = now, true // it may have spent tokens until it left
 		}
 	}
@@ -114,6 +114,12 @@
 	o.endQuarantine(now)
 }
 
+// hasProcessOf reports whether the holders include a process or a newer one of its host. The
+// report of the newer one covers what the former one has spent (Request.IdleMS).
+func hasProcessOf(holders []HolderID, id HolderID) bool {
+	return slices.ContainsFunc(holders, func(h HolderID) bool { return h.Host == id.Host && h.Incarnation >= id.Incarnation })
+}
+
 // recordLeaseReport records that a holder has reported all its leases, and how long
 // ago it last spent a token of each rate. Once all holders have reported, no lease is
 // unknown, and the buckets have refilled since the last token was spent.
@@ -297,6 +303,28 @@
 	maps.DeleteFunc(o.leasedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
+// KeyStatus describes a key at its owner.
+type KeyStatus struct {
+	Limit Limit
+	// Pool is the number of tokens that the owner can grant, Leased the burst that holders may
+	// be using, Waiting the number of tokens that requests wait for.
+	Pool, Leased, Waiting float64
+	// Demand is in tokens per second.
+	Demand  float64
+	Holders int
+}
+
+// Status returns the status of a key, or false if the owner has none of it.
+func (o *Owner) Status(key string) (KeyStatus, bool) {
+	k := o.keys[key]
+	if k == nil {
+		return KeyStatus{}, false
+	}
+	return KeyStatus{
+		Limit: k.limit, Pool: k.pool.level, Leased: k.leased.Burst, Waiting: k.waiting, Demand: k.demand, Holders: len(k.holders),
+	}, true
+}
+
 // Pairs returns the number of (holder, key) pairs in the owner's state.
 func (o *Owner) Pairs() int {
 	n := 0
--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -454,6 +454,61 @@
 	})
 }
 
+// TestRestartedOwnerKnowsFormerProcessesEnded starts an owner whose stored state names the
+// former processes of all hosts, as after a loss of power, before the new ones register. It
+// guards against taking a process that was replaced by a newer one of its host for one that may
+// have spent tokens until then: the buckets would begin empty while all callers come back.
+func TestRestartedOwnerKnowsFormerProcessesEnded(t *testing.T) {
+	now := start
+	o := NewOwner(Config{}, "c", 2, now)
+	o.SetOwnerLease(now.Add(time.Minute))
+	o.SetEpoch(now, 1, []string{"c"})
+	o.SetLimit(now, "k", Limit{Rate: 10, Burst: 10, RestartBurst: 5}, false)
+	processes := []HolderID{{"a", 1}, {"b", 1}, {"d", 1}}
+	o.SetHolders(now, processes, nil)
+	for i := range processes { // they register one after the other
+		now = now.Add(200 * time.Millisecond)
+		processes[i].Incarnation = 2
+		o.SetHolders(now, slices.Clone(processes), nil)
+	}
+	now = now.Add(200 * time.Millisecond)
+	for _, id := range processes {
+		o.Handle(now, Request{
+			Host: id.Host, Incarnation: 2, Epoch: 1, OwnerIncarnation: 2, Seq: 1, Complete: true, New: true, IdleMS: 800,
+		})
+	}
+	reply := o.Handle(now, Request{
+		Host: "a", Incarnation: 2, Epoch: 1, OwnerIncarnation: 2, Seq: 2, Keys: []KeyRequest{{Key: "k", Demand: 1, Waiting: 20}},
+	})
+	if len(reply.Grants) != 1 {
+		t.Fatalf("%d grants, want one", len(reply.Grants))
+	}
+	// The rate of 0.8 s, and what replaces the lost buckets.
+	if tokens := reply.Grants[0].Tokens + o.keys["k"].pool.level; tokens < 12.5 {
+		t.Errorf("%.1f tokens after the restart, want 13: 0.8 s of the rate and the 5 of the restart", tokens)
+	}
+}
+
+// TestDepartedProcessMayHaveSpent removes a process that has reported nothing and has no
+// successor. It may have spent tokens until it left.
+func TestDepartedProcessMayHaveSpent(t *testing.T) {
+	now := start
+	o := NewOwner(Config{}, "c", 2, now)
+	o.SetOwnerLease(now.Add(time.Minute))
+	o.SetEpoch(now, 1, []string{"c"})
+	o.SetLimit(now, "k", Limit{Rate: 10, Burst: 10, RestartBurst: 5}, false)
+	o.SetHolders(now, []HolderID{{"a", 2}, {"b", 1}}, nil)
+	o.Handle(now, Request{Host: "a", Incarnation: 2, Epoch: 1, OwnerIncarnation: 2, Seq: 1, Complete: true, New: true, IdleMS: 800})
+	now = now.Add(time.Second)
+	o.SetHolders(now, []HolderID{{"a", 2}}, nil)
+	reply := o.Handle(now, Request{
+		Host: "a", Incarnation: 2, Epoch: 1, OwnerIncarnation: 2, Seq: 2, Keys: []KeyRequest{{Key: "k", Demand: 1, Waiting: 20}},
+	})
+	if level := o.keys["k"].pool.level; len(reply.Grants) != 1 || reply.Grants[0].Tokens+level > 0 {
+		t.Errorf("%v granted and %v tokens left right after a process left that may have spent some, want none", reply.Grants, level)
+	}
+}
+
 // TestSurvivorGetsNoCreditForLostBuckets restarts the owner and all holders but one. The tokens
 // that the last one holds are known, so that nothing is granted in place of lost ones.
 func TestSurvivorGetsNoCreditForLostBuckets(t *testing.T) {
