Leave the sender out of requests for tokens and of their replies

Change: both are left out of the messages and filled in by the receiver.

Result: the tests of limits and quota, which pass them through real connections, hold.

--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -87,7 +87,10 @@
 		reserves:   make(map[string]*reserve),
 		wake:       make(chan struct{}, 1),
 	}
-	peer.On(peers, peer.KindQuotaOK, func(_ peer.Identity, r quota.Reply) { h.receive(r) })
+	peer.On(peers, peer.KindQuotaOK, func(from peer.Identity, r quota.Reply) {
+		r.Owner = from.Host
+		h.receive(r)
+	})
 	return h
 }
 
@@ -235,8 +238,11 @@
 	h.pool.Resize()
 }
 
+// send sends requests to their owners. They leave out the holder, which is the sender of the
+// message: a host sends a request for each token of a small rate.
 func (h *Holder) send(state *agreed.State, batches []quota.Batch) {
 	for _, b := range batches {
+		b.Request.Host, b.Request.Incarnation = "", 0
 		addr := state.Hosts[b.Owner].PeerAddr
 		if err := h.peers.Send(b.Owner, addr, peer.KindQuota, b.Request); err != nil {
 			h.log.Debug("quota_request_failed", "peer", b.Owner, "err", err.Error())
--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -105,12 +105,12 @@
 }
 
 func (o *Owner) handle(now time.Time, r ownerRequest) {
-	if r.request.Host != r.from.Host || r.request.Incarnation != r.from.Incarnation {
-		return // a host may request shares only for itself
-	}
+	// A host requests shares only for itself; see Holder.send.
+	r.request.Host, r.request.Incarnation = r.from.Host, r.from.Incarnation
 	o.quota.SetOwnerLease(o.view.Current().ValidUntil)
 	reply := o.quota.Handle(now, r.request)
 	o.logBacklogs(now, reply.Grants)
+	reply.Owner = "" // the connection names it
 	if err := o.peers.Send(r.from.Host, r.from.Addr, peer.KindQuotaOK, reply); err != nil {
 		o.log.Debug("quota_reply_failed", "peer", r.from.Host, "err", err.Error())
 	}
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -94,8 +94,8 @@
 // Request is sent by a holder to an owner and covers all keys whose renewal is
 // due.
 type Request struct {
-	Host        string `cbor:"1,keyasint"`
-	Incarnation uint64 `cbor:"2,keyasint"`
+	Host        string `cbor:"1,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
 	// Epoch identifies the set of owners that the holder uses.
 	Epoch uint64 `cbor:"3,keyasint"`
 	// OwnerIncarnation is the incarnation of the owner last seen by the holder. An
@@ -157,7 +157,7 @@
 
 // Reply answers a Request with the same Seq.
 type Reply struct {
-	Owner       string `cbor:"1,keyasint"`
+	Owner       string `cbor:"1,keyasint,omitempty"`
 	Epoch       uint64 `cbor:"2,keyasint"`
 	Incarnation uint64 `cbor:"3,keyasint"`
 	// HolderIncarnation is the incarnation in the request. It lets a restarted host
