Use a connection that a peer opens while this host dials it

A dial that began before the peer's process answered handshakes blocked the link for up to 2 s, and its backoff for 0.4 s more; messages that waited were then dropped, although the peer had connected to this host.

Change: a link takes whichever connection comes first, also during its backoff.

Result: TestConnectionOfPeerUsedWhileDialing fails before.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -36,6 +36,8 @@
 	node  *Node
 	host  string
 	queue *queue
+	// attached receives a token when a connection is attached.
+	attached chan struct{}
 
 	mu    sync.Mutex
 	addr  string
@@ -44,7 +46,7 @@
 
 func newLink(n *Node, host string) *link {
 	countDropped := func(kind Kind) { n.metrics.dropped.WithLabelValues(kind.String()).Inc() }
-	return &link{node: n, host: host, queue: newQueue(countDropped)}
+	return &link{node: n, host: host, queue: newQueue(countDropped), attached: make(chan struct{}, 1)}
 }
 
 func (l *link) setAddr(addr string) {
@@ -82,6 +84,10 @@
 		l.addr = c.peer.Addr
 	}
 	l.node.metrics.conns.Inc()
+	select {
+	case l.attached <- struct{}{}:
+	default:
+	}
 }
 
 // detach removes a connection. It has no effect when the connection is not attached.
@@ -165,32 +171,64 @@
 	l.node.deliver(self, e)
 }
 
-// connect dials the peer once. On failure it drops the queued messages, fails the
-// pending requests and waits until the backoff time has passed since the dial began: a dial
-// that timed out has waited already.
+// connect dials the peer once, or returns a connection that the peer opens meanwhile. On
+// failure it drops the queued messages, fails the pending requests and waits until the backoff
+// time has passed since the dial began: a dial that timed out has waited already.
 func (l *link) connect(ctx context.Context, backoff *time.Duration) *conn {
 	begun := time.Now()
-	addr := l.address()
-	if addr != "" {
-		c, err := l.node.dial(ctx, l, addr)
-		if err == nil {
-			*backoff = minBackoff
-			return c
-		}
-		l.node.opts.Logger.Debug("peer_dial_failed", "peer", l.host, "addr", addr, "err", err.Error())
+	if c := l.dialOrAwait(ctx); c != nil {
+		*backoff = minBackoff
+		return c
 	}
 	for _, msg := range l.queue.clear() {
 		l.node.failUnsentCall(msg.callID)
 	}
 	l.node.failSentCalls(l.host)
-	select {
-	case <-ctx.Done():
+	wait := time.NewTimer(*backoff - time.Since(begun))
+	defer wait.Stop()
+	*backoff = min(2**backoff, maxBackoff)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-wait.C:
+			return l.newest()
+		case <-l.attached:
+			if c := l.newest(); c != nil {
+				*backoff = minBackoff
+				return c
+			}
+		}
+	}
+}
+
+// dialOrAwait dials the peer and returns the connection, or one that the peer has opened in the
+// meantime; nil if there is neither. A process that has just started may accept a connection
+// long before it answers the handshake, and connect to this host first.
+func (l *link) dialOrAwait(ctx context.Context) *conn {
+	addr := l.address()
+	if addr == "" || !l.node.addTask() {
 		return nil
-	case <-time.After(*backoff - time.Since(begun)):
 	}
-	*backoff = min(2**backoff, maxBackoff)
-	// The peer may have connected to this host in the meantime.
-	return l.newest()
+	dialed := make(chan *conn, 1)
+	go func() {
+		defer l.node.tasks.Done()
+		c, err := l.node.dial(ctx, l, addr)
+		if err != nil {
+			l.node.opts.Logger.Debug("peer_dial_failed", "peer", l.host, "addr", addr, "err", err.Error())
+		}
+		dialed <- c
+	}()
+	for {
+		select {
+		case c := <-dialed:
+			return c
+		case <-l.attached:
+			if c := l.newest(); c != nil {
+				return c
+			}
+		}
+	}
 }
 
 func (l *link) write(ctx context.Context, c *conn, msg outgoing) {
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -107,6 +108,38 @@
 	}
 }
 
+// TestConnectionOfPeerUsedWhileDialing sends to a peer that accepts connections and does not
+// answer the handshake, as a process that has just started, and which then connects itself. The
+// messages must go over that connection, not wait for the end of the dial and be dropped.
+func TestConnectionOfPeerUsedWhileDialing(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	got := make(chan string, 1)
+	a := startNode(t, options("a", 1), echo)
+	b := startNode(t, options("b", 1), func(n *Node) {
+		On(n, KindAnnounce, func(_ Identity, msg greeting) { got <- msg.Text })
+	})
+	if err := a.Send("b", silent.Addr().String(), KindAnnounce, greeting{Text: "hello"}); err != nil {
+		t.Fatal(err)
+	}
+	dialing, err := silent.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = dialing.Close() })
+	if _, err := call(t, b, a, "here"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-got:
+	case <-time.After(testTimeout):
+		t.Error("the message was dropped although the peer has connected")
+	}
+}
+
 func TestHandshakeRefusals(t *testing.T) {
 	tests := []struct {
 		name   string
