Pack long messages, and push to a host once it has answered

A push waits for the answer to the one before, and then leads to the last revision at once.

Result: TestPushesWaitForAnswers fails before; TestRegistrationStormPushesOncePerInterval answers the pushes now and asks for the same end.

--- a/internal/agreed/command.go
+++ b/internal/agreed/command.go
@@ -162,15 +162,29 @@
 	decMode = codec.Strict(maxElements)
 )
 
-// Encode encodes a command for the log.
+// maxCommandBytes bounds the size of a decompressed command.
+const maxCommandBytes = 64 << 20
+
+// Encode encodes a command for the log. A document of some hundred KB is compressed: each
+// control host stores and sends it.
 func (c Command) Encode() ([]byte, error) {
 	data, err := encMode.Marshal(c)
-	return data, errors.Wrap(err, "encode command")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
+	return codec.Pack(data), nil
 }
 
-// DecodeCommand decodes a command encoded by Encode.
+// DecodeCommand decodes a command encoded by Encode, or by builds that did not pack it.
 func DecodeCommand(data []byte) (Command, error) {
 	var c Command
+	if codec.IsPacked(data) {
+		plain, err := codec.Unpack(data, maxCommandBytes)
+		if err != nil {
+			return c, errors.Wrap(err, "decode command")
+		}
+		data = plain
+	}
 	err := decMode.Unmarshal(data, &c)
 	return c, errors.Wrap(err, "decode command")
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -1,64 +1,86 @@
 package control
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/codec"
 	"github.com/galenabridge/galenabridge/internal/failover"
+	"github.com/galenabridge/galenabridge/internal/peer"
 )
 
 // proposal requests a control host to propose a command.
 type proposal struct {
-	Command agreed.Command `cbor:"1,keyasint"`
+	// Command is encoded by agreed.Command.Encode.
+	Command []byte `cbor:"1,keyasint"`
 	// Forwarded marks a proposal that a control host has forwarded to the leader.
 	// It is not forwarded again.
 	Forwarded bool `cbor:"2,keyasint,omitempty"`
 }
 
-// snapshotPush carries the whole agreed state, encoded by agreed.State.Encode and compressed: a
+// snapshotPush carries the whole agreed state, encoded by agreed.State.Encode and packed: a
 // state of a large fleet takes a second on a link of 2 Mbit/s, and all its hosts may need it at
 // once.
 type snapshotPush struct {
-	Deflated []byte `cbor:"2,keyasint"`
+	Packed []byte `cbor:"2,keyasint"`
 }
 
-// maxSnapshotBytes bounds the size of a decompressed snapshot.
+// maxSnapshotBytes bounds the size of a decompressed snapshot or delta.
 const maxSnapshotBytes = 64 << 20
 
-// newSnapshotPush encodes and compresses a state.
+// newSnapshotPush encodes and packs a state.
 func newSnapshotPush(s *agreed.State) (snapshotPush, error) {
 	data, err := s.Encode()
-	if err != nil {
-		return snapshotPush{}, err
-	}
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.DefaultCompression)
-	if err != nil {
-		return snapshotPush{}, errors.Wrap(err, "compress state")
-	}
-	if _, err := w.Write(data); err != nil {
-		return snapshotPush{}, errors.Wrap(err, "compress state")
-	}
-	if err := w.Close(); err != nil {
-		return snapshotPush{}, errors.Wrap(err, "compress state")
-	}
-	return snapshotPush{Deflated: out.Bytes()}, nil
+	return snapshotPush{Packed: codec.Pack(data)}, err
 }
 
-// state decompresses and decodes the state.
+// state unpacks and decodes the state.
 func (p snapshotPush) state() (*agreed.State, error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p.Deflated)), maxSnapshotBytes))
+	data, err := codec.Unpack(p.Packed, maxSnapshotBytes)
 	if err != nil {
-		return nil, errors.Wrap(err, "decompress state")
+		return nil, err
 	}
 	return agreed.Decode(data)
 }
 
+// deltaPush carries an agreed.Delta, packed: that of a fleet that comes back has some 100 bytes
+// for each host, for each of its hosts.
+type deltaPush struct {
+	Packed []byte `cbor:"1,keyasint"`
+}
+
+func newDeltaPush(d agreed.Delta) (deltaPush, error) {
+	data, err := peer.Marshal(d)
+	return deltaPush{Packed: codec.Pack(data)}, err
+}
+
+// delta unpacks and decodes the delta.
+func (p deltaPush) delta() (agreed.Delta, error) {
+	var d agreed.Delta
+	data, err := codec.Unpack(p.Packed, maxSnapshotBytes)
+	if err != nil {
+		return d, err
+	}
+	return d, peer.Unmarshal(data, &d)
+}
+
+// documentReply is the answer to a documentRequest.
+type documentReply struct {
+	Number uint64 `cbor:"1,keyasint"`
+	// Source is the packed source of the document.
+	Source []byte `cbor:"2,keyasint"`
+}
+
+func newDocumentReply(d agreed.Document) documentReply {
+	return documentReply{Number: d.Number, Source: codec.Pack(d.Source)}
+}
+
+// document unpacks the document.
+func (r documentReply) document() (agreed.Document, error) {
+	source, err := codec.Unpack(r.Source, maxSnapshotBytes)
+	return agreed.Document{Number: r.Number, Source: source}, err
+}
+
 // renewRefusal answers a lease request at a control host that has no state yet and
 // is not the leader.
 type renewRefusal struct{}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -126,7 +126,7 @@
 		case info.leader == "" || info.leader == h.opts.Peer.Host():
 			return agreed.Outcome{}, result.New(result.NotLeader, "no leader is known")
 		default:
-			return callProposal(ctx, h.opts.Peer, info.leader, h.controlAddr(info.leader), proposal{Command: c, Forwarded: true})
+			return callProposal(ctx, h.opts.Peer, info.leader, h.controlAddr(info.leader), c, true)
 		}
 	})
 }
@@ -196,10 +196,15 @@
 	return ""
 }
 
-// callProposal sends a proposal to a control host and waits for the outcome.
-func callProposal(ctx context.Context, node *peer.Node, host, addr string, p proposal) (agreed.Outcome, error) {
+// callProposal sends a proposal to a control host and waits for the outcome. forwarded is set if
+// the sender is a control host that does not lead.
+func callProposal(ctx context.Context, node *peer.Node, host, addr string, c agreed.Command, forwarded bool) (agreed.Outcome, error) {
 	var out agreed.Outcome
-	err := node.Call(ctx, host, addr, peer.KindProposal, p, &out)
+	data, err := c.Encode()
+	if err != nil {
+		return out, err
+	}
+	err = node.Call(ctx, host, addr, peer.KindProposal, proposal{Command: data, Forwarded: forwarded}, &out)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = errUnconfirmed()
 	}
@@ -211,11 +216,15 @@
 func (h *Host) serveProposal(ctx context.Context, _ peer.Identity, p proposal) (agreed.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 	defer cancel()
+	command, err := agreed.DecodeCommand(p.Command)
+	if err != nil {
+		return agreed.Outcome{}, result.New(result.PeerMalformed, "%v", err)
+	}
 	if p.Forwarded {
 		if !h.knownLeader.Load().leading {
 			return agreed.Outcome{}, result.New(result.NotLeader, "this host is not the leader")
 		}
-		return h.proposeLocal(ctx, p.Command)
+		return h.proposeLocal(ctx, command)
 	}
-	return h.Propose(ctx, p.Command)
+	return h.Propose(ctx, command)
 }
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -51,6 +51,11 @@
 	lastSeen time.Time
 }
 
+// awaitsAnswer reports whether a push is on its way, or lost. The host gets the changes since in
+// one push once it has answered: more pushes would fill a thin link with changes that later ones
+// replace, and its lease would end behind them.
+func (s *subscription) awaitsAnswer() bool { return s.sent > s.applied }
+
 // resendAfter returns how long the host may lag without progress before pushes are repeated.
 func (s *subscription) resendAfter() time.Duration {
 	return resendDelay + time.Duration(s.inFlight)*time.Second/assumedRate
@@ -164,8 +169,8 @@
 	h.pushAll(now)
 }
 
-// pushAll pushes the state to every subscriber that lacks it and drops expired
-// subscriptions.
+// pushAll pushes the state to every subscriber that lacks it and has answered the push before, and
+// drops expired subscriptions.
 func (h *Host) pushAll(now time.Time) {
 	h.recent.add(h.state)
 	h.pushes.pushed = h.state.Revision
@@ -174,7 +179,7 @@
 			delete(h.subscribers, id)
 			continue
 		}
-		if sub.sent < h.state.Revision {
+		if sub.sent < h.state.Revision && !sub.awaitsAnswer() {
 			h.push(now, id, sub)
 		}
 	}
@@ -226,8 +231,11 @@
 	}
 	data, ok := p.encoded[from]
 	if !ok {
-		var err error
-		if data, err = peer.Marshal(agreed.Diff(h.recent.at(from), target)); err != nil {
+		push, err := newDeltaPush(agreed.Diff(h.recent.at(from), target))
+		if err != nil {
+			return nil, err
+		}
+		if data, err = peer.Marshal(push); err != nil {
 			return nil, err
 		}
 		p.encoded[from] = data
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -73,6 +73,43 @@
 	h.recent.add(next)
 }
 
+// answerPushes reports for all subscribers that they have applied what they were sent.
+func (h *Host) answerPushes(now time.Time) {
+	for id, sub := range h.subscribers {
+		h.updateSubscriber(now, id, sub.addr, sub.sent)
+	}
+}
+
+// TestPushesWaitForAnswers plays the registrations of 100 hosts while one subscriber answers, and
+// another, behind a thin link, does not. It guards against pushes that fill the link, so that
+// the lease of the host ends behind them.
+func TestPushesWaitForAnswers(t *testing.T) {
+	h := newPushHost(t, 2)
+	now := time.Unix(100, 0)
+	quick, slow := lease.ID{Host: "e0", Incarnation: 1}, lease.ID{Host: "e1", Incarnation: 1}
+	for i := range 100 {
+		h.register(fmt.Sprint("new", i))
+		h.pushChanges(now)
+		now = now.Add(pushInterval)
+		h.updateSubscriber(now, quick, h.subscribers[quick].addr, h.subscribers[quick].sent)
+	}
+	if sub := h.subscribers[quick]; sub.sent != h.state.Revision {
+		t.Errorf("the host that answers was sent revision %d, want %d", sub.sent, h.state.Revision)
+	}
+	sub := h.subscribers[slow]
+	if sub.sent != 2 {
+		t.Errorf("the host that does not answer was sent revision %d, want the first push alone, 2", sub.sent)
+	}
+	once := sub.inFlight
+	h.updateSubscriber(now, slow, sub.addr, 2)
+	if sub.sent != h.state.Revision {
+		t.Errorf("once it answers it was sent revision %d, want %d", sub.sent, h.state.Revision)
+	}
+	if sub.inFlight > 100*once {
+		t.Errorf("%d bytes for 99 changes at once, %d for one", sub.inFlight, once)
+	}
+}
+
 // TestRegistrationStormPushesOncePerInterval plays the registrations of 200 hosts within 200
 // ms, as after a loss of power. It guards against a push for each registration to each host:
 // their number grows with the square of the hosts.
@@ -86,6 +123,7 @@
 		h.pushChanges(now)
 		if now = now.Add(time.Millisecond); h.pushes.pushed != before {
 			pushes++
+			h.answerPushes(now)
 		}
 	}
 	if pushes < 5 || pushes > 6 {
@@ -177,14 +215,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(push.Deflated)*3 > len(plain) {
-		t.Errorf("%d bytes of %d, want a third at most", len(push.Deflated), len(plain))
+	if len(push.Packed)*3 > len(plain) {
+		t.Errorf("%d bytes of %d, want a third at most", len(push.Packed), len(plain))
 	}
 	state, err := push.state()
 	if err != nil || len(state.Hosts) != 200 || state.Revision != h.state.Revision {
 		t.Errorf("got %d hosts at revision %d, error %v", len(state.Hosts), state.Revision, err)
 	}
-	if _, err := (snapshotPush{Deflated: push.Deflated[:len(push.Deflated)/2]}).state(); err == nil {
+	if _, err := (snapshotPush{Packed: push.Packed[:len(push.Packed)/2]}).state(); err == nil {
 		t.Error("a snapshot that is cut short is accepted")
 	}
 }
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -106,9 +106,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	var d agreed.Document
-	err := h.opts.Peer.Call(ctx, info.leader, h.controlAddr(info.leader), peer.KindDocument, documentRequest{}, &d)
-	return d, err
+	var reply documentReply
+	if err := h.opts.Peer.Call(ctx, info.leader, h.controlAddr(info.leader), peer.KindDocument, documentRequest{}, &reply); err != nil {
+		return agreed.Document{}, err
+	}
+	return reply.document()
 }
 
 // localDocument reads the document on this host, which must be the leader.
@@ -126,10 +128,11 @@
 }
 
 // serveDocument answers a document request of another host as the leader.
-func (h *Host) serveDocument(ctx context.Context, _ peer.Identity, _ documentRequest) (agreed.Document, error) {
+func (h *Host) serveDocument(ctx context.Context, _ peer.Identity, _ documentRequest) (documentReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return h.localDocument(ctx)
+	d, err := h.localDocument(ctx)
+	return newDocumentReply(d), err
 }
 
 // SetSeeds replaces the control hosts that this host contacts while it is not in a
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -106,7 +106,12 @@
 	}
 	s.updateCandidates(agreed.New())
 	s.setUpstream(s.firstUpstream())
-	peer.On(opts.Peer, peer.KindDelta, func(_ peer.Identity, d agreed.Delta) {
+	peer.On(opts.Peer, peer.KindDelta, func(from peer.Identity, p deltaPush) {
+		d, err := p.delta()
+		if err != nil {
+			s.log.Warn("delta_refused", "peer", from.Host, "err", err.Error())
+			return
+		}
 		s.post(deltaEvent{d})
 	})
 	peer.On(opts.Peer, peer.KindSnapshot, func(_ peer.Identity, p snapshotPush) {
@@ -242,11 +247,11 @@
 	}
 	c := s.upstream()
 	s.registration.begin(now, c.Host)
-	p := proposal{Command: agreed.Command{RegisterHost: &agreed.RegisterHost{Host: s.hostRecord(0)}}}
+	command := agreed.Command{RegisterHost: &agreed.RegisterHost{Host: s.hostRecord(0)}}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 		defer cancel()
-		out, err := callProposal(ctx, s.opts.Peer, c.Host, c.Addr, p)
+		out, err := callProposal(ctx, s.opts.Peer, c.Host, c.Addr, command, false)
 		switch {
 		case err != nil:
 			s.log.Debug("register_failed", "control", c.Host, "err", err.Error())
