Run statements at home hosts in fleets of more than four hosts

Change: all hosts are at home everywhere in fleets of up to four. A host without a lease still asks all others in fleets of up to 16.

TestHomeHostsOfFleetsBeyondSmall fails before; the tests of small fleets have four hosts.

--- a/internal/limits/reserve_test.go
+++ b/internal/limits/reserve_test.go
@@ -161,7 +161,7 @@
 func TestReserveOnlyAtFirstHomes(t *testing.T) {
 	cfg := largeFleetConfig()
 	w := note.Workspace{Name: "w", Rate: 12, Burst: 12}
-	for _, c := range []struct{ hosts, services, least, most int }{{9, 20, 0, 0}, {195, 8, 0, 0}, {195, 20, 10, 20}, {195, 33, 0, 0}} {
+	for _, c := range []struct{ hosts, services, least, most int }{{4, 20, 0, 0}, {9, 20, 4, 9}, {195, 8, 0, 0}, {195, 20, 10, 20}, {195, 33, 0, 0}} {
 		state, _ := homeFleet(cfg, c.hosts, c.services)
 		state.Catalog.Workspaces["w"] = w
 		size := sizeOf(cfg, state, &route.HomeTable{})
--- a/internal/route/home.go
+++ b/internal/route/home.go
@@ -53,8 +53,8 @@
 }
 
 // maxSmallFleetHosts is the number of hosts up to which every host is a home host of
-// every service.
-const maxSmallFleetHosts = 16
+// every service: with so few, each holds connections for all workspaces anyway.
+const maxSmallFleetHosts = HomeHostCount
 
 // AllAtHome reports whether every host of a fleet of the given size is a home host of every
 // service.
--- a/internal/route/home_test.go
+++ b/internal/route/home_test.go
@@ -17,13 +17,30 @@
 }
 
 func TestHomeHostsSmallFleetIncludesAll(t *testing.T) {
-	for _, n := range []int{1, 9, maxSmallFleetHosts} {
+	for n := 1; n <= maxSmallFleetHosts; n++ {
 		if home := HomeHosts("s", fleet(n, 4), nil); len(home) != n {
 			t.Errorf("%d of %d hosts are home hosts, want all", len(home), n)
 		}
 	}
 }
 
+// TestHomeHostsOfFleetsBeyondSmall guards against a fleet of few hosts in which each opens
+// connections for every workspace: nine hosts with 33 connections an endpoint changed the
+// workspace of a connection for 40% of their statements, which takes a slot for 12 ms.
+func TestHomeHostsOfFleetsBeyondSmall(t *testing.T) {
+	for n := maxSmallFleetHosts + 1; n <= 17; n++ {
+		hosts := fleet(n, 4)
+		home := HomeHosts("s", hosts, nil)
+		domains := map[string]bool{}
+		for domain, names := range hosts {
+			domains[domain] = slices.ContainsFunc(names, func(h string) bool { return slices.Contains(home, h) })
+		}
+		if len(home) != HomeHostCount || len(domains) != 4 || !domains["d0"] || !domains["d1"] || !domains["d2"] || !domains["d3"] {
+			t.Errorf("%d hosts: home hosts %v, want one in each of four domains", n, home)
+		}
+	}
+}
+
 func TestHomeHostsSpreadOverDomains(t *testing.T) {
 	hosts := fleet(2000, 11)
 	load := map[string]int{}
--- a/internal/route/hometable.go
+++ b/internal/route/hometable.go
@@ -90,11 +90,27 @@
 	return ranked
 }
 
-// Others returns the home hosts that can run a workspace's statements on a service in place of
-// the given host, which is unable to, in order of preference. It answers the loss of the lease
-// on this host while others have theirs, as after a cut between it and the control hosts.
+// maxOtherHosts is the number of hosts up to which a host without a lease asks all others, not
+// only home hosts.
+const maxOtherHosts = 16
+
+// Others returns the hosts that can run a workspace's statements on a service in place of the
+// given host, which is unable to, in order of preference: the home hosts, and in a fleet of up to
+// maxOtherHosts hosts the others after them. It answers the loss of the lease on this host while
+// others have theirs, as after a cut between it and the control hosts.
 func (t *HomeTable) Others(self, service, workspace string) []string {
 	ranked := RankHomeHosts(t.homeHosts(service), service, workspace)
+	if t.hosts <= maxOtherHosts {
+		var rest []string
+		for _, names := range t.byDomain {
+			for _, host := range names {
+				if !slices.Contains(ranked, host) {
+					rest = append(rest, host)
+				}
+			}
+		}
+		ranked = append(ranked, RankHomeHosts(rest, service, workspace)...)
+	}
 	return slices.DeleteFunc(ranked, func(host string) bool { return host == self })
 }
 
