--- a/internal/activity/activity.go
+++ b/internal/activity/activity.go
@@ -7,6 +7,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -57,7 +58,7 @@
 	fields := []any{"interval_ms", r.Interval.Milliseconds()}
 	for _, name := range slices.Sorted(maps.Keys(totals)) {
 		if increase := totals[name] - r.previous[name]; increase > 0 {
-			fields = append(fields, name, round(increase))
+			fields = append(fields, name, format(increase))
 		}
 	}
 	r.previous = totals
@@ -66,8 +67,11 @@
 	}
 }
 
-// round reduces a value to milli-units.
-func round(v float64) float64 { return float64(int64(v*1000+0.5)) / 1000 }
+// format returns a value in milli-units without an exponent, which readers of logs take for the
+// end of the number.
+func format(v float64) string {
+	return strconv.FormatFloat(float64(int64(v*1000+0.5))/1000, 'f', -1, 64)
+}
 
 // totals returns the current value of each field.
 func (r *Reporter) totals() map[string]float64 {
--- a/internal/activity/activity_test.go
+++ b/internal/activity/activity_test.go
@@ -59,4 +59,11 @@
 	if line := out.String(); !strings.HasSuffix(line, "interval_ms=5000 dials=1\n") {
 		t.Errorf("logged %q, want only the counter that has increased", line)
 	}
+
+	out.Reset()
+	dials.Add(5404815)
+	r.report()
+	if line := out.String(); !strings.HasSuffix(line, "interval_ms=5000 dials=5404815\n") {
+		t.Errorf("logged %q, want all digits of a large number", line)
+	}
 }
