Answer no requests that only give back shares

Change: the owner answers requests that ask for something, and a holder that gives back shares does not wait for an answer.

Result: TestReleaseExpectsNoReply.

--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -109,6 +109,9 @@
 	r.request.Host, r.request.Incarnation = r.from.Host, r.from.Incarnation
 	o.quota.SetOwnerLease(o.view.Current().ValidUntil)
 	reply := o.quota.Handle(now, r.request)
+	if !r.request.ExpectsReply() {
+		return // each token of a small rate is followed by such a request
+	}
 	o.logBacklogs(now, reply.Grants)
 	reply.Owner = "" // the connection names it
 	if err := o.peers.Send(r.from.Host, r.from.Addr, peer.KindQuotaOK, reply); err != nil {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -250,7 +250,7 @@
 	h.reportAllLeases(now, &b)
 	for _, r := range b.batches {
 		h.sent = append(h.sent, sentRequest{seq: r.Request.Seq, at: now})
-		if _, waiting := h.unanswered[r.Owner]; !waiting {
+		if _, waiting := h.unanswered[r.Owner]; !waiting && r.Request.ExpectsReply() {
 			h.unanswered[r.Owner] = now
 		}
 	}
--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -601,3 +601,43 @@
 		t.Error("the limit is not available after the end of the lease")
 	}
 }
+
+// TestReleaseExpectsNoReply gives back a share and leaves the request unanswered, as owners do. It
+// guards against a host that takes its owner for unknown, and spends its reserve, because it has
+// given back a token.
+func TestReleaseExpectsNoReply(t *testing.T) {
+	now := start
+	h := NewHolder(Config{}, "h", 1, now)
+	h.SetEpoch(1, []string{"c"})
+	h.ObserveOwner("c", 1)
+	answer := func(b Batch, grants ...Grant) {
+		h.Receive(now, Reply{Owner: "c", Epoch: 1, Incarnation: 1, HolderIncarnation: 1, Seq: b.Request.Seq, LeaseMS: 8000, Complete: b.Request.Complete, Grants: grants})
+	}
+	h.Offer(now, "k", 1)
+	h.Take(now, "k", 1)
+	b := h.Requests(now)[0]
+	if !b.Request.ExpectsReply() {
+		t.Fatalf("%+v asks for a token and expects no reply", b.Request)
+	}
+	answer(b, Grant{Key: "k", ID: 1, Share: Share{Burst: 1}, Tokens: 1})
+	if !h.Take(now, "k", 1).Granted {
+		t.Fatal("the token was not granted")
+	}
+	released := false
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		for _, b := range h.Requests(now) {
+			if b.Request.ExpectsReply() {
+				answer(b)
+				continue
+			}
+			released = true
+		}
+	}
+	if !released {
+		t.Fatal("the share was not given back")
+	}
+	if h.UnknownIn(now, "k") == 0 {
+		t.Error("the owner counts as unknown after a share was given back")
+	}
+}
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -118,6 +119,11 @@
 	New bool `cbor:"9,keyasint,omitempty"`
 }
 
+// ExpectsReply reports whether the owner has to answer: not if the holder only gives back shares.
+func (r Request) ExpectsReply() bool {
+	return r.Complete || len(r.Keys) == 0 || slices.ContainsFunc(r.Keys, func(kr KeyRequest) bool { return !kr.Release })
+}
+
 // KeyRequest is the part of a request for one key.
 type KeyRequest struct {
 	Key string `cbor:"1,keyasint"`
