Ask hosts of all failure domains about a primary that one reports as lost

Only its four home hosts use an endpoint of a large fleet; two of them were cut off, and two failure domains of four are no majority. A service with few callers has the same gap.

Change: while one voter reports the primary as lost, the leader asks two hosts at a time in each failure domain without a recent vote to probe it. They probe until it answers, for at most two seconds, and report as others do. The rule of the majority is the same.

--- a/internal/control/failover_driver.go
+++ b/internal/control/failover_driver.go
@@ -147,6 +147,8 @@
 			d.startProbes(e)
 		case failover.Promote:
 			d.promote(e)
+		case failover.AskWitnesses:
+			d.askWitnesses(e)
 		case failover.Status:
 			d.host.log.Info("group_status", "service", e.Service, "reason", e.Reason)
 		}
@@ -186,6 +188,17 @@
 	}
 }
 
+// askWitnesses asks hosts to probe an endpoint. Their observations come as those of others do.
+func (d *failoverDriver) askWitnesses(e failover.AskWitnesses) {
+	h := d.host
+	h.log.Info("witnesses_asked", "service", e.Service, "endpoint", e.Endpoint, "hosts", e.Hosts)
+	for _, host := range e.Hosts {
+		if err := h.opts.Peer.Send(host, h.state.Hosts[host].PeerAddr, peer.KindWitness, witnessRequest{Endpoint: e.Endpoint}); err != nil {
+			h.log.Debug("witness_request_failed", "peer", host, "err", err.Error())
+		}
+	}
+}
+
 // promote starts the promotion of an endpoint.
 func (d *failoverDriver) promote(e failover.Promote) {
 	client := d.endpointClient()
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -115,6 +115,17 @@
 	Watcher string `cbor:"5,keyasint"`
 }
 
+// witnessRequest requests a host to probe an endpoint and to report what it observes.
+type witnessRequest struct {
+	Endpoint string `cbor:"1,keyasint"`
+}
+
+// ServeWitnessRequests passes the endpoints that the control leader wants this host to probe to a
+// function, which must not block.
+func ServeWitnessRequests(n *peer.Node, witness func(endpoint string)) {
+	peer.On(n, peer.KindWitness, func(_ peer.Identity, r witnessRequest) { witness(r.Endpoint) })
+}
+
 // statusRequest requests the status of a control host or its leader.
 type statusRequest struct {
 	// Forwarded marks a request that a control host has forwarded to the leader.
--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -199,15 +199,14 @@
 	if closed || ctx.Err() != nil {
 		return false
 	}
-	tryCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	link, err := e.srv.opts.Dialer.Dial(tryCtx, e.record, workspace)
-	if err == nil {
-		link.Close()
-	}
-	unreachable := err != nil && !isReachable(err)
-	e.srv.opts.Observe(Evidence{Service: e.record.Service, Endpoint: e.record.ID, Unreachable: unreachable})
-	return unreachable
+	return e.srv.probeEndpoint(ctx, e.record, workspace)
+}
+
+// isSuspected reports whether the endpoint is probed after a failure.
+func (e *endpoint) isSuspected() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.suspected
 }
 
 func (e *endpoint) close() {
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -77,6 +77,8 @@
 	remoteTransactions map[remoteKey]*Session
 	remoteRunning      int
 	remoteStopped      bool
+	// witnessed are the endpoints that are probed for the control leader.
+	witnessed map[string]bool
 
 	lastSessionID atomic.Uint64
 	draining      atomic.Bool
@@ -93,7 +95,7 @@
 	s := &Server{
 		opts: opts, metrics: newMetrics(opts.Registerer), primaryPositions: newFreshness(), baselines: pacing.NewBaseline(),
 		endpoints: make(map[string]*endpoint), sessions: make(map[*Session]struct{}),
-		remoteTransactions: make(map[remoteKey]*Session),
+		remoteTransactions: make(map[remoteKey]*Session), witnessed: make(map[string]bool),
 	}
 	s.gate = gate.New(admit.PolicyFair, s.slots, s.hasIdleConnection)
 	s.ctx, s.stop = context.WithCancel(context.Background())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -163,6 +163,7 @@
 	})
 	d.holder.SetPool(d.core)
 	forward.Serve(d.peers, d.core)
+	control.ServeWitnessRequests(d.peers, d.core.Witness)
 }
 
 // reportEvidence reports evidence about an endpoint to the control leader.
--- a/internal/failover/active.go
+++ b/internal/failover/active.go
@@ -21,6 +21,7 @@
 		m.seal(now, fmt.Sprintf("primary %s is lost to a majority of failure domains", g.Primary))
 		return
 	}
+	m.askWitnesses(now)
 	cause, due := m.switchoverCause()
 	if !due {
 		m.switchoverDueAt = time.Time{}
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -47,6 +47,10 @@
 	unansweredFence uint64
 	// failedCandidates are the candidates of this term whose promotion failed.
 	failedCandidates map[string]bool
+	// witnessesAt is when hosts were last asked to probe the primary, and witnessRound counts
+	// how often.
+	witnessesAt  time.Time
+	witnessRound int
 	// switchoverDueAt is when the planned switchover of the primary became due, zero
 	// when none is; lastSwitchoverAt is when one was last begun.
 	switchoverDueAt  time.Time
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -31,6 +31,7 @@
 	KindPosition    Kind = 31 // request to probe an endpoint
 	KindPromote     Kind = 32 // request to promote an endpoint
 	KindLag         Kind = 33 // reserved, not sent
+	KindWitness     Kind = 34 // request to probe an endpoint and to report what was observed
 
 	KindGather Kind = 40 // request for the positions of a service
 	KindForget Kind = 41 // reserved, not sent
@@ -75,6 +76,7 @@
 	KindPosition:       {name: "position"},
 	KindPromote:        {name: "promote"},
 	KindLag:            {name: "lag", droppable: true},
+	KindWitness:        {name: "witness", droppable: true},
 	KindGather:         {name: "gather"},
 	KindForget:         {name: "forget", droppable: true},
 	KindQuota:          {name: "quota"},
