Give absent hosts no vote about a primary

Change: absent hosts do not vote. Where one failure domain is left its hosts vote, and those that have not reported are asked.

Result: TestAbsentHostsHaveNoVote fails before.

--- a/internal/failover/machineset.go
+++ b/internal/failover/machineset.go
@@ -104,11 +104,13 @@
 	return v
 }
 
-// EntryHosts returns the registered entry hosts, which watch endpoints, by host id.
+// EntryHosts returns the registered entry hosts, which watch endpoints, by host id. Absent hosts
+// have no say: they must not act, and their reports do not arrive while they are cut off, so that
+// a primary that nobody else reaches would never be replaced.
 func EntryHosts(s *agreed.State) []Watcher {
 	var watchers []Watcher
 	for _, h := range s.Hosts {
-		if h.Entry {
+		if h.Entry && !h.Absent {
 			watchers = append(watchers, Watcher{Host: h.ID, Domain: h.Domain, Region: s.Catalog.Domains[h.Domain].Region})
 		}
 	}
--- a/internal/failover/witness.go
+++ b/internal/failover/witness.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -35,8 +36,7 @@
 	m.witnessesAt = now
 	m.witnessRound++
 	ask := AskWitnesses{Service: m.view.Group.Service, Endpoint: primary}
-	for _, domain := range m.missingDomains(now, primary) {
-		hosts := m.view.Electorate.hosts[domain]
+	for _, hosts := range m.silentWitnesses(now, primary) {
 		ask.Hosts = append(ask.Hosts, rendezvous.Top(hosts, primary+" "+strconv.Itoa(m.witnessRound), witnessesPerDomain)...)
 	}
 	if len(ask.Hosts) > 0 {
@@ -54,18 +54,23 @@
 	return false
 }
 
-// missingDomains returns the failure domains that watch the endpoint and from which nobody has
-// reported on it for two probes. With one domain the hosts vote, and all of them watch.
-func (m *Machine) missingDomains(now time.Time, endpoint string) []string {
-	if len(m.view.Electorate.domains) == 1 {
-		return nil
+// silentWitnesses returns the hosts of each failure domain that watches the endpoint and from which
+// nobody has reported on it for two probes. With one domain the hosts vote, so that these are the
+// hosts that have not reported.
+func (m *Machine) silentWitnesses(now time.Time, endpoint string) [][]string {
+	e := m.view.Electorate
+	reported := func(voter string) bool {
+		r, ok := m.reports[reportKey{endpoint: endpoint, voter: voter}]
+		return ok && now.Sub(r.at) <= 2*ProbeInterval
 	}
-	var missing []string
-	for _, domain := range m.view.Electorate.domainsOf(endpoint) {
-		r, ok := m.reports[reportKey{endpoint: endpoint, voter: domain}]
-		if !ok || now.Sub(r.at) > 2*ProbeInterval {
-			missing = append(missing, domain)
+	var silent [][]string
+	for _, domain := range e.domainsOf(endpoint) {
+		switch {
+		case len(e.domains) == 1:
+			silent = append(silent, slices.DeleteFunc(slices.Clone(e.hosts[domain]), reported))
+		case !reported(domain):
+			silent = append(silent, e.hosts[domain])
 		}
 	}
-	return missing
+	return silent
 }
--- a/internal/failover/witness_test.go
+++ b/internal/failover/witness_test.go
@@ -1,9 +1,14 @@
 package failover
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/note"
 )
 
 // TestQuietServiceAsksWitnesses plays the loss of a primary that only the hosts of one failure
@@ -68,3 +73,59 @@
 	{Host: "h5", Domain: "d3"}, {Host: "h6", Domain: "d3"}, {Host: "h7", Domain: "d3"},
 	{Host: "h8", Domain: "d4"}, {Host: "h9", Domain: "d4"}, {Host: "h10", Domain: "d4"},
 }
+
+// TestAbsentHostsHaveNoVote plays a cut between the control hosts and all hosts of two failure
+// domains of three. Once these are absent, the primary that the hosts of the third do not reach is
+// replaced: before that nobody else could report it.
+func TestAbsentHostsHaveNoVote(t *testing.T) {
+	now := time.Unix(0, 0)
+	state := agreed.New()
+	state.Revision = 1
+	state.Catalog.Services["s"] = note.Service{Name: "s", Endpoints: 3}
+	for i, domain := range []string{"d1", "d1", "d2", "d2", "d3", "d3"} {
+		id := fmt.Sprint("h", i)
+		state.Hosts[id] = agreed.Host{ID: id, Domain: domain, Incarnation: 1, Entry: true}
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		state.Endpoints[id] = agreed.Endpoint{ID: id, Service: "s", Domain: "d2"}
+	}
+	state.Groups["s"] = agreed.Group{Service: "s", Members: []string{"a", "b", "c"}, Term: 1, Primary: "a", Phase: agreed.PhaseActive}
+	ms := NewMachineSet(DefaultConfig())
+	// play reports the loss by a host and by those that are asked and reached, and returns
+	// whether the term is sealed within two seconds.
+	play := func() bool {
+		effects := ms.SetState(now, state, nil)
+		reporting := map[string]bool{"h0": true}
+		for range 10 {
+			now = now.Add(200 * time.Millisecond)
+			for host := range reporting {
+				effects = append(effects, ms.Step(now, "s", Observation{Watcher: host, Domain: "d1", Endpoint: "a"})...)
+			}
+			effects = append(effects, ms.StepAll(now, Tick{})...)
+			for _, effect := range effects {
+				if _, sealed := effect.(Seal); sealed {
+					return true
+				}
+				if ask, ok := effect.(AskWitnesses); ok && slices.Contains(ask.Hosts, "h1") {
+					reporting["h1"] = true
+				}
+			}
+		}
+		return false
+	}
+	if play() {
+		t.Fatal("the term was sealed while two failure domains of three may reach the primary")
+	}
+	next := *state
+	next.Revision++
+	next.Hosts = maps.Clone(state.Hosts)
+	for _, id := range []string{"h2", "h3", "h4", "h5"} {
+		h := next.Hosts[id]
+		h.Absent = true
+		next.Hosts[id] = h
+	}
+	state = &next
+	if !play() {
+		t.Error("the term was not sealed although no host that may act reaches the primary")
+	}
+}
