--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -130,12 +131,15 @@
 		}
 		o.backlogLogged[g.Key] = now
 		if s, ok := o.quota.Status(g.Key); ok {
-			o.log.Info("rate_backlog", "key", g.Key, "backlog_ms", g.BacklogMS, "waiting", s.Waiting, "tokens", s.Pool, "leased", s.Leased,
-				"demand", s.Demand, "rate", s.Limit.Rate, "burst", s.Limit.Burst, "holders", s.Holders)
+			o.log.Info("rate_backlog", "key", g.Key, "backlog_ms", g.BacklogMS, "waiting", tenths(s.Waiting), "tokens", tenths(s.Pool),
+				"leased", tenths(s.Leased), "demand", tenths(s.Demand), "rate", tenths(s.Limit.Rate), "burst", tenths(s.Limit.Burst), "holders", s.Holders)
 		}
 	}
 }
 
+// tenths rounds a number of tokens for the log.
+func tenths(v float64) float64 { return math.Round(v*10) / 10 }
+
 // applyState applies a changed agreed state.
 func (o *Owner) applyState(now time.Time) {
 	state := o.view.Current().State
@@ -163,6 +167,7 @@
 	for key := range o.limits {
 		if _, ok := next[key]; !ok {
 			o.quota.SetLimit(now, key, quota.Limit{}, false)
+			delete(o.backlogLogged, key)
 		}
 	}
 	o.limits = next
