--- a/internal/route/home_test.go
+++ b/internal/route/home_test.go
@@ -28,7 +28,7 @@
 // connections for every workspace: nine hosts with 33 connections an endpoint changed the
 // workspace of a connection for 40% of their statements, which takes a slot for 12 ms.
 func TestHomeHostsOfFleetsBeyondSmall(t *testing.T) {
-	for n := maxSmallFleetHosts + 1; n <= 17; n++ {
+	for n := 5; n <= 17; n++ {
 		hosts := fleet(n, 4)
 		home := HomeHosts("s", hosts, nil)
 		domains := map[string]bool{}
