--- a/internal/core/witness.go
+++ b/internal/core/witness.go
@@ -42,6 +42,7 @@
 	}
 }
 
+// probeAsWitness probes the endpoint every probeInterval until it answers or witnessTime is over.
 func (s *Server) probeAsWitness(ctx context.Context, record agreed.Endpoint, workspace string) {
 	defer func() {
 		s.mu.Lock()
@@ -57,8 +58,8 @@
 	}
 }
 
-// probeEndpoint opens a connection to an endpoint once and reports the evidence. It returns whether the
-// endpoint was unreachable.
+// probeEndpoint opens a connection to an endpoint once and reports the evidence. It returns
+// whether the endpoint was unreachable.
 func (s *Server) probeEndpoint(ctx context.Context, record agreed.Endpoint, workspace string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -454,16 +454,23 @@
 	})
 }
 
+// newRestartedOwner returns the second process of the only owner, in the first epoch, which owns a
+// rate of 10 tokens a second.
+func newRestartedOwner(now time.Time) *Owner {
+	o := NewOwner(Config{}, "c", 2, now)
+	o.SetOwnerLease(now.Add(time.Minute))
+	o.SetEpoch(now, 1, []string{"c"})
+	o.SetLimit(now, "k", Limit{Rate: 10, Burst: 10, RestartBurst: 5}, false)
+	return o
+}
+
 // TestRestartedOwnerKnowsFormerProcessesEnded starts an owner whose stored state names the
 // former processes of all hosts, as after a loss of power, before the new ones register. It
 // guards against taking a process that was replaced by a newer one of its host for one that may
 // have spent tokens until then: the buckets would begin empty while all callers come back.
 func TestRestartedOwnerKnowsFormerProcessesEnded(t *testing.T) {
 	now := start
-	o := NewOwner(Config{}, "c", 2, now)
-	o.SetOwnerLease(now.Add(time.Minute))
-	o.SetEpoch(now, 1, []string{"c"})
-	o.SetLimit(now, "k", Limit{Rate: 10, Burst: 10, RestartBurst: 5}, false)
+	o := newRestartedOwner(now)
 	processes := []HolderID{{"a", 1}, {"b", 1}, {"d", 1}}
 	o.SetHolders(now, processes, nil)
 	for i := range processes { // they register one after the other
@@ -493,10 +500,7 @@
 // successor. It may have spent tokens until it left.
 func TestDepartedProcessMayHaveSpent(t *testing.T) {
 	now := start
-	o := NewOwner(Config{}, "c", 2, now)
-	o.SetOwnerLease(now.Add(time.Minute))
-	o.SetEpoch(now, 1, []string{"c"})
-	o.SetLimit(now, "k", Limit{Rate: 10, Burst: 10, RestartBurst: 5}, false)
+	o := newRestartedOwner(now)
 	o.SetHolders(now, []HolderID{{"a", 2}, {"b", 1}}, nil)
 	o.Handle(now, Request{Host: "a", Incarnation: 2, Epoch: 1, OwnerIncarnation: 2, Seq: 1, Complete: true, New: true, IdleMS: 800})
 	now = now.Add(time.Second)
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -95,6 +95,7 @@
 // Request is sent by a holder to an owner and covers all keys whose renewal is
 // due.
 type Request struct {
+	// Host and Incarnation name the sender. A message leaves them out, since its connection tells.
 	Host        string `cbor:"1,keyasint,omitempty"`
 	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
 	// Epoch identifies the set of owners that the holder uses.
@@ -163,6 +164,7 @@
 
 // Reply answers a Request with the same Seq.
 type Reply struct {
+	// Owner is the sender, left out of a message as well.
 	Owner       string `cbor:"1,keyasint,omitempty"`
 	Epoch       uint64 `cbor:"2,keyasint"`
 	Incarnation uint64 `cbor:"3,keyasint"`
