--- a/review/platform/server.go
+++ b/review/platform/server.go
@@ -28,6 +28,8 @@
 	lag  time.Duration
 	// work returns how long a statement takes at a server.
 	work func(verb, id string) time.Duration
+	// workOf replaces work if it is set. It gets the whole text.
+	workOf func(text string) time.Duration
 
 	mu      sync.Mutex
 	term    int
@@ -122,6 +124,13 @@
 	return true
 }
 
+func (g *service) takes(verb, id, text string) time.Duration {
+	if g.workOf != nil {
+		return g.workOf(text)
+	}
+	return g.work(verb, id)
+}
+
 func (b *server) freeSlot() { <-b.slots }
 
 // backendSession is a connection to a server.
@@ -233,7 +242,7 @@
 			return "ERROR BUSY " + b.id + "\r\nREADY " + s.state() + " " + b.lockedPosition() + "\r\n"
 		}
 		if id != "-" {
-			time.Sleep(b.service.work(verb, id))
+			time.Sleep(b.service.takes(verb, id, plain))
 		}
 		defer b.freeSlot()
 	}
