--- a/review/2/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-case ] && [ -x target/galenabridged ] || { echo "build first"; exit 2; }
-exec target/review-case stop "$here/record.txt"
+exec target/review-case evacuate "$here/record.txt"
