Deliver an answer between hosts only to the process that asked

Cause: requests between hosts are numbered from 1 in each process, and a reply was sent to the host, not to the process that asked. The next process had the same numbers in use.

Change: an answer, be it a reply or a one-way message, is bound to the incarnation that asked and is dropped if the connection leads to another process. A reply must come from the process that the request was written to and be of its kind. Calls to a process fail when its last connection ends, even if the next process is connected, and its loss is reported then.

Why it works: the handshake proves the incarnation of a connection, so no message that was made for one process can be written to another, whatever numbers both use.

--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -48,7 +48,7 @@
 // the loss of its data folder, so that it switches to another control host at once
 // instead of after a timeout.
 func (h *Host) refuseRenew(from peer.Identity) {
-	if err := h.opts.Peer.Send(from.Host, from.Addr, peer.KindRenewNo, renewRefusal{}); err != nil {
+	if err := h.opts.Peer.SendTo(from, peer.KindRenewNo, renewRefusal{}); err != nil {
 		h.log.Debug("renew_answer_failed", "peer", from.Host, "err", err.Error())
 	}
 }
@@ -145,7 +145,7 @@
 		if a.Relay {
 			kind = peer.KindRelayOK
 		}
-		if err := h.opts.Peer.Send(a.To.Host, "", kind, a.OK); err != nil {
+		if err := h.opts.Peer.SendTo(peer.Identity{Host: a.To.Host, Incarnation: a.To.Incarnation}, kind, a.OK); err != nil {
 			h.log.Debug("renew_answer_failed", "peer", a.To.Host, "err", err.Error())
 		}
 	}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -245,7 +245,7 @@
 
 // sendPush sends a message that leads a subscriber to a revision.
 func (h *Host) sendPush(now time.Time, id lease.ID, sub *subscription, kind peer.Kind, data cbor.RawMessage, revision uint64) bool {
-	if err := h.opts.Peer.Send(id.Host, sub.addr, kind, data); err != nil {
+	if err := h.opts.Peer.SendTo(peer.Identity{Host: id.Host, Incarnation: id.Incarnation, Addr: sub.addr}, kind, data); err != nil {
 		h.log.Debug("push_failed", "peer", id.Host, "err", err.Error())
 		return false
 	}
--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -115,7 +115,7 @@
 	}
 	o.logBacklogs(now, reply.Grants)
 	reply.Owner = "" // the connection names it
-	if err := o.peers.Send(r.from.Host, r.from.Addr, peer.KindQuotaOK, reply); err != nil {
+	if err := o.peers.SendTo(r.from, peer.KindQuotaOK, reply); err != nil {
 		o.log.Debug("quota_reply_failed", "peer", r.from.Host, "err", err.Error())
 	}
 }
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -13,10 +13,14 @@
 // pendingCall is a request that awaits its reply.
 type pendingCall struct {
 	host string
+	kind Kind
 	// sent is set right before the request is written to a connection. Until then the
 	// request can be withdrawn.
 	sent   bool
 	sentAt time.Time
+	// sentTo is the incarnation of the process that the request was written to. Only that
+	// process can reply.
+	sentTo uint64
 	// outcome receives the reply, or the error with which the call failed.
 	outcome chan callOutcome
 }
@@ -63,7 +67,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
-	id, call := n.startCall(host)
+	id, call := n.startCall(host, kind)
 	if err := n.send(host, addr, envelope{Kind: kind, ID: id, Body: body}); err != nil {
 		n.abandonCall(id, err)
 		return err
@@ -96,8 +100,8 @@
 	return Unmarshal(answer.Body, reply)
 }
 
-func (n *Node) startCall(host string) (uint64, *pendingCall) {
-	call := &pendingCall{host: host, outcome: make(chan callOutcome, 1)}
+func (n *Node) startCall(host string, kind Kind) (uint64, *pendingCall) {
+	call := &pendingCall{host: host, kind: kind, outcome: make(chan callOutcome, 1)}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lastCallID++
@@ -118,40 +122,59 @@
 	return cause
 }
 
-// markSent records that a request is about to be written. It returns false when the call
-// has been abandoned; the request must then not be written.
-func (n *Node) markSent(id uint64) bool {
+// markSent records that a request is about to be written to the process with the given
+// incarnation. It returns false when the call has been abandoned; the request must then not
+// be written.
+func (n *Node) markSent(id, incarnation uint64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	call := n.pending[id]
 	if call == nil {
 		return false
 	}
-	call.sent, call.sentAt = true, time.Now()
+	call.sent, call.sentAt, call.sentTo = true, time.Now(), incarnation
 	return true
 }
 
-// finishCall passes a reply to its caller. A reply is ignored when no call with its ID
-// is pending or when it comes from another host than the request was sent to.
-func (n *Node) finishCall(host string, e envelope) {
+// finishCall passes a reply to its caller. A reply to a call that has ended is ignored. So is
+// one of another kind, or from another process than the request was written to: it belongs to
+// another request.
+func (n *Node) finishCall(from Identity, e envelope) {
 	n.mu.Lock()
 	call := n.pending[e.ID]
-	if call == nil || call.host != host {
+	if call == nil || !call.sent {
 		n.mu.Unlock()
 		return
 	}
+	if call.host != from.Host || call.sentTo != from.Incarnation || call.kind != e.Kind {
+		n.mu.Unlock()
+		n.metrics.misdirected.WithLabelValues(e.Kind.String()).Inc()
+		n.opts.Logger.Error("peer_reply_misdirected", "peer", from.Host, "incarnation", from.Incarnation, "kind", e.Kind, "expected_kind", call.kind)
+		return
+	}
 	delete(n.pending, e.ID)
 	n.mu.Unlock()
 	call.outcome <- callOutcome{reply: e}
 }
 
-// failSentCalls fails the requests that were sent to host and not answered. Those that are
+// failSentCalls fails the requests that were sent to a host and not answered. Those that are
 // still queued are sent on the next connection.
 func (n *Node) failSentCalls(host string) {
+	n.failCalls(func(call *pendingCall) bool { return call.host == host && call.sent })
+}
+
+// failCallsTo fails the requests that were sent to a process, which cannot reply any more.
+func (n *Node) failCallsTo(process Identity) {
+	n.failCalls(func(call *pendingCall) bool {
+		return call.host == process.Host && call.sent && call.sentTo == process.Incarnation
+	})
+}
+
+func (n *Node) failCalls(selected func(*pendingCall) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for id, call := range n.pending {
-		if call.host == host && call.sent {
+		if selected(call) {
 			delete(n.pending, id)
 			call.outcome <- callOutcome{err: ErrUnreachable}
 		}
@@ -218,6 +241,7 @@
 	return handle(n.ctx, from, e.Body)
 }
 
+// reply sends the reply to a request to the process that made it.
 func (n *Node) reply(to Identity, request envelope, answer any, err error) {
 	e := envelope{Kind: request.Kind, ID: request.ID, Reply: true}
 	if err == nil && answer != nil {
@@ -228,7 +252,7 @@
 		e.Code = result.CodeOf(err)
 		e.Detail = replyDetail(err)
 	}
-	if err := n.send(to.Host, to.Addr, e); err != nil {
+	if err := n.sendTo(to, e); err != nil {
 		n.opts.Logger.Debug("peer_reply_lost", "peer", to.Host, "kind", request.Kind, "err", err.Error())
 	}
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,19 @@
 	return l.addr
 }
 
+// newestTo returns the most recently attached connection to the process with the given
+// incarnation, or nil when there is none.
+func (l *link) newestTo(incarnation uint64) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range slices.Backward(l.conns) {
+		if c.peer.Incarnation == incarnation {
+			return c
+		}
+	}
+	return nil
+}
+
 // newest returns the most recently attached connection, or nil when there is none.
 // Messages are sent on this one.
 func (l *link) newest() *conn {
@@ -142,7 +156,16 @@
 				continue
 			}
 		}
-		if msg.callID != 0 && !l.node.markSent(msg.callID) {
+		reached := l.node.opts.Incarnation
+		if c != nil {
+			reached = c.peer.Incarnation
+		}
+		if msg.incarnation != 0 && msg.incarnation != reached {
+			l.node.metrics.misdirected.WithLabelValues(msg.kind.String()).Inc()
+			l.drop(msg)
+			continue
+		}
+		if msg.callID != 0 && !l.node.markSent(msg.callID, reached) {
 			continue
 		}
 		if c == nil {
@@ -243,12 +266,13 @@
 }
 
 // serve reads messages from c until it fails or sends a malformed message, then closes and
-// detaches it. When no connection to the peer remains, the pending requests fail.
+// detaches it. When no connection to the same process remains, the requests that were sent to it
+// fail: another process of the host cannot answer them.
 func (l *link) serve(c *conn) {
 	defer func() {
 		l.detach(c)
-		if l.newest() == nil {
-			l.node.failSentCalls(l.host)
+		if l.newestTo(c.peer.Incarnation) == nil {
+			l.node.failCallsTo(c.peer)
 			l.node.reportLost(c.peer)
 		}
 	}()
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -16,11 +16,12 @@
 
 // metrics holds the metrics of messages and connections between hosts.
 type metrics struct {
-	messages *prometheus.CounterVec
-	bytes    *prometheus.CounterVec
-	dropped  *prometheus.CounterVec
-	refused  *prometheus.CounterVec
-	conns    prometheus.Gauge
+	messages    *prometheus.CounterVec
+	bytes       *prometheus.CounterVec
+	dropped     *prometheus.CounterVec
+	refused     *prometheus.CounterVec
+	misdirected *prometheus.CounterVec
+	conns       prometheus.Gauge
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -41,13 +42,17 @@
 			Name: "galenabridge_peer_refused_total",
 			Help: "Peers and messages refused, by result code.",
 		}, []string{"code"}),
+		misdirected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenabridge_peer_misdirected_total",
+			Help: "Messages that were dropped because they were for or from another process of the host, by kind.",
+		}, []string{"kind"}),
 		conns: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "galenabridge_peer_connections",
 			Help: "Open connections to other hosts.",
 		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.messages, m.bytes, m.dropped, m.refused, m.conns)
+		reg.MustRegister(m.messages, m.bytes, m.dropped, m.refused, m.misdirected, m.conns)
 	}
 	return m
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -243,7 +243,24 @@
 	return n.send(host, addr, envelope{Kind: kind, Body: body})
 }
 
+// SendTo is Send to one process of a host. The message is dropped if only another process of the
+// host can be reached: answers are meaningless to a process that did not ask.
+func (n *Node) SendTo(to Identity, kind Kind, msg any) error {
+	body, err := Marshal(msg)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	return n.sendTo(to, envelope{Kind: kind, Body: body})
+}
+
+// send queues a message for whichever process of the host is reached.
 func (n *Node) send(host, addr string, e envelope) error {
+	return n.sendTo(Identity{Host: host, Addr: addr}, e)
+}
+
+// sendTo queues a message for the process to, or for any process of the host if its
+// incarnation is zero.
+func (n *Node) sendTo(to Identity, e envelope) error {
 	data, err := Marshal(e)
 	if err != nil {
 		return errors.Wrap(err, "encode envelope")
@@ -251,9 +268,9 @@
 	if len(data) > MaxMessage {
 		return result.New(result.MessageTooLarge, "message of %d bytes to a peer", len(data))
 	}
-	l := n.link(host)
-	l.setAddr(addr)
-	msg := outgoing{kind: e.Kind, data: data}
+	l := n.link(to.Host)
+	l.setAddr(to.Addr)
+	msg := outgoing{kind: e.Kind, data: data, incarnation: to.Incarnation}
 	if !e.Reply {
 		msg.callID = e.ID
 	}
@@ -266,7 +283,7 @@
 	defer supervise.Recover(n.opts.Logger, "peer "+e.Kind.String())
 	switch {
 	case e.Reply:
-		n.finishCall(from.Host, e)
+		n.finishCall(from, e)
 	case e.ID != 0:
 		n.serveCall(from, e)
 	default:
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -18,6 +18,9 @@
 	data []byte
 	// callID is the ID of the call whose request this is; zero for other messages.
 	callID uint64
+	// incarnation is that of the process that the message is for; zero for any process of
+	// the host.
+	incarnation uint64
 }
 
 // queue is the bounded queue of outgoing messages to one peer. Adding a message never
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -54,15 +54,15 @@
 		close(w.silent)
 		return
 	case quiet >= w.maxSilence/2:
-		w.node.ping(w.host)
+		w.node.pingCallee(w.callID, w.host)
 		w.timer.Reset(w.maxSilence - quiet)
 	default:
 		w.timer.Reset(w.maxSilence/2 - quiet)
 	}
 }
 
-// quietTime returns for how long nothing was heard from the host since the request of a
-// call was sent. It is zero if the request is not sent or the call has ended.
+// quietTime returns for how long nothing was heard from the process that the request of a call
+// was sent to, since it was sent. It is zero if the request is not sent or the call has ended.
 func (n *Node) quietTime(callID uint64, host string) time.Duration {
 	n.mu.Lock()
 	call, l := n.pending[callID], n.links[host]
@@ -70,24 +70,24 @@
 		n.mu.Unlock()
 		return 0
 	}
-	sentAt := call.sentAt
+	sentAt, sentTo := call.sentAt, call.sentTo
 	n.mu.Unlock()
 	quiet := time.Since(sentAt)
-	if c := l.newest(); c != nil {
+	if c := l.newestTo(sentTo); c != nil {
 		quiet = min(quiet, since(&c.lastHeard))
 	}
 	return quiet
 }
 
-// ping pings a peer on its newest connection, if there is one.
-func (n *Node) ping(host string) {
+// pingCallee pings the process that the request of a call was sent to, if it is connected.
+func (n *Node) pingCallee(callID uint64, host string) {
 	n.mu.Lock()
-	l := n.links[host]
+	call, l := n.pending[callID], n.links[host]
 	n.mu.Unlock()
-	if l == nil {
+	if call == nil || l == nil {
 		return
 	}
-	if c := l.newest(); c != nil {
+	if c := l.newestTo(call.sentTo); c != nil {
 		c.pingInBackground()
 	}
 }
