Answer all callers before a stopping host ends

Cause: open transactions were rolled back once, half of the grace period after the signal; a session whose statement was in progress then was skipped and its transaction went on for as long as its caller liked. The process ended at a fixed time, whatever was in progress.

Change: rolling back is a state that each statement's end observes, BEGIN is refused then; the shutdown sets the time of the last answer, after which no write may still be due, and at which what is in progress is answered; replies to other hosts leave before the process ends. The PostgreSQL entry, where transactions were cut off at the drain timeout, does the same.

Why it works: after the first half of the grace period no transaction outlasts one statement, no write is sent whose time limit ends after the last answer, and everything else is answered by then; nothing that was passed on is left when the process ends.

--- a/bridge/run.go
+++ b/bridge/run.go
@@ -87,14 +87,38 @@
 	return errShutdown
 }
 
-// drain lets requests in progress end, up to the drain timeout of the entry role.
+// transactionShare is the fraction of the drain timeout after which open transactions are rolled
+// back: callers may take any time between their statements.
+const transactionShare = 0.5
+
+// lastAnswersTime is the time that the requests still in progress at the end of the drain timeout
+// have to be answered without their outcome.
+const lastAnswersTime = 500 * time.Millisecond
+
+// drain lets requests in progress end, up to the drain timeout of the entry role, and transactions
+// up to transactionShare of it. Requests that take longer are answered before the process ends.
 func (h *Host) drain(ctx context.Context) {
 	if h.entry == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(h.settings.Entry.DrainTimeout))
-	defer cancel()
-	if err := h.entry.Drain(ctx); err != nil {
+	timeout := time.Duration(h.settings.Entry.DrainTimeout)
+	transactions := time.Duration(float64(timeout) * transactionShare)
+	if h.drainFor(ctx, transactions) == nil {
+		return
+	}
+	h.entry.AbortTransactions()
+	if h.drainFor(ctx, timeout-transactions) == nil {
+		return
+	}
+	h.entry.InterruptRequests()
+	if err := h.drainFor(ctx, lastAnswersTime); err != nil {
 		h.log.Warn("drain_incomplete", "err", err.Error())
 	}
 }
+
+// drainFor waits until all callers have left, for at most the timeout.
+func (h *Host) drainFor(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return h.entry.Drain(ctx)
+}
--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -29,8 +29,8 @@
 
 // authorizeStatement authorizes the caller for a statement. Without a valid lease the
 // statement must not run on this host; another host can run it, which authorizes the caller
-// again.
-func (s *Session) authorizeStatement() (admission, *result.Error) {
+// again. During a shutdown it refuses a statement that could not be answered in time.
+func (s *Session) authorizeStatement(writes bool) (admission, *result.Error) {
 	if err := s.awaitAuthorization(authorizationTimeout); err != nil {
 		return admission{}, err
 	}
@@ -38,7 +38,12 @@
 	if err != nil {
 		return admission{}, err
 	}
-	return admission{route: route, deadline: time.Now().Add(s.statementTimeout(route))}, nil
+	now := time.Now()
+	deadline := s.srv.sendBy(now.Add(s.statementTimeout(route)), route, writes)
+	if !now.Before(deadline) {
+		return admission{}, errStopping()
+	}
+	return admission{route: route, deadline: deadline}, nil
 }
 
 // statementTimeout returns the time in which a statement must be sent to an endpoint: the
@@ -58,7 +63,7 @@
 		return nil, withRetryAfter(err)
 	}
 	op := &operation{session: s, st: st, route: a.route, writes: writes, deadline: a.deadline}
-	ctx, cancel := context.WithTimeout(s.srv.ctx, min(rateWait(a.route), time.Until(a.deadline)))
+	ctx, cancel := context.WithTimeout(s.srv.answering, min(rateWait(a.route), time.Until(a.deadline)))
 	defer cancel()
 	if s.workspace != "" {
 		begun := time.Now()
@@ -90,7 +95,7 @@
 	select {
 	case <-answered:
 	case <-timer.C:
-	case <-s.srv.ctx.Done():
+	case <-s.srv.answering.Done():
 	}
 	return true
 }
@@ -98,7 +103,7 @@
 // awaitLease waits for a valid configuration lease. It runs before a rate token is
 // taken, because without a lease the token would be wasted.
 func (s *Session) awaitLease(deadline time.Time) *result.Error {
-	ctx, cancel := context.WithDeadline(s.srv.ctx, deadline)
+	ctx, cancel := context.WithDeadline(s.srv.answering, deadline)
 	defer cancel()
 	for {
 		changed := s.srv.opts.View.Changed()
--- a/internal/core/checkout.go
+++ b/internal/core/checkout.go
@@ -143,6 +143,10 @@
 		co.release(false)
 		return nil, err
 	}
+	if !time.Now().Before(s.srv.sendBy(op.deadline, op.route, op.writes)) {
+		co.release(true)
+		return nil, errStopping()
+	}
 	if !s.srv.stillValid(c) {
 		co.release(true)
 		return nil, result.New(result.NoPrimary, "the lease or the term of %s ended while waiting", c.endpoint.record.ID)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -28,6 +28,8 @@
 	dial     func(id string) error
 	received []receivedCommand
 	closed   int
+	// lastDeadline is the deadline of the last exchange.
+	lastDeadline time.Time
 	// startPosition is the position in the answer to the start of a session.
 	startPosition Position
 }
@@ -70,9 +72,10 @@
 	l.e.closed++
 }
 
-func (l *fakeLink) Exchange(_ time.Time, commands ...Command) ([]Answer, bool, error) {
+func (l *fakeLink) Exchange(deadline time.Time, commands ...Command) ([]Answer, bool, error) {
 	l.e.mu.Lock()
 	defer l.e.mu.Unlock()
+	l.e.lastDeadline = deadline
 	var answers []Answer
 	for _, c := range commands {
 		if c.ID != "" && len(l.e.script) > 0 {
--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -160,8 +160,12 @@
 }
 
 // suspect marks the endpoint as suspected and probes it in the background until it
-// answers. It does nothing if the endpoint is suspected already or closed.
+// answers. It does nothing if the endpoint is suspected already or closed, nor at the end of a
+// shutdown, which ends exchanges before their time.
 func (e *endpoint) suspect(workspace string, cause error) {
+	if e.srv.pastAnswers() {
+		return
+	}
 	e.mu.Lock()
 	if e.suspected || e.closed {
 		e.mu.Unlock()
--- a/internal/core/forward.go
+++ b/internal/core/forward.go
@@ -54,6 +54,9 @@
 	}
 	hosts := s.srv.opts.Forwarder.Route(a.route.Service, s.workspace, !s.srv.opts.View.Current().Valid())
 	for i, h := range slices.Concat(hosts, firstOf(hosts)) {
+		if s.srv.pastAnswers() {
+			return refuse(errStopping()), "", true
+		}
 		// The first host is asked again when all have declined: then it waits for what
 		// the statement needs, instead of this host, which has no connections for it.
 		reply, ok := s.forwardTo(h, st, a, writes, i < len(hosts))
@@ -121,7 +124,7 @@
 // callHost runs a request at a host and counts the outcome.
 func (s *Session) callHost(host string, r RemoteRequest, route note.Route) (RemoteResponse, error) {
 	timeout := r.Remaining + time.Duration(route.Timeout)*time.Millisecond + answerMargin
-	ctx, cancel := context.WithTimeout(s.srv.ctx, timeout)
+	ctx, cancel := context.WithTimeout(s.srv.answering, timeout)
 	defer cancel()
 	response, err := s.srv.opts.Forwarder.Forward(ctx, host, r)
 	s.srv.metrics.forwarded.WithLabelValues(forwardOutcome(response, err)).Inc()
--- a/internal/core/remote.go
+++ b/internal/core/remote.go
@@ -210,6 +210,7 @@
 		s.prepared[r.Statement.Name] = preparedStatement{text: r.Prepared.Text, writes: r.Prepared.Writes}
 	}
 	reply := s.serve(r.Statement)
+	s.abortIfStopping()
 	s.lastReplyAt = clock.Now()
 	if s.tx == nil {
 		s.srv.unregisterRemote(key, s)
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -50,7 +50,7 @@
 		return s.runInTransaction(st)
 	}
 	writes := s.writes(st)
-	a, err := s.authorizeStatement()
+	a, err := s.authorizeStatement(writes)
 	if err != nil {
 		return refuse(err)
 	}
@@ -127,7 +127,7 @@
 func (s *Session) exchange(co *checkout, route note.Route, c Command) (Answer, bool, error) {
 	timeout := time.Duration(route.Timeout) * time.Millisecond
 	at, sentAt := clock.Now(), time.Now()
-	answers, sent, err := co.conn.Exchange(sentAt.Add(timeout), c)
+	answers, sent, err := co.conn.Exchange(s.srv.exchangeDeadline(sentAt, timeout), c)
 	took := time.Since(sentAt)
 	s.timings.endpoint += took
 	s.timings.attempts++
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/activity"
@@ -83,6 +82,13 @@
 	lastSessionID atomic.Uint64
 	draining      atomic.Bool
 	refusing      atomic.Bool // set with mu held
+	// aborting: no transaction goes on beyond its statement in progress.
+	aborting atomic.Bool
+	// answerBy is when all callers must have been answered, set once a shutdown has begun.
+	// answering ends then.
+	answerBy      atomic.Pointer[time.Time]
+	answering     context.Context
+	stopAnswering context.CancelFunc
 
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -99,6 +105,7 @@
 	}
 	s.gate = gate.New(admit.PolicyFair, s.slots, s.hasIdleConnection)
 	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.answering, s.stopAnswering = context.WithCancel(s.ctx)
 	return s
 }
 
@@ -318,48 +325,8 @@
 	s.gate.Resize()
 }
 
-// Drain declines new statements of other hosts and closes each session as soon as it has no
-// transaction and no statement in progress. It returns when all sessions are closed and the
-// work for other hosts has ended, or with an error when ctx ends.
-func (s *Server) Drain(ctx context.Context) error {
-	s.draining.Store(true)
-	s.StopRemote()
-	for {
-		all := s.openSessions()
-		if len(all) == 0 && s.remoteWork() == 0 {
-			return nil
-		}
-		for _, session := range all {
-			session.closeIfIdle()
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%d sessions are still open, %d statements or transactions of other hosts", len(all), s.remoteWork())
-		case <-time.After(retryDelay):
-		}
-	}
-}
-
-// RefuseNew refuses new sessions and new statements outside of transactions. It is called at
-// the end of a shutdown, when no caller should come any more: a statement that began now
-// would be cut off by the end of the process.
-func (s *Server) RefuseNew() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refusing.Store(true)
-}
-
 // Activity lists the counters that are reported in the log.
 func (s *Server) Activity() []activity.Counter { return s.metrics.activity() }
 
 // Sessions returns the number of open sessions.
 func (s *Server) Sessions() int { return len(s.openSessions()) }
-
-// AbortTransactions rolls back every transaction that is idle between statements. It
-// is used late in a shutdown, after Drain was given time.
-func (s *Server) AbortTransactions() {
-	for _, session := range s.openSessions() {
-		session.expireTransaction(clock.Now(), 0)
-	}
-	s.expireRemoteTransactions(clock.Now(), 0)
-}
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -92,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.refusing.Load() {
-		return result.New(result.ShuttingDown, "the host is stopping")
+		return errStopping()
 	}
 	s.sessions[session] = struct{}{}
 	return nil
@@ -169,10 +169,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed || s.state == Idle && s.srv.refusing.Load() {
-		return refuse(result.New(result.ShuttingDown, "the session has ended"))
+		return refuse(withRetryAfter(result.New(result.ShuttingDown, "the session has ended")))
 	}
 	s.timings = timings{}
 	reply := s.serve(st)
+	s.abortIfStopping()
 	s.lastReplyAt = clock.Now()
 	s.cutOff = reply.Err != nil && reply.Err.Code == result.NoConfigLease && lostLongAgo(s.srv.opts.View.Current())
 	reply.State = s.state
--- a/internal/core/single.go
+++ b/internal/core/single.go
@@ -11,7 +11,7 @@
 // runSingle runs a statement outside of a transaction. It retries while the statement
 // provably has not run or only reads, up to maxAttempts and the deadline.
 func (op *operation) runSingle() Reply {
-	ctx, cancel := context.WithDeadline(op.session.srv.ctx, op.deadline)
+	ctx, cancel := context.WithDeadline(op.session.srv.answering, op.deadline)
 	defer cancel()
 	for {
 		co, err := op.acquire(ctx)
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -29,8 +29,11 @@
 	if s.state != Idle {
 		return refuse(result.New(result.MalformedMessage, "a transaction is in progress"))
 	}
+	if s.srv.aborting.Load() {
+		return refuse(errStopping())
+	}
 	readOnly := st.Kind == BeginReadOnly
-	a, err := s.authorizeStatement()
+	a, err := s.authorizeStatement(!readOnly)
 	if err != nil {
 		return refuse(err)
 	}
@@ -59,7 +62,7 @@
 // retries a begin that was refused or not answered: the connection of a lost begin is
 // closed, which discards whatever the endpoint had started.
 func (op *operation) beginTransaction() (*checkout, *result.Error) {
-	ctx, cancel := context.WithDeadline(op.session.srv.ctx, op.deadline)
+	ctx, cancel := context.WithDeadline(op.session.srv.answering, op.deadline)
 	defer cancel()
 	for {
 		co, err := op.acquire(ctx)
@@ -99,7 +102,7 @@
 	tx := s.tx
 	if tx == nil {
 		s.state = Failed
-		return refuse(result.New(result.TransactionAborted, "the transaction was rolled back because it was idle"))
+		return refuse(result.New(result.TransactionAborted, "the transaction was rolled back because it was idle or the host is stopping"))
 	}
 	deadline := time.Now().Add(time.Duration(tx.route.Timeout) * time.Millisecond)
 	if err := s.checkTransaction(); err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,8 +33,7 @@
 	// after the second failure.
 	unreadyPeriod = 2200 * time.Millisecond
 	// transactionShare is the fraction of the grace period after which open
-	// transactions are aborted. It must not exceed 0.5, since drain then allows their
-	// sessions nearly the same time again.
+	// transactions are aborted. Their statements in progress have the rest to be answered.
 	transactionShare = 0.5
 	// rateFloor is the value of limits.Config.RateFloor, a fraction of each rate. It is
 	// low, so that most of each rate goes to the hosts that need it: callers are spread
@@ -45,8 +44,9 @@
 	homeRateFloor = 0.5
 	// deregisterTimeout bounds the deregistration at shutdown.
 	deregisterTimeout = 300 * time.Millisecond
-	// replyFlushTime is the time kept free between the last refusals and the end of the
-	// process, in which replies can still reach callers.
+	// replyFlushTime is the time kept free between the last answers and the deregistration, in
+	// which replies still reach callers and other hosts. It is as long before the last answers
+	// that new statements are refused.
 	replyFlushTime = 300 * time.Millisecond
 )
 
@@ -291,28 +291,35 @@
 
 // drain accepts callers for the unreadyPeriod, then closes each session once it has no
 // transaction and no statement in progress. Transactions still open after transactionShare
-// of the grace period are aborted; their sessions get the time that remains to close. A
-// caller that comes after that is refused, and what it has begun is waited for.
+// of the grace period are aborted. All callers are answered before the process ends, since a
+// caller whose request was passed on cannot tell whether it ran.
 func (d *Daemon) drain(ctx context.Context) {
 	start := time.Now()
+	abortAt := start.Add(time.Duration(float64(d.opts.GracePeriod) * transactionShare))
+	end := start.Add(d.opts.GracePeriod - deregisterTimeout - replyFlushTime)
 	d.core.StopRemote() // other hosts have other home hosts at once
-	sleep(ctx, unreadyPeriod)
-	budget := time.Duration(float64(d.opts.GracePeriod) * transactionShare)
-	if err := d.drainSessions(ctx, time.Until(start.Add(budget))); err != nil {
+	d.core.AnswerBy(end)
+	sleep(ctx, min(unreadyPeriod, time.Until(abortAt)))
+	if err := d.drainSessions(ctx, abortAt); err != nil {
 		d.core.AbortTransactions()
-		if err := d.drainSessions(ctx, max(budget-3*replyFlushTime, replyFlushTime)); err != nil {
+		if err := d.drainSessions(ctx, end.Add(-replyFlushTime)); err != nil {
 			d.log.Warn("drain_incomplete", "err", err.Error())
 		}
 	}
 	d.core.RefuseNew()
-	if err := d.drainSessions(ctx, replyFlushTime); err != nil {
+	if err := d.drainSessions(ctx, end.Add(replyFlushTime/2)); err != nil {
 		d.log.Warn("drain_incomplete", "err", err.Error())
 	}
+	flushCtx, cancel := context.WithTimeout(ctx, replyFlushTime/2)
+	defer cancel()
+	if err := d.peers.Flush(flushCtx); err != nil {
+		d.log.Warn("replies_unsent", "err", err.Error())
+	}
 }
 
-// drainSessions waits until all sessions have closed, for at most the timeout.
-func (d *Daemon) drainSessions(ctx context.Context, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// drainSessions waits until all sessions have closed, at most until the deadline.
+func (d *Daemon) drainSessions(ctx context.Context, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	return d.core.Drain(ctx)
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -167,7 +167,7 @@
 // It does not use the checkout's connection.
 func (r *relay) acknowledge() error {
 	s := r.s
-	ctx, cancel := context.WithTimeout(context.Background(), s.deadline())
+	ctx, cancel := context.WithTimeout(s.srv.answering, s.deadline())
 	defer cancel()
 	position, err := s.srv.durability.Wait(ctx, r.co.service, r.co.term)
 	if err != nil {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -101,7 +101,7 @@
 // execute sends the unit to an endpoint and answers it. Outside a transaction it is sent to
 // another endpoint when that is safe, until the deadline.
 func (s *session) execute(u *unit, uc unitClass, timing *timing) error {
-	ctx, cancel := context.WithTimeout(context.Background(), s.deadline())
+	ctx, cancel := context.WithTimeout(s.srv.answering, s.deadline())
 	defer cancel()
 	s.setCancelWait(cancel)
 	defer s.setCancelWait(nil)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -42,6 +42,11 @@
 	handshakes chan struct{}
 	tasks      sync.WaitGroup
 	draining   atomic.Bool
+	// aborting: a shutdown waits no longer for transactions.
+	aborting atomic.Bool
+	// answering ends when a shutdown waits no longer for requests in progress.
+	answering     context.Context
+	stopAnswering context.CancelFunc
 
 	// markersWritten counts the markers written to primaries.
 	markersWritten atomic.Uint64
@@ -69,6 +74,7 @@
 		number:     HostNumber(opts.Settings.Host),
 		budgets:    retry.NewBudgets(retry.DefaultBudgetConfig()),
 	}
+	s.answering, s.stopAnswering = context.WithCancel(context.Background())
 	if s.log == nil {
 		s.log = log.New(io.Discard)
 	}
@@ -148,6 +154,7 @@
 		<-ctx.Done()
 	}
 	cancel()
+	s.stopAnswering()
 	s.closeSessions()
 	s.tasks.Wait()
 	if ctx.Err() != nil && errors.Is(err, net.ErrClosed) {
@@ -217,25 +224,6 @@
 	return all
 }
 
-// Drain stops accepting callers and waits until each has ended its request or transaction.
-// Idle callers are disconnected with code ShuttingDown.
-func (s *Server) Drain(ctx context.Context) error {
-	s.draining.Store(true)
-	_ = s.listener.Close()
-	for {
-		all := s.activeSessions()
-		if len(all) == 0 {
-			return nil
-		}
-		for _, session := range all {
-			session.drain()
-		}
-		if err := pause(ctx, drainGrace); err != nil {
-			return errors.Wrapf(err, "%d callers are still connected", len(all))
-		}
-	}
-}
-
 func (s *Server) closeSessions() {
 	for _, session := range s.activeSessions() {
 		session.kill()
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -93,14 +93,14 @@
 	}
 }
 
-// checkStop returns the reason to end the session before its next message, or nil. A
-// shutdown does not end a session that is in a transaction or pipeline.
+// checkStop returns the reason to end the session before its next message, or nil; see
+// outlives.
 func (s *session) checkStop() error {
 	reason := s.stopReason()
 	if reason == nil {
 		return nil
 	}
-	if result.CodeOf(reason) == result.ShuttingDown && s.busy() {
+	if s.outlives(reason) {
 		return nil
 	}
 	return reason
@@ -122,7 +122,7 @@
 	if reason == nil {
 		return err
 	}
-	if result.CodeOf(reason) == result.ShuttingDown && s.busy() {
+	if s.outlives(reason) {
 		s.conn.ClearReadDeadline()
 		return s.loop()
 	}
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -26,9 +26,11 @@
 // queue is the bounded queue of outgoing messages to one peer. Adding a message never
 // blocks.
 type queue struct {
-	mu     sync.Mutex
-	items  []outgoing
-	bytes  int
+	mu    sync.Mutex
+	items []outgoing
+	bytes int
+	// taken: the message that was taken last may not be written yet.
+	taken  bool
 	wake   chan struct{} // receives a token when a message is added
 	onDrop func(Kind)    // called for each message dropped
 }
@@ -77,11 +79,20 @@
 	return false
 }
 
-// take removes and returns the oldest message. It returns false when the queue is empty.
+// idle reports whether all messages have been written or dropped.
+func (q *queue) idle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.items) == 0 && !q.taken
+}
+
+// take removes and returns the oldest message. It returns false when the queue is empty. The
+// message taken before has been dealt with.
 func (q *queue) take() (outgoing, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.items) == 0 {
+	q.taken = len(q.items) > 0
+	if !q.taken {
 		return outgoing{}, false
 	}
 	msg := q.items[0]
