End transactions at endpoints whose failure domain is taken out of use

Cause: the failure domain was checked when a transaction began, not at its later statements. A transaction that may write depended on the change of the primary, which does not come if no endpoint elsewhere can be promoted; statements that waited were sent without another look.

Change: each statement of a transaction, and each one that has waited, checks the domain of its endpoint; idle transactions end when the agreed state takes the domain out. The connection is closed, so that not even a rollback is sent. Both dialects.

Why it works: an order is acknowledged once all hosts act on it, and from then on no path sends a statement without looking at the state it is in.

--- a/internal/agreed/apply_catalog.go
+++ b/internal/agreed/apply_catalog.go
@@ -52,6 +52,20 @@
 	return next, Outcome{}
 }
 
+// DomainOut reports whether a failure domain is out of use, so that nothing may be sent to its
+// endpoints.
+func (s *State) DomainOut(domain string) bool { return s.Catalog.Domains[domain].Out }
+
+// AnyDomainOut reports whether any failure domain is out of use.
+func (s *State) AnyDomainOut() bool {
+	for _, d := range s.Catalog.Domains {
+		if d.Out {
+			return true
+		}
+	}
+	return false
+}
+
 // ForSubscriber returns the state as sent to subscribers: without the source of the
 // document, which only control hosts serve.
 func (s *State) ForSubscriber() *State {
--- a/internal/core/pick.go
+++ b/internal/core/pick.go
@@ -107,7 +107,7 @@
 	var local, all []string
 	for _, id := range g.Members {
 		e := v.State.Endpoints[id]
-		if id == g.Primary || e.Leaving || v.State.Catalog.Domains[e.Domain].Out {
+		if id == g.Primary || e.Leaving || v.State.DomainOut(e.Domain) {
 			continue
 		}
 		all = append(all, id)
@@ -125,7 +125,7 @@
 // unknown or leaving, its failure domain is out, or the server has stopped.
 func (s *Server) usable(v view.View, id string) (*endpoint, bool) {
 	record, ok := v.State.Endpoints[id]
-	if !ok || record.Leaving || v.State.Catalog.Domains[record.Domain].Out {
+	if !ok || record.Leaving || v.State.DomainOut(record.Domain) {
 		return nil, false
 	}
 	e := s.endpoint(record)
@@ -152,11 +152,11 @@
 	return cost
 }
 
-// stillValid reports whether a choice may still be used: the lease is valid, and a chosen
-// primary is still the active primary in the same term.
+// stillValid reports whether a choice may still be used: the lease is valid, the failure domain of
+// the endpoint is in use, and a chosen primary is still the active primary in the same term.
 func (s *Server) stillValid(c choice) bool {
 	v := s.opts.View.Current()
-	if !v.Valid() {
+	if !v.Valid() || v.State.DomainOut(c.endpoint.record.Domain) {
 		return false
 	}
 	if !c.primary {
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -223,13 +223,14 @@
 
 // applyState closes the connections to endpoints that the agreed state no longer contains
 // or that have been replaced by another process, and ends the transactions of hosts that it
-// no longer contains.
+// no longer contains and those at endpoints whose failure domain is out of use.
 func (s *Server) applyState() {
 	v := s.opts.View.Current()
 	if v.State == nil {
 		return
 	}
 	s.endRemovedOrigins(v.State)
+	s.leaveDomainsOut(v.State)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.endpoints {
@@ -240,6 +241,21 @@
 	}
 }
 
+// leaveDomainsOut ends the idle transactions at endpoints whose failure domain is out of use.
+func (s *Server) leaveDomainsOut(state *agreed.State) {
+	if !state.AnyDomainOut() {
+		return
+	}
+	for _, session := range s.openSessions() {
+		session.leaveDomainOut()
+	}
+	for key, session := range s.openRemoteTransactions() {
+		if session.leaveDomainOut() {
+			s.unregisterRemote(key, session)
+		}
+	}
+}
+
 // sameProcess reports whether two records describe the same endpoint process.
 func sameProcess(a, b agreed.Endpoint) bool {
 	return a.ID == b.ID && a.Addr == b.Addr && a.Service == b.Service && a.StartedMS == b.StartedMS
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
@@ -102,7 +103,7 @@
 	tx := s.tx
 	if tx == nil {
 		s.state = Failed
-		return refuse(result.New(result.TransactionAborted, "the transaction was rolled back because it was idle or the host is stopping"))
+		return refuse(result.New(result.TransactionAborted, "the transaction was rolled back: it was idle, the host is stopping, or its endpoint is out of use"))
 	}
 	deadline := time.Now().Add(time.Duration(tx.route.Timeout) * time.Millisecond)
 	if err := s.checkTransaction(); err != nil {
@@ -140,18 +141,49 @@
 	co.endpoint.beginStatement()
 }
 
-// checkTransaction checks access to the route, and that a transaction that may write is
-// still under the term and the primary with which it began.
+// checkTransaction checks access to the route, that the failure domain of the endpoint is in use,
+// and that a transaction that may write is still under the term and the primary with which it
+// began.
 func (s *Session) checkTransaction() *result.Error {
 	if err := s.checkAccess(s.tx.route); err != nil {
 		return err
 	}
+	if s.inDomainOut() {
+		return errDomainOut(s.tx.checkout.endpoint.record)
+	}
 	if !s.tx.readOnly && !s.srv.stillValid(s.tx.checkout.choice) {
 		return result.New(result.EndpointLost, "endpoint %s is not the primary any more", s.tx.checkout.endpoint.record.ID)
 	}
 	return nil
 }
 
+// inDomainOut reports whether the transaction runs at an endpoint of this host's connections whose
+// failure domain is out of use. The caller holds s.mu.
+func (s *Session) inDomainOut() bool {
+	v := s.srv.opts.View.Current()
+	return s.tx != nil && v.State != nil && v.State.DomainOut(s.tx.checkout.endpoint.record.Domain)
+}
+
+func errDomainOut(e agreed.Endpoint) *result.Error {
+	return result.New(result.EndpointLost, "the failure domain %s of endpoint %s is out of use", e.Domain, e.ID)
+}
+
+// leaveDomainOut ends an idle transaction whose endpoint is in a failure domain that is out of use,
+// and reports whether it did. It closes the connection: nothing more is sent to the endpoint, which
+// rolls the transaction back. A statement in progress is left to end; the next one is refused.
+func (s *Session) leaveDomainOut() bool {
+	if !s.mu.TryLock() {
+		return false
+	}
+	defer s.mu.Unlock()
+	if !s.inDomainOut() {
+		return false
+	}
+	s.srv.opts.Log.Info("transaction_left_domain", "database", s.database, "workspace", s.workspace, "endpoint", s.tx.checkout.endpoint.record.ID)
+	s.closeTransaction()
+	return true
+}
+
 // checkAccess checks that the lease is valid and that the caller's key still gives access
 // to the workspace.
 func (s *Session) checkAccess(route note.Route) *result.Error {
@@ -168,6 +200,9 @@
 // abortTransaction rolls the transaction back and reports to the caller that it was
 // aborted.
 func (s *Session) abortTransaction(cause *result.Error) Reply {
+	if s.inDomainOut() {
+		s.closeTransaction()
+	}
 	s.endTransaction()
 	s.state = Failed
 	return refuse(result.New(result.TransactionAborted, "%v", cause))
--- a/internal/entry/baseline.go
+++ b/internal/entry/baseline.go
@@ -31,7 +31,7 @@
 	if !ok || group.Phase != agreed.PhaseActive || group.Primary == "" {
 		return "", result.New(result.NoPrimary, "service %s is %s: %s", need.Service, group.Phase, group.Reason)
 	}
-	if v.State.Catalog.Domains[v.State.Endpoints[group.Primary].Domain].Out {
+	if v.State.DomainOut(v.State.Endpoints[group.Primary].Domain) {
 		return "", result.New(result.NoPrimary, "the primary of service %s is in a failure domain that is out", need.Service)
 	}
 	return group.Primary, nil
--- a/internal/entry/checkout.go
+++ b/internal/entry/checkout.go
@@ -14,6 +14,7 @@
 // slot in which its requests run. It is valid for one term of the group.
 type checkout struct {
 	endpoint    string
+	domain      string // failure domain of the endpoint
 	service     string
 	term        uint64
 	primary     bool
@@ -125,12 +126,17 @@
 	if err := s.authorize(); err != nil {
 		return err
 	}
-	group := s.srv.opts.View.Current().State.Groups[co.service]
+	state := s.srv.opts.View.Current().State
+	group := state.Groups[co.service]
+	co.domain = state.Endpoints[co.endpoint].Domain
 	co.term = group.Term
 	co.primary = group.Primary == co.endpoint
 	if !need.ReadOnly && (!co.primary || group.Phase != agreed.PhaseActive) {
 		return result.New(result.NoPrimary, "endpoint %s is no longer the primary", co.endpoint)
 	}
+	if state.DomainOut(co.domain) {
+		return result.New(result.NoEndpoint, "the failure domain %s of endpoint %s is out of use", co.domain, co.endpoint)
+	}
 	return nil
 }
 
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -121,7 +121,7 @@
 	for _, id := range group.Members {
 		e := state.Endpoints[id]
 		v.Members = append(v.Members, route.Member{
-			Endpoint: id, Domain: e.Domain, OutOfUse: e.Leaving || state.Catalog.Domains[e.Domain].Out, Slots: svc.Slots,
+			Endpoint: id, Domain: e.Domain, OutOfUse: e.Leaving || state.DomainOut(e.Domain), Slots: svc.Slots,
 		})
 	}
 	return v
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -153,7 +153,8 @@
 }
 
 // continueTransaction sends the unit on the checkout of the transaction in progress. Without
-// a valid configuration lease, or in another term, the transaction is rolled back.
+// a valid configuration lease, in another term, or once the failure domain of the endpoint is out
+// of use, the transaction is rolled back.
 func (s *session) continueTransaction(u *unit, uc unitClass, timing *timing) error {
 	v := s.srv.opts.View.Current()
 	switch err := s.identity.check(v); {
@@ -161,6 +162,8 @@
 		return err
 	case !v.Valid():
 		return s.refuse(result.New(result.NoConfigLease, "the configuration lease ended; the transaction is rolled back"), u.sync)
+	case v.State.DomainOut(s.checkout.domain):
+		return s.refuse(result.New(result.TransactionAborted, "the failure domain of endpoint %s is out of use", s.checkout.endpoint), u.sync)
 	case s.checkout.primary && !termHolds(v, s.checkout):
 		return s.refuse(result.New(result.EndpointLost, "endpoint %s is no longer the primary", s.checkout.endpoint), u.sync)
 	}
