Check what other processes send before it enters the log, and skip what cannot be read

Cause: the encoder of the log writes any text, its decoder refuses what is not UTF-8, and nothing compared the two before the entry was in the log; an entry that could not be decoded was an error of the task, which read it again at its next start. Heartbeats were checked for some of their fields only.

An entry that no version reads, or whose application panics, is skipped on all hosts with an error line and a counter; one of a newer version stays an error.

Why it works: what the log gives back is what was put in, and all hosts of one version decide the same about what it cannot give back.

--- a/internal/agreed/command.go
+++ b/internal/agreed/command.go
@@ -165,6 +165,31 @@
 // maxCommandBytes bounds the size of a decompressed command.
 const maxCommandBytes = 64 << 20
 
+// ErrUnreadable is matched by the error of DecodeCommand for data that no version reads.
+var ErrUnreadable = errors.New("the command cannot be decoded")
+
+// ErrNewerVersion is matched by the error of DecodeCommand for a command that a newer version may
+// read. A host must not skip it, since others may apply it.
+var ErrNewerVersion = errors.New("the command is unknown to this version")
+
+// EncodeReadable is Encode for a command that is put into the log. It fails if the result cannot be
+// decoded: every host would have to skip it.
+func (c Command) EncodeReadable() ([]byte, error) {
+	if c.SealGroup != nil {
+		seal := *c.SealGroup
+		seal.Reason = cleanText(seal.Reason)
+		c.SealGroup = &seal
+	}
+	data, err := c.Encode()
+	if err != nil {
+		return nil, err
+	}
+	if _, err := DecodeCommand(data); err != nil {
+		return nil, result.New(result.MalformedMessage, "%v", err)
+	}
+	return data, nil
+}
+
 // Encode encodes a command for the log. A document of some hundred KB is compressed: each
 // control host stores and sends it.
 func (c Command) Encode() ([]byte, error) {
@@ -175,16 +200,32 @@
 	return codec.Pack(data), nil
 }
 
-// DecodeCommand decodes a command encoded by Encode, or by builds that did not pack it.
+// DecodeCommand decodes a command encoded by Encode, or by builds that did not pack it. Its error
+// matches ErrUnreadable or ErrNewerVersion. All hosts of one version agree on which.
 func DecodeCommand(data []byte) (Command, error) {
 	var c Command
 	if codec.IsPacked(data) {
 		plain, err := codec.Unpack(data, maxCommandBytes)
 		if err != nil {
-			return c, errors.Wrap(err, "decode command")
+			return c, errors.Wrap(ErrUnreadable, err.Error())
 		}
 		data = plain
 	}
-	err := decMode.Unmarshal(data, &c)
-	return c, errors.Wrap(err, "decode command")
+	if err := decMode.Unmarshal(data, &c); err != nil {
+		return Command{}, errors.Wrap(decodeErrorKind(data), err.Error())
+	}
+	if c == (Command{}) {
+		return c, ErrNewerVersion
+	}
+	return c, nil
+}
+
+// decodeErrorKind returns which kind of error the data has. Data that decodes as a map, whatever
+// its values are, may be a command of a newer version.
+func decodeErrorKind(data []byte) error {
+	var fields map[uint64]any
+	if err := decMode.Unmarshal(data, &fields); err != nil {
+		return ErrUnreadable
+	}
+	return ErrNewerVersion
 }
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -102,8 +102,12 @@
 	if err != nil {
 		return control.Announcement{}, err
 	}
+	endpoint := agreed.Endpoint{ID: r.ID, Service: r.Service, Addr: r.Addr, Domain: r.Domain}
+	if err := endpoint.Check(); err != nil {
+		return control.Announcement{}, err
+	}
 	return control.Announcement{
-		Endpoint: agreed.Endpoint{ID: r.ID, Service: r.Service, Addr: r.Addr, Domain: r.Domain},
+		Endpoint: endpoint,
 		Primary:  r.Role == RolePrimary,
 		Timeline: r.Timeline,
 		LSN:      lsn,
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -38,6 +38,9 @@
 	MaxInflight int
 	// ChunkBytes bounds the snapshot data of one message.
 	ChunkBytes int
+	// CheckSnapshot returns an error if the application cannot use the data of a snapshot from a
+	// peer, which is then ignored; nil accepts all. It is called before anything of it is stored.
+	CheckSnapshot func(data []byte) error
 	// TrailingEntries is the number of applied entries kept after a snapshot, so that
 	// followers that lag by less need no snapshot.
 	TrailingEntries uint64
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -102,6 +102,9 @@
 		return
 	}
 	n.incoming = nil
+	if check := n.cfg.CheckSnapshot; check != nil && check(a.data) != nil {
+		return // the leader sends it again
+	}
 	n.log.restore(Snapshot{Index: m.Index, Term: m.LogTerm, Members: slices.Clone(m.Members), Data: a.data})
 	n.members = n.log.members()
 	n.respondAppend(m, m.Index)
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
@@ -48,6 +49,10 @@
 }
 
 func (e announceEvent) handle(h *Host, now time.Time) {
+	if err := e.announcement.Endpoint.Check(); err != nil {
+		h.log.Warn("announcement_refused", "endpoint", strconv.Quote(e.announcement.Endpoint.ID), "err", err.Error())
+		return
+	}
 	if !h.leading {
 		h.forwardToLeader(peer.KindAnnounce, e.announcement)
 		return
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/consensus"
@@ -141,11 +144,10 @@
 			h.finishProposal(e, agreed.Outcome{})
 			continue
 		}
-		c, err := agreed.DecodeCommand(e.Data)
+		next, out, err := h.applyEntry(state, e)
 		if err != nil {
 			return err
 		}
-		next, out := agreed.Apply(state, e.Index, c)
 		state = next
 		h.finishProposal(e, out)
 	}
@@ -159,6 +161,33 @@
 	return nil
 }
 
+// applyEntry applies the command of one entry. An entry that cannot be decoded, or whose application
+// panics, is skipped: every host has the same entry and decides the same, and the fleet would
+// otherwise stop at it for good. A command that a newer version may read is an error.
+func (h *Host) applyEntry(state *agreed.State, e consensus.Entry) (next *agreed.State, out agreed.Outcome, err error) {
+	c, err := agreed.DecodeCommand(e.Data)
+	if errors.Is(err, agreed.ErrUnreadable) {
+		return state, h.skipEntry(e, err.Error()), nil
+	}
+	if err != nil {
+		return nil, out, errors.Wrapf(err, "entry %d of the log; start a version that reads it", e.Index)
+	}
+	defer func() {
+		if v := recover(); v != nil {
+			next, out, err = state, h.skipEntry(e, fmt.Sprintf("panic: %v", v)), nil
+		}
+	}()
+	next, out = agreed.Apply(state, e.Index, c)
+	return next, out, nil
+}
+
+// skipEntry logs and counts an entry that is skipped, and returns the outcome for its proposer.
+func (h *Host) skipEntry(e consensus.Entry, cause string) agreed.Outcome {
+	h.metrics.skipped.Inc()
+	h.log.Error("entry_skipped", "index", e.Index, "term", e.Term, "bytes", len(e.Data), "cause", cause)
+	return agreed.Outcome{Code: result.MalformedMessage, Detail: cause, Revision: h.state.Revision}
+}
+
 // setState replaces the state and pushes it to the subscribers. A state older than
 // the current one is ignored.
 func (h *Host) setState(now time.Time, s *agreed.State) {
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -263,6 +263,19 @@
 	return nil
 }
 
+// checkSnapshot returns an error for a snapshot of another control host that this one cannot use.
+func (h *Host) checkSnapshot(data []byte) error {
+	state, err := decodeSnapshot(consensus.Snapshot{Data: data})
+	if err == nil {
+		err = h.checkFleet(state)
+	}
+	if err != nil {
+		h.metrics.snapshotsRefused.Inc()
+		h.log.Error("snapshot_refused", "bytes", len(data), "err", err.Error())
+	}
+	return err
+}
+
 // decodeSnapshot returns the state of a snapshot, the empty state if there is none.
 func decodeSnapshot(snap consensus.Snapshot) (*agreed.State, error) {
 	if len(snap.Data) == 0 {
@@ -273,8 +286,9 @@
 
 func (h *Host) consensusConfig() consensus.Config {
 	cfg := consensus.Config{
-		Host: h.opts.Peer.Host(),
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Host:          h.opts.Peer.Host(),
+		Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		CheckSnapshot: h.checkSnapshot,
 	}
 	isInitialVoter := false
 	for _, c := range h.opts.Controls {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -8,10 +8,12 @@
 
 // hostMetrics are the metrics of the control role.
 type hostMetrics struct {
-	revision    prometheus.Gauge
-	settled     prometheus.Gauge
-	leading     prometheus.Gauge
-	subscribers prometheus.Gauge
+	revision         prometheus.Gauge
+	settled          prometheus.Gauge
+	leading          prometheus.Gauge
+	subscribers      prometheus.Gauge
+	skipped          prometheus.Counter
+	snapshotsRefused prometheus.Counter
 }
 
 func newHostMetrics(reg prometheus.Registerer) *hostMetrics {
@@ -20,9 +22,17 @@
 		settled:     newGauge("galenabridge_control_settled_revision", "Revision known to be applied by every holder of a lease."),
 		leading:     newGauge("galenabridge_control_leading", "1 while this host leads the control hosts."),
 		subscribers: newGauge("galenabridge_control_subscribers", "Hosts that follow the agreed state through this one."),
+		skipped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenabridge_control_skipped_entries_total",
+			Help: "Log entries that were skipped because they cannot be decoded or applied.",
+		}),
+		snapshotsRefused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenabridge_control_refused_snapshots_total",
+			Help: "Snapshots of other control hosts that were refused because they cannot be decoded.",
+		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.revision, m.settled, m.leading, m.subscribers)
+		reg.MustRegister(m.revision, m.settled, m.leading, m.subscribers, m.skipped, m.snapshotsRefused)
 	}
 	return m
 }
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -66,7 +66,10 @@
 	if c.ApplyNote != nil {
 		c.ApplyNote = &agreed.ApplyNote{Note: c.ApplyNote.Note, Received: time.Now().UTC()}
 	}
-	data, err := c.Encode()
+	if err := c.Check(); err != nil {
+		return 0, err
+	}
+	data, err := c.EncodeReadable()
 	if err != nil {
 		return 0, err
 	}
@@ -116,8 +119,12 @@
 // Propose proposes a command through the leader, forwarding it if another host
 // leads, and returns its outcome. It retries until ctx ends. Retries are safe since
 // every command is idempotent or carries the state that it expects. On result code
-// NoQuorum the command may still be accepted later.
+// NoQuorum the command may still be accepted later. A command with a value that may not enter the
+// log fails with MalformedMessage.
 func (h *Host) Propose(ctx context.Context, c agreed.Command) (agreed.Outcome, error) {
+	if err := c.Check(); err != nil {
+		return agreed.Outcome{}, err
+	}
 	return retryProposal(ctx, func(ctx context.Context) (agreed.Outcome, error) {
 		info := h.knownLeader.Load()
 		switch {
@@ -200,7 +207,7 @@
 // the sender is a control host that does not lead.
 func callProposal(ctx context.Context, node *peer.Node, host, addr string, c agreed.Command, forwarded bool) (agreed.Outcome, error) {
 	var out agreed.Outcome
-	data, err := c.Encode()
+	data, err := c.EncodeReadable()
 	if err != nil {
 		return out, err
 	}
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -51,8 +51,11 @@
 
 // Announce proposes an endpoint's announcement. One that changes nothing, or that is
 // outdated (see agreed.State.CheckStale), is acknowledged at once. A refusal is
-// logged and not returned.
+// logged and not returned, unless the announcement cannot be that of an endpoint.
 func (r *Registry) Announce(ctx context.Context, e agreed.Endpoint) error {
+	if err := e.Check(); err != nil {
+		return err
+	}
 	state := r.view.Current().State
 	if state == nil {
 		return result.New(result.NoQuorum, "the host has no state yet")
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -257,10 +258,12 @@
 	}
 }
 
+// replyDetail returns the text of an error. It may quote what another process sent, and a message
+// that is not UTF-8 text would end the connection.
 func replyDetail(err error) string {
 	var e *result.Error
 	if errors.As(err, &e) {
-		return e.Detail
+		return strings.ToValidUTF8(e.Detail, "\uFFFD")
 	}
-	return err.Error()
+	return strings.ToValidUTF8(err.Error(), "\uFFFD")
 }
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 
+	"github.com/galenabridge/galenabridge/internal/bounds"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
@@ -90,6 +91,8 @@
 		return h, result.New(result.PeerFleet, "fleet %.63q, this host belongs to %q", h.Fleet, n.opts.Fleet)
 	case len(h.Nonce) != nonceSize:
 		return h, result.New(result.PeerMalformed, "invalid nonce length: %d bytes", len(h.Nonce))
+	case len(h.Addr) > bounds.MaxNameBytes:
+		return h, result.New(result.PeerMalformed, "invalid address length: %d bytes", len(h.Addr))
 	case h.Host == "" || len(h.Host) > maxName:
 		return h, result.New(result.PeerMalformed, "invalid host name length: %d bytes", len(h.Host))
 	}
