Refuse consensus messages whose entries do not follow each other

Cause: a message with entries that leave gaps, or with positions beyond the log, was taken in; the node panicked with slice bounds out of range when it prepared them for the disk. Only a control host that holds the fleet's secret can send one.

FuzzStep handles messages as a follower and as a leader.

--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -72,6 +72,29 @@
 	Leader string `cbor:"22,keyasint,omitempty"`
 }
 
+// maxSnapshotTotal bounds the data of a snapshot from a peer, in bytes.
+const maxSnapshotTotal = 1 << 30
+
+// consistent reports whether the fields of the message can be those of a node: entries follow the
+// entry before them in ascending terms, and a snapshot has members and a size within its bound. A
+// log that took others in would have gaps, which no host can load again.
+func (m *Message) consistent() bool {
+	switch m.Kind {
+	case KindAppend:
+		term := m.LogTerm
+		for i := range m.Entries {
+			e := &m.Entries[i]
+			if e.Index != m.Index+uint64(i)+1 || e.Index == 0 || e.Term < term || e.Term > m.Term {
+				return false
+			}
+			term = e.Term
+		}
+	case KindSnapshot:
+		return m.Total <= maxSnapshotTotal && len(m.Members) > 0 && m.LogTerm <= m.Term
+	}
+	return true
+}
+
 // fromLeader reports whether the message is of a kind that only the leader of
 // Term sends.
 func (m *Message) fromLeader() bool {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -136,6 +136,9 @@
 	if m.Fleet == 0 {
 		return result.New(result.PeerMalformed, "message from %s carries no group identity", m.From)
 	}
+	if !m.consistent() {
+		return result.New(result.PeerMalformed, "message of kind %d from %s has entries, positions or members that cannot be", m.Kind, m.From)
+	}
 	return nil
 }
 
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -118,11 +118,15 @@
 	}
 }
 
+// A follower cannot match beyond the leader's log; such a response is ignored.
 func (n *Node) handleAppendResponse(p *progress, m *Message) {
 	if m.Reject {
 		n.handleAppendReject(p, m)
 		return
 	}
+	if m.Index > n.log.last() {
+		return
+	}
 	p.finishSnapshot(m.Index)
 	if m.Index < p.match {
 		return
@@ -152,13 +156,13 @@
 // outdated rejection: one of an index that has matched since, one of an append
 // before the present probe, or one that arrives during a snapshot transfer.
 func (n *Node) handleAppendReject(p *progress, m *Message) {
-	if m.Index <= p.match && p.match > 0 || p.snapshot != nil {
+	if m.Index <= p.match && p.match > 0 || m.Index > n.log.last() || p.snapshot != nil {
 		return
 	}
 	if p.probing && m.Index != p.next-1 {
 		return
 	}
-	p.next = max(p.match, min(m.Hint, m.Index-1)) + 1
+	p.next = max(p.match, min(m.Hint, max(m.Index, 1)-1)) + 1
 	p.probing, p.appendPending, p.inflight = true, false, nil
 	n.sendAppend(p, false)
 }
