Apply the limit of a shutdown to statements only once one has begun

Cause: the check for the last time to send also compared the statement's own deadline, so that a statement that reached its endpoint late would have been refused with the reason that the host is stopping. Found by reading; no run showed it.

Change: the check looks at the time of the last answer only.

Measured: go test -race ./internal/core ./internal/forward passed.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -38,11 +38,13 @@
 	if err != nil {
 		return admission{}, err
 	}
-	now := time.Now()
-	deadline := s.srv.sendBy(now.Add(s.statementTimeout(route)), route, writes)
-	if !now.Before(deadline) {
+	if s.srv.tooLate(route, writes) {
 		return admission{}, errStopping()
 	}
+	deadline := time.Now().Add(s.statementTimeout(route))
+	if last, stopping := s.srv.lastSend(route, writes); stopping && last.Before(deadline) {
+		deadline = last
+	}
 	return admission{route: route, deadline: deadline}, nil
 }
 
--- a/internal/core/checkout.go
+++ b/internal/core/checkout.go
@@ -143,7 +143,7 @@
 		co.release(false)
 		return nil, err
 	}
-	if !time.Now().Before(s.srv.sendBy(op.deadline, op.route, op.writes)) {
+	if s.srv.tooLate(op.route, op.writes) {
 		co.release(true)
 		return nil, errStopping()
 	}
--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -32,22 +32,24 @@
 	})
 }
 
-// sendBy returns until when a statement of a route may be sent to an endpoint. It is the given
-// deadline, or earlier during a shutdown: a write is sent only if its answer is due before the
-// last one to callers, since its outcome would be unknown otherwise. A read can run again.
-func (s *Server) sendBy(deadline time.Time, route note.Route, writes bool) time.Time {
+// lastSend returns until when a statement of a route may be sent to an endpoint, and false unless a
+// shutdown has begun. A write is sent only if its answer is due before the last one to callers,
+// since its outcome would be unknown otherwise. A read can run again.
+func (s *Server) lastSend(route note.Route, writes bool) (time.Time, bool) {
 	end := s.answerBy.Load()
-	if end == nil {
-		return deadline
+	switch {
+	case end == nil:
+		return time.Time{}, false
+	case writes:
+		return end.Add(-time.Duration(route.Timeout) * time.Millisecond), true
 	}
-	last := *end
-	if writes {
-		last = last.Add(-time.Duration(route.Timeout) * time.Millisecond)
-	}
-	if last.Before(deadline) {
-		return last
-	}
-	return deadline
+	return *end, true
+}
+
+// tooLate reports whether a statement of a route may not be sent any more.
+func (s *Server) tooLate(route note.Route, writes bool) bool {
+	last, stopping := s.lastSend(route, writes)
+	return stopping && !time.Now().Before(last)
 }
 
 // exchangeDeadline returns when an answer of an endpoint is due that may take the timeout.
