--- a/internal/core/shutdown_test.go
+++ b/internal/core/shutdown_test.go
@@ -8,16 +8,21 @@
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
-// blockNext makes the next statement of a caller wait at its endpoint. began is closed when it
-// has arrived, and it succeeds once proceed is closed.
-func (f *fixture) blockNext() (began, proceed chan struct{}) {
-	began, proceed = make(chan struct{}), make(chan struct{})
+// writeDuring runs a write, calls a function while the write is in progress at its endpoint, and
+// returns the reply to the write.
+func (f *fixture) writeDuring(s *Session, during func()) Reply {
+	began, proceed := make(chan struct{}), make(chan struct{})
 	f.endpoints.plan(func(string, Command) (Answer, bool, error) {
 		close(began)
 		<-proceed
 		return Answer{}, true, nil
 	})
-	return began, proceed
+	done := make(chan Reply)
+	go func() { done <- s.Do(Statement{ID: "id", Kind: Write, Text: "x"}) }()
+	<-began
+	during()
+	close(proceed)
+	return <-done
 }
 
 // TestTransactionInStatementEndsAtShutdown guards against a transaction that outlives
@@ -27,13 +32,7 @@
 	f := newFixture(t)
 	s := f.open("launch")
 	f.expect(s, Statement{Kind: Begin}, 0, InTransaction)
-	began, proceed := f.blockNext()
-	done := make(chan Reply)
-	go func() { done <- s.Do(Statement{ID: "id", Kind: Write, Text: "x"}) }()
-	<-began
-	f.server.AbortTransactions()
-	close(proceed)
-	if reply := <-done; reply.Err != nil || reply.Signature == "" {
+	if reply := f.writeDuring(s, f.server.AbortTransactions); reply.Err != nil || reply.Signature == "" {
 		t.Errorf("the statement in progress got %+v, want its answer", reply)
 	}
 	f.expect(s, Statement{Kind: Commit}, result.TransactionAborted, Idle)
@@ -48,14 +47,11 @@
 	f := newForwardFixture(t)
 	s := f.open("launch")
 	f.expect(s, Statement{Kind: Begin}, 0, InTransaction)
-	began, proceed := f.blockNext()
-	done := make(chan Reply)
-	go func() { done <- s.Do(Statement{ID: "id", Kind: Write, Text: "x"}) }()
-	<-began
-	f.home1.StopRemote()
-	f.home1.AbortTransactions()
-	close(proceed)
-	if reply := <-done; reply.Err != nil {
+	reply := f.writeDuring(s, func() {
+		f.home1.StopRemote()
+		f.home1.AbortTransactions()
+	})
+	if reply.Err != nil {
 		t.Errorf("the statement in progress got %v, want its answer", reply.Err)
 	}
 	awaitNoRemoteWork(t, f.home1)
--- a/internal/entry/session_control.go
+++ b/internal/entry/session_control.go
@@ -106,13 +106,6 @@
 
 // kill ends the session at once and closes the caller's connection.
 func (s *session) kill() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.active != nil {
-		s.active.conn.Interrupt()
-	}
-	if s.cancelWait != nil {
-		s.cancelWait()
-	}
+	s.interruptRequest()
 	_ = s.conn.Close()
 }
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -38,20 +38,7 @@
 
 func startNode(t *testing.T, opts Options, register func(*Node)) *Node {
 	t.Helper()
-	n := NewNode(opts)
-	if register != nil {
-		register(n)
-	}
-	if err := n.Listen(); err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	n, _ := startProcess(t, opts, register)
 	return n
 }
 
--- a/internal/peer/restart_test.go
+++ b/internal/peer/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 )
@@ -20,14 +21,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
-	stopped := false
-	stop = func() {
-		if !stopped {
-			stopped = true
-			cancel()
-			<-done
-		}
-	}
+	stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
 	t.Cleanup(stop)
 	return n, stop
 }
