Pace hosts that control hosts without a state send round

Cause: a control host without a state refuses lease requests at once, and the host switched to the next one and proposed its registration there, without a pause.

Change: each control host is tried once without a pause, then one switch each 100 ms; a registration at another control host follows the one before after 100 ms at the earliest.

--- a/internal/control/registration.go
+++ b/internal/control/registration.go
@@ -27,8 +27,10 @@
 // to its upstream now.
 func (r *registration) due(now time.Time, upstream string) bool {
 	switch {
-	case r.begun.IsZero(), r.control != upstream, now.Sub(r.begun) > registerTimeout:
+	case r.begun.IsZero(), now.Sub(r.begun) > registerTimeout:
 		return true
+	case r.control != upstream:
+		return now.Sub(r.begun) >= registerRetryInterval
 	case r.failedAt.IsZero():
 		return false
 	}
--- a/internal/control/registration_test.go
+++ b/internal/control/registration_test.go
@@ -23,6 +23,9 @@
 	if !r.due(later, "b") {
 		t.Error("not due at another upstream")
 	}
+	if r.due(begun.Add(registerRetryInterval-1), "b") {
+		t.Error("due at another upstream right after the attempt began")
+	}
 	if !r.due(begun.Add(registerTimeout+1), "a") {
 		t.Error("not due after an attempt without an answer")
 	}
@@ -53,3 +56,30 @@
 		t.Errorf("a host with a lease waits %v, want a third of the lease", leased)
 	}
 }
+
+// TestRefusalsPaced guards against hosts that are sent round without a pause by control hosts that
+// have no state, and against a pause before each of them was tried once.
+func TestRefusalsPaced(t *testing.T) {
+	const candidates = 3
+	start := time.Unix(1000, 0)
+	var p refusalPacing
+	for i := range candidates {
+		if !p.maySwitch(start, candidates) {
+			t.Fatalf("no switch after refusal %d, want each control host tried without a pause", i+1)
+		}
+	}
+	switches := 0
+	const refusals, interval = 1000, time.Millisecond
+	for i := range refusals {
+		if p.maySwitch(start.Add(time.Duration(i)*interval), candidates) {
+			switches++
+		}
+	}
+	if most := int(refusals * interval / initialRenewInterval); switches == 0 || switches > most {
+		t.Errorf("%d switches after %d refusals in a second, want 1 to %d", switches, refusals, most)
+	}
+	p.granted()
+	if !p.maySwitch(start.Add(refusals*interval), candidates) {
+		t.Error("no switch at once after a lease was granted in between")
+	}
+}
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -82,6 +82,7 @@
 	lastGrant    time.Time
 	lastRenew    time.Time
 	registration registration
+	refusals     refusalPacing
 	leaving      bool
 	// leased is whether the view was valid at the last check; changes are logged.
 	leased bool
--- a/internal/control/subscriber_events.go
+++ b/internal/control/subscriber_events.go
@@ -76,7 +76,7 @@
 }
 
 func (e renewRefusedEvent) handle(s *Subscriber, now time.Time) {
-	if e.from == s.upstream().Host && !s.leased {
+	if e.from == s.upstream().Host && !s.leased && s.refusals.maySwitch(now, len(s.candidates)) {
 		s.switchUpstream(now, s.nextUpstream())
 	}
 }
@@ -108,6 +108,7 @@
 func (e grantEvent) handle(s *Subscriber, now time.Time) {
 	if e.from == s.upstream().Host {
 		s.lastGrant = now
+		s.refusals.granted()
 	}
 	s.holder.HandleRenewOK(e.ok)
 	s.publish()
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/config"
@@ -80,3 +81,26 @@
 	}
 	return s.candidates[at], true
 }
+
+// refusalPacing decides when a host leaves a control host that has no state. It answers the load of
+// a fleet that forms or returns slowly: control hosts without a state refuse at once, and hosts
+// that switched at each refusal sent hundreds of lease requests and registrations a second.
+type refusalPacing struct {
+	// switches counts the switches since the last grant, up to the number of candidates.
+	switches   int
+	switchedAt time.Time
+}
+
+// maySwitch reports whether the host may switch to the next candidate now, and records the
+// switch. Each candidate is tried once without a pause, since one of them may have a state.
+func (p *refusalPacing) maySwitch(now time.Time, candidates int) bool {
+	if p.switches >= candidates && now.Sub(p.switchedAt) < initialRenewInterval {
+		return false
+	}
+	p.switches = min(p.switches+1, candidates)
+	p.switchedAt = now
+	return true
+}
+
+// granted records that a control host has granted a lease.
+func (p *refusalPacing) granted() { p.switches = 0 }
