Count requests by workspace and window, and carry the counts to the control leader

Cause: the platform requires the number of requests of each workspace in each wall-clock window.

Change: metering.Counter counts at entry hosts, metering.Collector stores at control hosts and keeps the fleet time, and core.Options.Meter is told of each statement right before it is sent. Peer call 70 carries reports to the control host in use, from there to the leader, and from the leader to a second control host. Active only with a window above zero in daemon.Options.

Reports now carry the sender's monotonic clock, members that are not heard count with the known fleet time, and a host without the fleet time passes on the times of all it hears.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -54,6 +54,7 @@
 		h.updateOwners(now)
 	}
 	h.failover.tick(now)
+	h.usage.tick(h, now)
 	h.metrics.update(h)
 }
 
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -15,6 +15,7 @@
 	"github.com/galenabridge/galenabridge/internal/config"
 	"github.com/galenabridge/galenabridge/internal/consensus"
 	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/metering"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/store"
@@ -45,6 +46,8 @@
 	// CompactEvery is the number of applied entries between two snapshots;
 	// zero selects DefaultCompactEvery.
 	CompactEvery uint64
+	// Metering configures usage reports; the zero value disables them.
+	Metering metering.Config
 }
 
 // Store keeps the durable state of a control host. Save stores all of its argument or, if it
@@ -118,6 +121,8 @@
 	formerHeard  time.Time
 	// proposedSilent is the last proposal of updateOwners, nil if it was applied.
 	proposedSilent *silentProposal
+	// usage is nil if usage reports are disabled. It outlives a restart of Run.
+	usage *usageCollector
 }
 
 // leaderInfo is the role of this host and the known leader, empty for none.
@@ -148,6 +153,7 @@
 	h.broker = lease.NewBroker(opts.Lease, initialSeq())
 	h.knownLeader.Store(&leaderInfo{})
 	h.registerHandlers()
+	h.usage = newUsageCollector(h)
 	return h
 }
 
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -126,6 +126,9 @@
 // reached the endpoint.
 func (s *Session) exchange(co *checkout, route note.Route, c Command) (Answer, bool, error) {
 	timeout := time.Duration(route.Timeout) * time.Millisecond
+	if s.srv.opts.Meter != nil {
+		s.srv.opts.Meter.Begin(s.workspace, MeteredKind{Kind: c.Kind, InTransaction: s.tx != nil})
+	}
 	at, sentAt := clock.Now(), time.Now()
 	answers, sent, err := co.conn.Exchange(s.srv.exchangeDeadline(sentAt, timeout), c)
 	took := time.Since(sentAt)
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -39,7 +39,7 @@
 	Refund(workspace string)
 }
 
-// Options configures a Server. All fields but Forwarder and Registerer are required.
+// Options configures a Server. All fields but Forwarder, Meter and Registerer are required.
 type Options struct {
 	View view.Source
 	// Host is the ID of this host.
@@ -54,7 +54,9 @@
 	// Observe receives evidence about the health of endpoints. It must not block.
 	Observe func(Evidence)
 	// Forwarder runs statements at other hosts; nil means that all run on this one.
-	Forwarder  Forwarder
+	Forwarder Forwarder
+	// Meter is told of the statements that are sent to endpoints; nil means that none are counted.
+	Meter      Meter
 	Log        *log.Logger
 	Registerer prometheus.Registerer
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -85,6 +85,22 @@
 	Writes bool
 }
 
+// MeteredKind is the kind of a statement that is sent to an endpoint.
+type MeteredKind struct {
+	Kind Kind
+	// InTransaction: the statement belongs to a transaction in progress, which its commit ends. The
+	// begin of a transaction does not.
+	InTransaction bool
+}
+
+// Meter counts the statements that endpoints run.
+type Meter interface {
+	// Begin is called right before a statement of a caller is sent to an endpoint, for each attempt:
+	// reads, writes, executes, begins and commits, but not for rollbacks and what restores a session.
+	// The workspace is empty if the caller presented no key. It must not block.
+	Begin(workspace string, kind MeteredKind)
+}
+
 // State is the state of a session between statements.
 type State int
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/galenabridge/galenabridge/internal/forward"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/limits"
+	"github.com/galenabridge/galenabridge/internal/metering"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/supervise"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -65,6 +66,9 @@
 	// IncarnationOffset is added to the time of day, which gives the incarnation of the
 	// process; see ErrReplaced.
 	IncarnationOffset time.Duration
+	// Metering configures usage reports. It is the same on all hosts; the zero value disables
+	// them.
+	Metering metering.Config
 }
 
 // ErrReplaced is returned by Run when the identity of the host belongs to a process with a
@@ -86,6 +90,7 @@
 	holder     *limits.Holder
 	forwarder  *forward.Forwarder
 	core       *core.Server
+	usage      *control.UsageReporter // nil if usage reports are disabled
 	stopping   atomic.Bool
 	// replaced is closed when a higher incarnation of this host was seen.
 	replaced chan struct{}
@@ -139,7 +144,7 @@
 		d.control = control.New(control.Options{
 			Fleet: d.opts.Settings.Fleet, DataDir: c.DataDir, Bootstrap: c.Bootstrap, OpenMembership: true, Controls: seeds,
 			Peer: d.peers, Lease: leaseCfg, Logger: d.log, Registry: d.registry,
-			EndpointManager: d.opts.EndpointManager, Fenced: d.opts.Fenced,
+			EndpointManager: d.opts.EndpointManager, Fenced: d.opts.Fenced, Metering: d.opts.Metering,
 		})
 		d.owner = limits.NewOwner(d.peers, d.view, d.limitsConfig(), d.log)
 	}
@@ -159,7 +164,8 @@
 	d.forwarder = forward.New(d.peers, d.view, d.log)
 	d.core = core.NewServer(core.Options{
 		View: d.view, Host: d.opts.Settings.Host, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
-		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Log: d.log, Registerer: d.registry,
+		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Meter: d.buildMeter(),
+		Log: d.log, Registerer: d.registry,
 	})
 	d.holder.SetPool(d.core)
 	forward.Serve(d.peers, d.core)
@@ -259,6 +265,9 @@
 		tree.Add("forwarder", d.forwarder)
 		tree.Add("core", d.core)
 	}
+	if d.usage != nil {
+		tree.Add("usage", d.usage)
+	}
 	return tree
 }
 
@@ -284,6 +293,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
+	if d.usage != nil {
+		d.usage.Flush(ctx)
+	}
 	if err := d.subscriber.Leave(ctx); err != nil {
 		d.log.Warn("deregister_failed", "err", err.Error())
 	}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -8,7 +8,7 @@
 
 // Kinds of messages. 1-9: consensus; 10-29: configuration and membership;
 // 30-39: failover; 40-49: session positions; 50-59: quotas; 60-69: forwarded
-// requests of callers.
+// requests of callers; 70-79: usage reports.
 const (
 	KindConsensus Kind = 1 // consensus message between control hosts
 	KindProposal  Kind = 2 // request to change the agreed state
@@ -43,6 +43,8 @@
 	KindStatement      Kind = 61 // statement of a caller, for a home host
 	KindTransactionEnd Kind = 62 // request to roll back a transaction at a home host
 	KindStatementProbe Kind = 63 // question whether a home host runs statements
+
+	KindUsage Kind = 70 // counts of requests by workspace, for a control host
 )
 
 // kindInfo holds the name of a kind in metrics and logs and its treatment in the outgoing
@@ -85,6 +87,7 @@
 	KindStatement:      {name: "statement", fromCallers: true},
 	KindTransactionEnd: {name: "transaction_end"},
 	KindStatementProbe: {name: "statement_probe"},
+	KindUsage:          {name: "usage"},
 }
 
 // String returns the name of the kind used in metrics and logs.
