metering: let the fleet time follow the median only after two seconds

Change: the fleet time follows the median once it has differed for 2 s, by the smallest difference of that time. A leader without a known fleet time waits 2 s for its hosts also if all registered ones are heard, since the first are registered before the others. Windows that are decided are not sent again after a change of the control host or leader (Collector.SetDecided).

--- a/internal/control/usage_reporter.go
+++ b/internal/control/usage_reporter.go
@@ -15,6 +15,10 @@
 // reports, and with it to what a killed host can lose.
 const usageTick = 20 * time.Millisecond
 
+// flushTimeout bounds the last report of a host that stops, which delays its deregistration. It is
+// some round trips on a link that is not saturated.
+const flushTimeout = 100 * time.Millisecond
+
 // UsageReporter sends the usage reports of an entry host to the control host that its Subscriber
 // uses.
 type UsageReporter struct {
@@ -52,6 +56,8 @@
 
 // Flush sends what is not acknowledged, at the end of a process.
 func (r *UsageReporter) Flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
 	r.send(ctx, r.counter.Flush(clock.Now(), time.Now()))
 }
 
--- a/internal/metering/collector.go
+++ b/internal/metering/collector.go
@@ -12,6 +12,8 @@
 	// maxFormerProcesses bounds the former processes of a host whose counts are stored although
 	// this control host has not seen their removal, as after its own restart.
 	maxFormerProcesses = 3
+	// pruneInterval is the time between two looks for old windows. A look passes all counts.
+	pruneInterval = time.Second
 	// loggedShift is the change of the median from which on it is a shift that should be logged.
 	loggedShift = 500 * time.Millisecond
 )
@@ -39,12 +41,17 @@
 	// open are the processes with counts that the target may not have.
 	open map[Process]struct{}
 
-	samples     map[Process]daySample
-	lags        map[Process]*linkLag // by sender of batches
-	firstSample time.Time
-	lastMedian  time.Time
-	fleet       offsetEstimate
-	shift       time.Duration
+	samples map[Process]daySample
+	lags    map[Process]*linkLag // by sender of batches
+	// leadingSince is when this leadership was first seen, zero if this host does not lead.
+	leadingSince time.Time
+	lastMedian   time.Time
+	lastPrune    time.Time
+	fleet        offsetEstimate
+	excursion    excursion
+	shift        time.Duration
+
+	decided int64 // the highest decided window
 
 	role         Role
 	epoch        uint64 // as in Counter
@@ -109,8 +116,12 @@
 	}
 }
 
-// setTargetStore makes all counts pending if another process of the target is known to have them.
+// setTargetStore makes all counts pending if only a former process of the target has them. Messages
+// of that process may still arrive; they change nothing.
 func (c *Collector) setTargetStore(p Process) {
+	if p.Incarnation < c.targetStore.Incarnation {
+		return
+	}
 	if c.targetStore != (Process{}) && c.targetStore != p {
 		c.resendAll()
 	}
@@ -120,21 +131,26 @@
 func (c *Collector) resendAll() {
 	c.epoch++
 	for p, s := range c.stored {
-		s.resendAll()
+		s.resendAfter(c.decided)
 		c.open[p] = struct{}{}
 	}
 }
 
+// SetDecided sets the highest window whose counts are decided. Nothing is sent again of it and those
+// before, which saves most of the counts that move when the leader changes.
+func (c *Collector) SetDecided(window int64) { c.decided = max(c.decided, window) }
+
 // Tick records the host's time of day and drops what is not retained.
 func (c *Collector) Tick(now, day time.Time) {
 	c.observeDay(now, c.self, day.Sub(now))
+	c.FleetTime(now)
 	for p, at := range c.removed {
 		if now.Sub(at) >= removedRetention {
 			delete(c.removed, p)
 		}
 	}
-	if now.Sub(c.lastMedian) >= medianInterval {
-		c.updateFleetTime(now)
+	if now.Sub(c.lastPrune) >= pruneInterval {
+		c.lastPrune = now
 		c.prune(now, day)
 	}
 }
@@ -189,7 +205,7 @@
 
 // Receive stores a batch from another process, which may be this one.
 func (c *Collector) Receive(now, day time.Time, from Process, b Batch) Answer {
-	a := Answer{Store: Store{Process: c.self, Leader: c.role.Leader, Term: c.role.Term}}
+	a := Answer{Store: Store{Process: c.self, Leader: c.role.Leader, Term: c.role.Term}, Decided: c.decided}
 	if from.Host == c.role.Target {
 		c.setTargetStore(from)
 	}
@@ -226,7 +242,7 @@
 			c.open[r.Process] = struct{}{}
 		}
 	}
-	if from.Host == c.role.Target {
+	if from == c.targetStore {
 		s.ack(r.Windows) // the target has what it sends
 	}
 }
@@ -236,9 +252,6 @@
 	if _, ok := c.members[p]; !ok {
 		return
 	}
-	if c.firstSample.IsZero() {
-		c.firstSample = now
-	}
 	c.samples[p] = daySample{offset: offset, heard: now}
 }
 
@@ -258,8 +271,8 @@
 }
 
 // FleetTime returns the fleet time at a monotonic time, or false while it is unknown. On the
-// leader it is the median of the times of day of the hosts heard within sampleAge, advanced by the
-// monotonic clock. Other control hosts follow the leader's.
+// leader it follows the median of the times of day of the hosts heard within sampleAge, advanced by
+// the monotonic clock. Other control hosts follow the leader's.
 func (c *Collector) FleetTime(now time.Time) (time.Time, bool) {
 	if now.Sub(c.lastMedian) >= medianInterval {
 		c.updateFleetTime(now)
@@ -267,20 +280,28 @@
 	return c.fleet.time(now)
 }
 
-// updateFleetTime computes the median on the leader. The first one waits for the members that run.
+// updateFleetTime computes the median on the leader. The first one waits for the hosts that run.
 func (c *Collector) updateFleetTime(now time.Time) {
 	c.lastMedian = now
-	if !c.role.Leading || len(c.samples) == 0 {
+	if !c.role.Leading {
+		c.leadingSince, c.excursion = time.Time{}, excursion{}
 		return
 	}
+	if c.leadingSince.IsZero() {
+		c.leadingSince = now
+	}
 	offset, heard := medianOffset(now, c.samples, len(c.members), c.fleet)
-	waited := now.Sub(c.firstSample)
-	enough := heard == len(c.members) || 2*heard > len(c.members) && waited >= majorityWait || waited >= sampleAge
-	if heard == 0 || !c.fleet.known && !enough {
+	waited := now.Sub(c.leadingSince)
+	enough := c.fleet.known || waited >= sampleAge || waited >= majorityWait && 2*heard > len(c.members)
+	if heard == 0 || !enough {
 		return
 	}
-	if c.fleet.known && (offset-c.fleet.offset).Abs() >= loggedShift {
-		c.shift += offset - c.fleet.offset
+	if c.fleet.known {
+		step := c.excursion.observe(now, offset-c.fleet.offset)
+		if step.Abs() >= loggedShift {
+			c.shift += step
+		}
+		offset = c.fleet.offset + step
 	}
 	c.fleet = offsetEstimate{known: true, offset: offset, at: now}
 }
--- a/internal/metering/counter.go
+++ b/internal/metering/counter.go
@@ -14,8 +14,8 @@
 	finalDelay = 300 * time.Millisecond
 	// placementWait is how long after the start of a host its requests wait for the fleet time
 	// before they are counted by the host's own time of day. One round trip is enough in a running
-	// fleet. In one that starts, a majority of the hosts reports first.
-	placementWait = time.Second
+	// fleet; one that starts takes majorityWait.
+	placementWait = 3 * time.Second
 	// placementStep is the resolution of the times of requests that wait for the fleet time.
 	placementStep = 10 * time.Millisecond
 	// maxInFlight bounds the reports that wait for an answer. On a saturated link an answer takes
@@ -43,6 +43,7 @@
 
 	store      Store
 	storeKnown bool
+	decided    int64 // the highest window known to be decided
 	// epoch changes whenever all counts become pending. An answer to a report of an earlier epoch
 	// acknowledges nothing.
 	epoch      uint64
@@ -169,6 +170,7 @@
 		t, _ := c.fleet.time(received)
 		c.place(received, t)
 	}
+	c.decided = max(c.decided, a.Decided)
 	if o.epoch != c.epoch {
 		return
 	}
@@ -193,7 +195,8 @@
 	}
 }
 
-// ResendAll makes all retained windows pending, after the host has changed its control host.
+// ResendAll makes all retained windows pending that are not decided, after the host has changed its
+// control host.
 func (c *Counter) ResendAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -203,5 +206,5 @@
 
 func (c *Counter) resendAll() {
 	c.epoch++
-	c.counts.resendAll()
+	c.counts.resendAfter(c.decided)
 }
--- a/internal/metering/fleettime.go
+++ b/internal/metering/fleettime.go
@@ -12,9 +12,14 @@
 	sampleAge = 10 * time.Second
 	// medianInterval is the minimum time between two computations of the median.
 	medianInterval = 200 * time.Millisecond
-	// majorityWait is how long a control host that knows no fleet time waits for members that it
-	// has not heard yet, if it has heard more than half. Hosts that run report within a second.
+	// majorityWait is how long a leader that knows no fleet time waits for more hosts, once it has
+	// heard more than half of them. In a fleet that starts, the first hosts are registered before the
+	// others; all report within a second.
 	majorityWait = 2 * time.Second
+	// settleTime is how long the median must differ from the fleet time until the fleet time follows
+	// it. A host's first report after a change of the leader may be delayed on a saturated link, and
+	// counts as a clock that is behind until the next one.
+	settleTime = 2 * time.Second
 )
 
 // offsetEstimate is the difference between a time of day and the local monotonic clock, as
@@ -74,7 +79,7 @@
 // number of these. If an offset is known already, members that were not heard count with it: the
 // result then leaves the range of right clocks only if more than half of the members are wrong,
 // and not if those that are heard happen to be the wrong ones, as after a change of the leader. Of
-// two middle offsets it returns the lower.
+// two middle offsets it returns the higher, since a delayed report lowers its offset.
 func medianOffset(now time.Time, samples map[Process]daySample, members int, known offsetEstimate) (time.Duration, int) {
 	offsets := make([]time.Duration, 0, members)
 	for _, s := range samples {
@@ -90,5 +95,29 @@
 		return 0, 0
 	}
 	slices.Sort(offsets)
-	return offsets[(len(offsets)-1)/2], heard
+	return offsets[len(offsets)/2], heard
+}
+
+// excursion is a time in which the median has been on the same side of the fleet time.
+type excursion struct {
+	since time.Time
+	// least is the smallest difference so far.
+	least time.Duration
+}
+
+// observe adds a difference of the median to the fleet time. It returns by how much the fleet time
+// follows.
+func (e *excursion) observe(now time.Time, difference time.Duration) time.Duration {
+	if e.since.IsZero() || difference == 0 || (difference < 0) != (e.least < 0) {
+		*e = excursion{since: now, least: difference}
+	}
+	if difference.Abs() < e.least.Abs() {
+		e.least = difference
+	}
+	if now.Sub(e.since) < settleTime {
+		return 0
+	}
+	follow := e.least
+	*e = excursion{}
+	return follow
 }
--- a/internal/metering/ledger.go
+++ b/internal/metering/ledger.go
@@ -80,10 +80,12 @@
 	w.open = true
 }
 
-// resendAll makes all counts pending, for a receiver that has none.
-func (l *ledger) resendAll() {
-	for _, w := range l.windows {
-		w.resend()
+// resendAfter makes all counts of the windows above a number pending, for a receiver that has none.
+func (l *ledger) resendAfter(decided int64) {
+	for number, w := range l.windows {
+		if number > decided {
+			w.resend()
+		}
 	}
 }
 
--- a/internal/metering/message.go
+++ b/internal/metering/message.go
@@ -51,8 +51,11 @@
 	Refused []Process `cbor:"1,keyasint,omitempty"`
 	// FleetNS is the fleet time in nanoseconds of Unix time, zero if it is unknown.
 	FleetNS int64 `cbor:"2,keyasint,omitempty"`
-	// Store identifies what holds the counts. When it changes, all retained windows are sent.
+	// Store identifies what holds the counts. When it changes, all retained windows are sent that
+	// are above Decided.
 	Store Store `cbor:"3,keyasint"`
+	// Decided is the highest window whose counts are decided, as far as the sender knows.
+	Decided int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Store identifies the process that stores reports, and the control leader that it follows.
