--- a/internal/metering/sim_test.go
+++ b/internal/metering/sim_test.go
@@ -265,7 +265,7 @@
 	truth := s.truth(func(r simRequest) bool {
 		e := r.entry
 		safe := e.safe
-		if limit := e.killed.Add(-ReportInterval - simStep); s.loss == 0 && limit.After(safe) {
+		if limit := e.killed.Add(-200*time.Millisecond - simStep); s.loss == 0 && limit.After(safe) {
 			safe = limit
 		}
 		return !e.alive && r.at.After(safe)
