--- a/internal/agreed/apply.go
+++ b/internal/agreed/apply.go
@@ -21,8 +21,9 @@
 }
 
 // Apply applies the command at a log index. It returns s itself if the command is
-// refused or changes nothing, otherwise a new state whose revision is index. s is
-// not modified. The result depends only on the arguments, so that all replicas
+// refused or changes nothing, otherwise a new state whose revision is index, or that of s if
+// only Usage changes: subscribers would otherwise follow a revision without a change. s is not
+// modified. The result depends only on the arguments, so that all replicas
 // reach the same state.
 func Apply(s *State, index uint64, c Command) (*State, Outcome) {
 	next, out := apply(s, index, c)
@@ -30,8 +31,10 @@
 		out.Revision = s.Revision
 		return s, out
 	}
-	next.Revision = index
-	out.Revision = index
+	if !c.changesUsageOnly() {
+		next.Revision = index
+	}
+	out.Revision = next.Revision
 	return next, out
 }
 
@@ -66,6 +69,10 @@
 		return markAbsent(s, c.MarkAbsent.Processes)
 	case c.SetSilentOwners != nil:
 		return setSilentOwners(s, c.SetSilentOwners.Hosts)
+	case c.ClaimUsage != nil:
+		return claimUsage(s, index, c.ClaimUsage)
+	case c.DecideUsage != nil:
+		return decideUsage(s, c.DecideUsage)
 	default:
 		return nil, refuse(result.UnsupportedFeature, "the command is empty or unknown to this version")
 	}
--- a/internal/agreed/apply_catalog.go
+++ b/internal/agreed/apply_catalog.go
@@ -67,9 +67,10 @@
 }
 
 // ForSubscriber returns the state as sent to subscribers: without the source of the
-// document, which only control hosts serve.
+// document and the usage reports, which only control hosts need.
 func (s *State) ForSubscriber() *State {
 	next := copyOf(s)
 	next.Document.Source = nil
+	next.Usage = Usage{}
 	return next
 }
--- a/internal/agreed/check.go
+++ b/internal/agreed/check.go
@@ -31,6 +31,10 @@
 		return bounds.Name("host", c.RemoveHost.ID)
 	case c.NameFleet != nil:
 		return bounds.Name("fleet", c.NameFleet.Fleet)
+	case c.ClaimUsage != nil:
+		return c.ClaimUsage.check()
+	case c.DecideUsage != nil:
+		return c.DecideUsage.check()
 	}
 	return nil
 }
--- a/internal/agreed/command.go
+++ b/internal/agreed/command.go
@@ -27,6 +27,8 @@
 	RetireEndpoint  *RetireEndpoint  `cbor:"12,keyasint,omitempty"`
 	SetSilentOwners *SetSilentOwners `cbor:"13,keyasint,omitempty"`
 	MarkAbsent      *MarkAbsent      `cbor:"14,keyasint,omitempty"`
+	ClaimUsage      *ClaimUsage      `cbor:"15,keyasint,omitempty"`
+	DecideUsage     *DecideUsage     `cbor:"16,keyasint,omitempty"`
 }
 
 // MarkAbsent sets Host.Absent of registered processes.
--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -108,7 +108,7 @@
 // State is the replicated state at one revision. It is immutable once published;
 // later states share its unchanged maps.
 type State struct {
-	// Revision is the log index of the last command that changed the state.
+	// Revision is the log index of the last command that changed the state, apart from Usage.
 	Revision  uint64              `json:"revision" cbor:"1,keyasint"`
 	Fleet     string              `json:"fleet" cbor:"2,keyasint"`
 	Catalog   note.Catalog        `json:"catalog" cbor:"3,keyasint"`
@@ -132,4 +132,6 @@
 	SilentOwners []string `json:"silent_owners,omitempty" cbor:"13,keyasint,omitempty"`
 	// Retired holds the tombstones of endpoints that left, by identity.
 	Retired map[string]Tombstone `json:"retired,omitempty" cbor:"12,keyasint,omitempty"`
+	// Usage is the state of the usage reports. Subscribers do not receive it.
+	Usage Usage `json:"usage,omitzero" cbor:"14,keyasint,omitzero"`
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -116,6 +116,7 @@
 		{"dev", "run a complete development system", "Run a control host, two entry hosts and one database group of three stand-in endpoints on loopback.", &devCommand{}},
 		{"standin", "run a stand-in endpoint", "Run one stand-in database endpoint.", &standinCommand{}},
 		{"status", "show the state of the fleet", "Show hosts, leases, groups and endpoints.", &statusCommand{}},
+		{"usage", "show the usage reports", "Show the latest windows whose requests were reported to the platform, as the control leader knows them.", &usageCommand{}},
 		{"explain", "explain a request from logs", "Merge the log lines of several hosts about one request, and the state changes around it, in order of time.", &explainCommand{}},
 		{"account", "count late and refused statements from logs", "Count the statements that were late or refused in each interval, by cause, from the logs of several hosts.", &accountCommand{}},
 		{"version", "print the version", "Print the version of this build.", &versionCommand{}},
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -25,6 +25,7 @@
 	w := tabwriter.NewWriter(app.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "reported by %s (%s), leader %s, term %d, revision %d, settled %d\n\n",
 		s.Host, s.Role, orDash(s.Leader), s.Term, s.Revision, s.Settled)
+	writeUsage(w, s)
 	writeControls(w, s)
 	writeHosts(w, s)
 	writeGroups(w, s)
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -54,6 +54,7 @@
 		h.updateOwners(now)
 	}
 	h.failover.tick(now)
+	h.usage.tick(now)
 	h.metrics.update(h)
 }
 
@@ -67,6 +68,7 @@
 		h.updateRole(now)
 		h.startLeaseRound(now)
 		h.failover.applyPending(now)
+		h.usage.applyPending(now)
 		if h.saveErr != nil || !h.node.HasReady() {
 			return h.compact()
 		}
@@ -188,14 +190,21 @@
 	return agreed.Outcome{Code: result.MalformedMessage, Detail: cause, Revision: h.state.Revision}
 }
 
-// setState replaces the state and pushes it to the subscribers. A state older than
-// the current one is ignored.
+// setState replaces the state and pushes it to the subscribers unless only the usage reports have
+// changed, which they do not receive. A state with a lower revision is ignored. One with an equal
+// revision is not older: states come from later entries of the log or from snapshots at a later
+// index.
 func (h *Host) setState(now time.Time, s *agreed.State) {
 	if s.Revision < h.state.Revision {
 		return
 	}
 	hostsChanged := s.HostsChanged != h.state.HostsChanged
+	usageOnly := s.Revision == h.state.Revision
 	h.state = s
+	h.usage.stateChanged()
+	if usageOnly {
+		return
+	}
 	if hostsChanged {
 		h.registered = registeredProcesses(s)
 		for _, id := range h.registered {
@@ -263,6 +272,7 @@
 	h.hostWatch = newHostWatch(h.opts.Lease.Duration)
 	h.ownerWatch, h.proposedSilent = newOwnerWatch(now, h.formerLeader, h.formerHeard), nil
 	h.formerLeader = ""
+	h.confirming = confirmation{electionConfirmID, now}
 	if err := h.node.ConfirmQuorum(electionConfirmID); err != nil {
 		h.log.Warn("confirm_failed", "err", err.Error())
 	}
@@ -280,6 +290,9 @@
 	h.broker.StepDown()
 	h.failover.stop()
 	h.failover = nil
+	h.usage.stop()
+	h.usage = nil
+	h.confirming, h.quorumAt = confirmation{}, time.Time{}
 }
 
 // errNotLeader returns an error with code NotLeader that names the leader if it is
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -15,9 +15,11 @@
 	"github.com/galenabridge/galenabridge/internal/config"
 	"github.com/galenabridge/galenabridge/internal/consensus"
 	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/metering"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/store"
+	"github.com/galenabridge/galenabridge/internal/view"
 )
 
 // Options configures a Host.
@@ -45,6 +47,13 @@
 	// CompactEvery is the number of applied entries between two snapshots;
 	// zero selects DefaultCompactEvery.
 	CompactEvery uint64
+	// Metering are the settings of the usage reports. They are sent only if UsageReporter,
+	// UsageSource and View are set as well.
+	Metering      metering.Config
+	UsageReporter UsageReporter
+	UsageSource   metering.TallySource
+	// View has the configuration lease of this host, without which no report is sent.
+	View view.Source
 }
 
 // Store keeps the durable state of a control host. Save stores all of its argument or, if it
@@ -111,7 +120,14 @@
 	confirmedAt time.Time
 	term        uint64
 	failover    *failoverDriver
-	ownerWatch  ownerWatch
+	usage       *usageDriver
+	// usageRefused is the highest fence under which a report of this process was refused.
+	usageRefused atomic.Uint64
+	// confirming is the last confirmation that was requested, and quorumAt when the last one that
+	// succeeded was requested.
+	confirming confirmation
+	quorumAt   time.Time
+	ownerWatch ownerWatch
 	// formerLeader is the leader that this host has followed, and formerHeard when it was
 	// last heard.
 	formerLeader string
@@ -144,6 +160,7 @@
 		opts.Logger = log.Default()
 	}
 	h := &Host{opts: opts, log: opts.Logger, metrics: newHostMetrics(opts.Registry), events: make(chan event, eventQueueSize)}
+	h.metrics.usage = newUsageMetrics(opts.Registry, opts.Metering.Window > 0)
 	// The broker outlives a restart of Run: leases that it has relayed still count.
 	h.broker = lease.NewBroker(opts.Lease, initialSeq())
 	h.knownLeader.Store(&leaderInfo{})
@@ -248,6 +265,7 @@
 	h.joinPositions = make(map[string]joinPosition)
 	h.hostWatch = newHostWatch(h.opts.Lease.Duration)
 	h.leading, h.confirmed = false, false
+	h.confirming, h.quorumAt = confirmation{}, time.Time{}
 	return nil
 }
 
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -78,6 +78,7 @@
 	h.nextRound = now.Add(roundInterval)
 	h.roundDeadline = now.Add(roundTimeout)
 	if h.leading {
+		h.confirming = confirmation{round.ID, now}
 		if err := h.node.ConfirmQuorum(round.ID); err != nil {
 			h.log.Debug("confirm_failed", "err", err.Error())
 		}
@@ -115,6 +116,7 @@
 			h.failRead(c.ID)
 			continue
 		}
+		h.recordQuorum(c.ID)
 		h.confirmLeadership(now)
 		if c.ID != electionConfirmID && !h.finishRead(c.ID) {
 			h.finishLeaseRound(c.ID, h.state.Revision, h.updateSettled(now))
@@ -136,6 +138,21 @@
 	if h.opts.EndpointManager != nil {
 		h.failover = newFailoverDriver(h)
 	}
+	h.usage = newUsageDriver(h, now)
+}
+
+// confirmation is a request to a quorum to confirm this leader.
+type confirmation struct {
+	id    uint64
+	begun time.Time
+}
+
+// recordQuorum records that a quorum has confirmed this leader after the confirmation was
+// requested: no other one was elected before that time.
+func (h *Host) recordQuorum(id uint64) {
+	if id == h.confirming.id {
+		h.quorumAt = h.confirming.begun
+	}
 }
 
 // finishLeaseRound answers the requests of a confirmed round.
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -149,6 +149,8 @@
 	Hosts     []HostStatus     `json:"hosts" cbor:"8,keyasint"`
 	Groups    []GroupStatus    `json:"groups" cbor:"9,keyasint"`
 	Endpoints []EndpointStatus `json:"endpoints" cbor:"10,keyasint"`
+	// Usage is nil in a fleet without usage reports.
+	Usage *UsageStatus `json:"usage,omitempty" cbor:"11,keyasint,omitempty"`
 }
 
 // ControlStatus describes a member of the consensus group. Match is the last log
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -14,6 +14,7 @@
 	subscribers      prometheus.Gauge
 	skipped          prometheus.Counter
 	snapshotsRefused prometheus.Counter
+	usage            *usageMetrics
 }
 
 func newHostMetrics(reg prometheus.Registerer) *hostMetrics {
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -36,6 +36,8 @@
 	reply    chan proposalResult
 	// service is set instead of reply if the failover driver proposed the command.
 	service string
+	// usage is set instead of reply if this usage driver proposed the command.
+	usage *usageDriver
 }
 
 // proposeEvent requests to append a command to the log. It fails if this host is
@@ -100,6 +102,10 @@
 		h.failover.commandDone(p.service, err == nil && out.Code == 0)
 		return
 	}
+	if p.usage != nil {
+		p.usage.commandDone(err == nil && out.Code == 0)
+		return
+	}
 	p.reply <- proposalResult{outcome: out, err: err}
 }
 
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -95,6 +95,7 @@
 	}
 	slices.SortFunc(s.Groups, func(a, b GroupStatus) int { return cmp.Compare(a.Service, b.Service) })
 	s.Endpoints = h.endpointStatus(now)
+	s.Usage = h.usageStatus()
 	return s
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/galenabridge/galenabridge/internal/forward"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/limits"
+	"github.com/galenabridge/galenabridge/internal/metering"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/supervise"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -57,6 +58,11 @@
 	EndpointManager control.EndpointManager
 	// Fenced is set if outdated orders to promote are rejected by their fence.
 	Fenced bool
+	// Metering are the settings of the usage reports, zero if none are required. UsageReporter
+	// sends them, with the counts of UsageSource; nil disables them.
+	Metering      metering.Config
+	UsageReporter control.UsageReporter
+	UsageSource   metering.TallySource
 	// GracePeriod is the time that a graceful shutdown may take.
 	GracePeriod time.Duration
 	// Tolerance is how far a workspace may exceed its rate. It is the same on all hosts.
@@ -140,6 +146,7 @@
 			Fleet: d.opts.Settings.Fleet, DataDir: c.DataDir, Bootstrap: c.Bootstrap, OpenMembership: true, Controls: seeds,
 			Peer: d.peers, Lease: leaseCfg, Logger: d.log, Registry: d.registry,
 			EndpointManager: d.opts.EndpointManager, Fenced: d.opts.Fenced,
+			Metering: d.opts.Metering, UsageReporter: d.opts.UsageReporter, UsageSource: d.opts.UsageSource, View: d.view,
 		})
 		d.owner = limits.NewOwner(d.peers, d.view, d.limitsConfig(), d.log)
 	}
