--- a/internal/agreed/fuzz_test.go
+++ b/internal/agreed/fuzz_test.go
@@ -15,6 +15,7 @@
 	s.Groups["s"] = Group{Service: "s", Members: []string{"e"}, Primary: "e", Phase: PhaseActive, Term: 1}
 	s.Endpoints["e"] = Endpoint{ID: "e", Service: "s", Addr: "10.0.0.1:1", Domain: "d"}
 	s.Hosts["h"] = Host{ID: "h", PeerAddr: "10.0.0.2:1", Domain: "d", Incarnation: 1}
+	s.Usage = Usage{Holder: "h", Incarnation: 1, Fence: 8, Decided: 4, Pending: []UsageWindow{{Window: 4}}}
 	return s
 }
 
@@ -27,6 +28,7 @@
 		{SetDomain: &SetDomain{Domain: note.Domain{Name: "d", Out: true}}}, {RetireEndpoint: &RetireEndpoint{ID: "e"}},
 		{SealGroup: &SealGroup{Service: "s", Term: 1, Reason: "r"}}, {RemoveHost: &RemoveHost{ID: "h", Incarnation: 1}},
 		{MarkAbsent: &MarkAbsent{Processes: map[string]uint64{"h": 1}}}, {RegisterHost: &RegisterHost{Host: Host{ID: "h", Incarnation: 2}}},
+		claim("h", 1, 0, 4), decide(8, 5, 4, 1),
 	} {
 		data, err := c.Encode()
 		if err != nil {
@@ -92,6 +94,7 @@
 			{SetDomain: &SetDomain{Domain: note.Domain{Name: "d", Out: true}}}, {RetireEndpoint: &RetireEndpoint{ID: "e"}},
 			{PutCatalog: &PutCatalog{Document: Document{Number: 1}}}, {RegisterHost: &RegisterHost{Host: Host{ID: "h", Incarnation: 2}}},
 			{RemoveHost: &RemoveHost{ID: "h", Incarnation: 1}}, {MarkAbsent: &MarkAbsent{Processes: map[string]uint64{"h": 1}}},
+			claim("h", 1, state.Usage.Fence, 4), decide(state.Usage.Fence, state.Usage.Decided+1, 4, 1),
 		} {
 			Apply(state, state.Revision+1, c)
 		}
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -179,6 +179,9 @@
 			next, out, err = state, h.skipEntry(e, fmt.Sprintf("panic: %v", v)), nil
 		}
 	}()
+	if c.DecideUsage != nil {
+		h.usageLogged += len(e.Data)
+	}
 	next, out = agreed.Apply(state, e.Index, c)
 	return next, out, nil
 }
@@ -232,12 +235,18 @@
 	return nil
 }
 
-// compact takes a snapshot once CompactEvery entries were applied since the last.
+// maxUsageLogged is the size of the decided windows, in bytes, after which a snapshot is taken: one
+// of 1,000 workspaces has some KB, and CompactEvery of them would take a tenth of the memory.
+const maxUsageLogged = 4 << 20
+
+// compact takes a snapshot once CompactEvery entries, or maxUsageLogged of windows, were applied
+// since the last.
 func (h *Host) compact() error {
 	st := h.node.Status()
-	if st.Applied < st.Snapshot+h.opts.CompactEvery {
+	if st.Applied < st.Snapshot+h.opts.CompactEvery && (h.usageLogged < maxUsageLogged || st.Applied == st.Snapshot) {
 		return nil
 	}
+	h.usageLogged = 0
 	data, err := h.state.Encode()
 	if err != nil {
 		return err
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -121,6 +121,8 @@
 	term        uint64
 	failover    *failoverDriver
 	usage       *usageDriver
+	// usageLogged is the size of the windows applied since the last snapshot, in bytes.
+	usageLogged int
 	// usageRefused is the highest fence under which a report of this process was refused.
 	usageRefused atomic.Uint64
 	// confirming is the last confirmation that was requested, and quorumAt when the last one that
@@ -266,6 +268,7 @@
 	h.hostWatch = newHostWatch(h.opts.Lease.Duration)
 	h.leading, h.confirmed = false, false
 	h.confirming, h.quorumAt = confirmation{}, time.Time{}
+	h.usageLogged = 0
 	return nil
 }
 
--- a/internal/control/usage_driver.go
+++ b/internal/control/usage_driver.go
@@ -11,8 +11,6 @@
 
 const (
 	usageTick = 100 * time.Millisecond
-	// usageCallTimeout bounds a call. The platform may execute it later.
-	usageCallTimeout = time.Second
 	// maxUsageHistory is the number of windows kept for the status: two minutes.
 	maxUsageHistory = 24
 	// quorumShare is the fraction of the configuration lease for which a confirmation by a quorum
@@ -50,12 +48,13 @@
 		host: h, ctx: ctx, cancel: cancel, dirty: true,
 		schedule: metering.NewSchedule(metering.ScheduleOptions{
 			Config: o.Metering, Host: o.Peer.Host(), Incarnation: o.Peer.Incarnation(), LeadingSince: now,
-			ActFor: o.Lease.Duration, Refused: h.usageRefused.Load(),
+			ActFor: o.Lease.Duration,
 		}),
 	}
 }
 
-// stop ends the driver and its call in progress, which may still be executed.
+// stop ends the driver. A call in progress writes nothing more, but still waits for its answer:
+// it may tell that the fence was refused.
 func (d *usageDriver) stop() {
 	if d != nil {
 		d.cancel()
@@ -114,7 +113,7 @@
 	for {
 		a := d.schedule.Next(metering.ScheduleInput{
 			Now: now, Usage: d.host.state.Usage, MayAct: clock.Now().Before(until) && d.host.opts.View.Current().Valid(),
-			Source: d.host.opts.UsageSource,
+			Source: d.host.opts.UsageSource, Refused: d.host.usageRefused.Load(),
 		})
 		switch a.Kind {
 		case metering.Claim:
@@ -148,14 +147,14 @@
 	d.host.proposals[index] = pendingProposal{term: d.host.term, deadline: now.Add(proposalTimeout), usage: d}
 }
 
-// send starts the call for a decided window. The call is stopped with the driver.
+// send starts the call for a decided window.
 func (d *usageDriver) send(a metering.Action, until time.Time) {
 	h := d.host
 	report := UsageReport{Fence: a.Fence, Window: a.Window, Counts: a.Counts, Allowed: func() bool {
 		return d.ctx.Err() == nil && clock.Now().Before(until) && h.opts.View.Current().Valid()
 	}}
 	go func() {
-		ctx, cancel := context.WithTimeout(d.ctx, usageCallTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), metering.CallTimeout)
 		defer cancel()
 		outcome, err := h.opts.UsageReporter.Report(ctx, report)
 		if outcome == metering.CallRefused {
--- a/internal/metering/schedule.go
+++ b/internal/metering/schedule.go
@@ -25,6 +25,9 @@
 	// claimMargin is the factor on Config.Lease for the delay before a claim. Clocks of hosts
 	// differ by far less than a tenth over seconds.
 	claimMargin = 1.1
+	// CallTimeout bounds a call. The platform may execute it later. A new leadership sends nothing
+	// before it has passed: a former leadership of the same host may have had a call in progress.
+	CallTimeout = time.Second
 	// callGap is the least time between the end of a call and the next one.
 	callGap = 300 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay after a call with an unknown outcome. It doubles
@@ -111,8 +114,6 @@
 	LeadingSince time.Time
 	// ActFor bounds how long a former leader may still send. A claim waits at least that long.
 	ActFor time.Duration
-	// Refused is the highest fence of this process that was refused, zero for none.
-	Refused uint64
 }
 
 // ScheduleInput is what the Schedule decides from.
@@ -123,7 +124,10 @@
 	Usage agreed.Usage
 	// MayAct is set if the host may send now.
 	MayAct bool
-	Source TallySource
+	// Refused is the highest fence of this process that was refused, zero for none. A call of a
+	// former leadership may learn it late.
+	Refused uint64
+	Source  TallySource
 }
 
 // Schedule is the state machine of the usage reports on a confirmed leader. It allows one command
@@ -144,11 +148,12 @@
 
 // NewSchedule returns the Schedule of a new leadership.
 func NewSchedule(opts ScheduleOptions) *Schedule {
-	return &Schedule{opts: opts, refused: opts.Refused, refusedAt: opts.LeadingSince}
+	return &Schedule{opts: opts, nextCall: opts.LeadingSince.Add(CallTimeout)}
 }
 
 // Next returns the next action. Call it again until it returns Wait.
 func (s *Schedule) Next(in ScheduleInput) Action {
+	s.refuse(in.Now, in.Refused)
 	command := s.nextCommandAction(in)
 	if command.Kind != Wait {
 		s.proposing = true
@@ -181,13 +186,21 @@
 	case CallAccepted:
 		s.accepted, s.backoff = max(s.accepted, window), 0
 	case CallRefused:
-		s.refused, s.refusedAt, s.backoff = max(s.refused, fence), now, 0
+		s.refuse(now, fence)
+		s.backoff = 0
 	case CallUnknown:
 		s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
 		s.nextCall = now.Add(s.backoff)
 	}
 }
 
+// refuse records a fence that was refused.
+func (s *Schedule) refuse(now time.Time, fence uint64) {
+	if fence > s.refused {
+		s.refused, s.refusedAt = fence, now
+	}
+}
+
 // holds reports whether this process may use the recorded fence.
 func (s *Schedule) holds(u agreed.Usage) bool {
 	return u.Fence > s.refused && u.Holder == s.opts.Host && u.Incarnation == s.opts.Incarnation
