--- a/internal/metering/schedule.go
+++ b/internal/metering/schedule.go
@@ -34,6 +34,8 @@
 	// with each.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 4 * time.Second
+	// tallyRetry is the time between two looks at an incomplete tally. Hosts report every 0.2 s.
+	tallyRetry = 200 * time.Millisecond
 	// commandRetry is the delay after a command that was not accepted.
 	commandRetry = 500 * time.Millisecond
 )
@@ -141,6 +143,7 @@
 
 	proposing   bool
 	nextCommand time.Time
+	nextTally   time.Time
 	calling     bool
 	nextCall    time.Time
 	backoff     time.Duration
@@ -261,8 +264,12 @@
 	if age < s.lateShare(settleShare) {
 		return Action{}
 	}
+	if in.Now.Before(s.nextTally) {
+		return Action{Reason: "reports are missing"}
+	}
 	tally := in.Source.Tally(window)
 	if len(tally.Missing) > 0 && age < s.lateShare(incompleteShare) {
+		s.nextTally = in.Now.Add(tallyRetry)
 		return Action{Reason: "reports are missing"}
 	}
 	return Action{
