Merge the counting and the deciding side of usage reports

Change: the collector of a control host is the source of its schedule; the task that sends the reports of an entry host is UsageSender.

--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -19,6 +19,7 @@
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/store"
+	"github.com/galenabridge/galenabridge/internal/view"
 )
 
 // Options configures a Host.
@@ -46,8 +47,14 @@
 	// CompactEvery is the number of applied entries between two snapshots;
 	// zero selects DefaultCompactEvery.
 	CompactEvery uint64
-	// Metering configures usage reports; the zero value disables them.
-	Metering metering.Config
+	// Metering are the settings of the usage reports; the zero value disables them. They are sent
+	// only if UsageReporter and View are set as well. UsageSource replaces the counts that this
+	// host collects, in tests.
+	Metering      metering.Config
+	UsageReporter UsageReporter
+	UsageSource   metering.TallySource
+	// View has the configuration lease of this host, without which no report is sent.
+	View view.Source
 }
 
 // Store keeps the durable state of a control host. Save stores all of its argument or, if it
@@ -114,15 +121,25 @@
 	confirmedAt time.Time
 	term        uint64
 	failover    *failoverDriver
-	ownerWatch  ownerWatch
+	usage       *usageDriver
+	// usageLogged is the size of the windows applied since the last snapshot, in bytes.
+	usageLogged int
+	// usageRefused is the highest fence under which a report of this process was refused.
+	usageRefused atomic.Uint64
+	// confirming is the last confirmation that was requested, and quorumAt when the last one that
+	// succeeded was requested.
+	confirming confirmation
+	quorumAt   time.Time
+	ownerWatch ownerWatch
 	// formerLeader is the leader that this host has followed, and formerHeard when it was
 	// last heard.
 	formerLeader string
 	formerHeard  time.Time
 	// proposedSilent is the last proposal of updateOwners, nil if it was applied.
 	proposedSilent *silentProposal
-	// usage is nil if usage reports are disabled. It outlives a restart of Run.
-	usage *usageCollector
+	// tallies collects the counts of entry hosts. It is nil if usage reports are disabled, and
+	// outlives a restart of Run.
+	tallies *usageCollector
 }
 
 // leaderInfo is the role of this host and the known leader, empty for none.
@@ -149,11 +166,15 @@
 		opts.Logger = log.Default()
 	}
 	h := &Host{opts: opts, log: opts.Logger, metrics: newHostMetrics(opts.Registry), events: make(chan event, eventQueueSize)}
+	h.metrics.usage = newUsageMetrics(opts.Registry, opts.Metering.Window > 0)
 	// The broker outlives a restart of Run: leases that it has relayed still count.
 	h.broker = lease.NewBroker(opts.Lease, initialSeq())
 	h.knownLeader.Store(&leaderInfo{})
 	h.registerHandlers()
-	h.usage = newUsageCollector(h)
+	h.tallies = newUsageCollector(h)
+	if h.opts.UsageSource == nil && h.tallies != nil {
+		h.opts.UsageSource = h.tallies
+	}
 	return h
 }
 
@@ -254,6 +275,8 @@
 	h.joinPositions = make(map[string]joinPosition)
 	h.hostWatch = newHostWatch(h.opts.Lease.Duration)
 	h.leading, h.confirmed = false, false
+	h.confirming, h.quorumAt = confirmation{}, time.Time{}
+	h.usageLogged = 0
 	return nil
 }
 
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -1,152 +1,117 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"maps"
 	"slices"
-	"time"
+	"strings"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
-	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/metering"
-	"github.com/galenabridge/galenabridge/internal/peer"
 )
 
-// usageTimeout bounds a call that carries usage reports. It is below the time after which an entry
-// host replaces a silent control host.
-const usageTimeout = 500 * time.Millisecond
-
-// usageCollector connects the Collector of a control host to its peers. The goroutine of the Host
-// owns it; it is nil if usage reports are disabled.
-type usageCollector struct {
-	*metering.Collector
-	// state is the one whose registered processes and catalog the Collector has. controls are its
-	// control hosts, in ascending order.
-	state    *agreed.State
-	controls []string
+// UsageReport is the report of one window.
+type UsageReport struct {
+	Fence  uint64
+	Window int64
+	// Counts are the requests by workspace. Reports of one window always have the same ones.
+	Counts map[string]uint64
+	// Allowed reports whether the host may still act. It must be called right before data is
+	// sent.
+	Allowed func() bool
 }
 
-// newUsageCollector returns the collector and registers its handler, or nil if usage reports are
-// disabled.
-func newUsageCollector(h *Host) *usageCollector {
-	if h.opts.Metering.Window <= 0 {
-		return nil
-	}
-	peer.OnCall(h.opts.Peer, peer.KindUsage, h.serveUsage)
-	self := metering.Process{Host: h.opts.Peer.Host(), Incarnation: h.opts.Peer.Incarnation()}
-	return &usageCollector{Collector: metering.NewCollector(h.opts.Metering.Window, self)}
+// UsageReporter sends usage reports to the platform.
+type UsageReporter interface {
+	// Report sends a report and waits for the answer until ctx ends. The error says why the
+	// outcome is not metering.CallAccepted.
+	Report(ctx context.Context, r UsageReport) (metering.CallOutcome, error)
 }
 
-// usageEvent is a batch of usage reports that awaits its answer.
-type usageEvent struct {
-	from   peer.Identity
-	batch  metering.Batch
-	answer chan metering.Answer // buffered
+// UsageStatus describes the usage reports. Windows and Waiting are known to the leader only.
+type UsageStatus struct {
+	Holder   string `json:"holder" cbor:"1,keyasint"`
+	Fence    uint64 `json:"fence" cbor:"2,keyasint"`
+	Decided  int64  `json:"decided" cbor:"3,keyasint"`
+	Accepted int64  `json:"accepted" cbor:"4,keyasint"`
+	Pending  int    `json:"pending" cbor:"5,keyasint"`
+	// Waiting is what the leader waits for, empty if nothing is due.
+	Waiting string `json:"waiting,omitempty" cbor:"6,keyasint,omitempty"`
+	// Windows are the latest windows that this leader has decided or reported, the newest last.
+	Windows []UsageWindowStatus `json:"windows,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
-func (e usageEvent) handle(h *Host, now time.Time) {
-	h.usage.setState(h.state, now)
-	from := metering.Process{Host: e.from.Host, Incarnation: e.from.Incarnation}
-	e.answer <- h.usage.Receive(now, time.Now(), from, e.batch)
+// UsageWindowStatus describes a window and its report.
+type UsageWindowStatus struct {
+	Window int64 `json:"window" cbor:"1,keyasint"`
+	// Outcome is "decided", "accepted" or "dropped".
+	Outcome string            `json:"outcome" cbor:"2,keyasint"`
+	Counts  map[string]uint64 `json:"counts" cbor:"3,keyasint"`
+	// Heard and Missing are those of metering.Tally at the decision. Inherited is set if a former
+	// leader has decided the window, and they are not known.
+	Heard     int      `json:"heard" cbor:"4,keyasint"`
+	Missing   []string `json:"missing,omitempty" cbor:"5,keyasint,omitempty"`
+	Inherited bool     `json:"inherited,omitempty" cbor:"6,keyasint,omitempty"`
+	Fence     uint64   `json:"fence" cbor:"7,keyasint"`
+	// Attempts are the calls of this leader, and LastError why the last one was not accepted.
+	Attempts  int    `json:"attempts" cbor:"8,keyasint"`
+	LastError string `json:"last_error,omitempty" cbor:"9,keyasint,omitempty"`
 }
 
-// serveUsage passes a batch to the goroutine of the Host and returns its answer.
-func (h *Host) serveUsage(ctx context.Context, from peer.Identity, b metering.Batch) (metering.Answer, error) {
-	e := usageEvent{from: from, batch: b, answer: make(chan metering.Answer, 1)}
-	if !h.post(e) {
-		return metering.Answer{}, errQueueFull
-	}
-	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
-	defer cancel()
-	select {
-	case a := <-e.answer:
-		return a, nil
-	case <-ctx.Done():
-		return metering.Answer{}, ctx.Err()
-	}
-}
-
-// setState passes the registered processes and the catalog to the collector.
-func (u *usageCollector) setState(s *agreed.State, now time.Time) {
-	if u.state == s {
-		return
-	}
-	u.state, u.controls = s, nil
-	members := make([]metering.Member, 0, len(s.Hosts))
-	for _, host := range s.Hosts {
-		p := metering.Process{Host: host.ID, Incarnation: host.Incarnation}
-		members = append(members, metering.Member{Process: p, Entry: host.Entry, Control: host.Control})
-		if host.Control {
-			u.controls = append(u.controls, host.ID)
-		}
+// Requests returns the sum of the counts.
+func (w UsageWindowStatus) Requests() uint64 {
+	var sum uint64
+	for _, n := range w.Counts {
+		sum += n
 	}
-	slices.Sort(u.controls)
-	u.SetMembers(now, members, func(workspace string) bool {
-		_, ok := s.Catalog.Workspaces[workspace]
-		return ok
-	})
+	return sum
 }
 
-// role returns the part of the control host in the delivery of reports.
-func (u *usageCollector) role(h *Host) metering.Role {
-	st := h.node.Status()
-	r := metering.Role{Leading: h.leading, Leader: st.Leader, Term: st.Term, Target: st.Leader}
-	if h.leading {
-		r.Target = u.secondHost(h.opts.Peer)
-	}
-	return r
-}
+// maxLoggedCounts bounds the text of counts in a log line, in bytes. Lines have up to 1,024.
+const maxLoggedCounts = 500
 
-// secondHost returns the control host that also stores what the leader receives: the one after
-// this host in ascending order, in a cycle, among those that it has a connection to. It is empty
-// if there is none.
-func (u *usageCollector) secondHost(n *peer.Node) string {
-	at, _ := slices.BinarySearch(u.controls, n.Host())
-	for i := range u.controls {
-		if host := u.controls[(at+i)%len(u.controls)]; host != n.Host() && n.Reaches(host) {
-			return host
+// FormatUsageCounts returns counts as text, the highest first, cut off after limit bytes.
+func FormatUsageCounts(counts map[string]uint64, limit int) string {
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	var text strings.Builder
+	for i, name := range names {
+		entry := fmt.Sprintf("%s:%d", name, counts[name])
+		if text.Len()+len(entry) > limit {
+			fmt.Fprintf(&text, "and %d more", len(names)-i)
+			break
+		}
+		text.WriteString(entry)
+		if i < len(names)-1 {
+			text.WriteByte(' ')
 		}
 	}
-	return ""
+	return text.String()
 }
 
-// tick sends a batch if one is due. It does nothing if usage reports are disabled.
-func (u *usageCollector) tick(h *Host, now time.Time) {
-	if u == nil {
-		return
-	}
-	u.setState(h.state, now)
-	u.SetRole(u.role(h))
-	u.Tick(now, time.Now())
-	if shift := u.TakeShift(); shift != 0 {
-		h.log.Warn("fleet_time_shifted", "shift_ms", shift.Milliseconds())
+// usageStatus returns the status of the usage reports, nil if there are none.
+func (h *Host) usageStatus() *UsageStatus {
+	u := h.state.Usage
+	if u.Fence == 0 && h.usage == nil {
+		return nil
 	}
-	o, ok := u.Batch(now, time.Now())
-	if !ok {
-		return
+	s := &UsageStatus{Holder: u.Holder, Fence: u.Fence, Decided: u.Decided, Accepted: u.Accepted}
+	if h.usage != nil {
+		s.Accepted = max(s.Accepted, h.usage.schedule.Accepted())
+		s.Waiting, s.Windows = h.usage.waiting, slices.Clone(h.usage.windows)
 	}
-	addr := h.addr(o.Target)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), usageTimeout)
-		defer cancel()
-		var a metering.Answer
-		err := h.opts.Peer.Call(ctx, o.Target, addr, peer.KindUsage, o.Batch, &a)
-		h.post(usageAnswerEvent{o, a, err, clock.Now()}) // a lost answer counts as failed after a time
-	}()
-}
-
-// usageAnswerEvent is the outcome of a batch that this host has sent.
-type usageAnswerEvent struct {
-	sent     metering.Outgoing
-	answer   metering.Answer
-	err      error
-	received time.Time
+	s.Pending = len(undelivered(u, s.Accepted))
+	return s
 }
 
-func (e usageAnswerEvent) handle(h *Host, _ time.Time) {
-	if e.err != nil {
-		h.log.Debug("usage_batch_failed", "err", e.err.Error())
-		h.usage.Failed(e.sent)
-		return
+// undelivered returns the pending windows above the highest accepted one.
+func undelivered(u agreed.Usage, accepted int64) []agreed.UsageWindow {
+	i := 0
+	for i < len(u.Pending) && u.Pending[i].Window <= max(u.Accepted, accepted) {
+		i++
 	}
-	h.usage.Answered(e.sent, e.answer, e.received)
+	return u.Pending[i:]
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,6 +69,10 @@
 	// Metering configures usage reports. It is the same on all hosts; the zero value disables
 	// them.
 	Metering metering.Config
+	// UsageReporter sends the usage reports, if there are any; UsageSource replaces the collected
+	// counts in tests.
+	UsageReporter control.UsageReporter
+	UsageSource   metering.TallySource
 }
 
 // ErrReplaced is returned by Run when the identity of the host belongs to a process with a
@@ -90,7 +94,7 @@
 	holder     *limits.Holder
 	forwarder  *forward.Forwarder
 	core       *core.Server
-	usage      *control.UsageReporter // nil if usage reports are disabled
+	usage      *control.UsageSender // nil if usage reports are disabled
 	stopping   atomic.Bool
 	// replaced is closed when a higher incarnation of this host was seen.
 	replaced chan struct{}
@@ -144,7 +148,8 @@
 		d.control = control.New(control.Options{
 			Fleet: d.opts.Settings.Fleet, DataDir: c.DataDir, Bootstrap: c.Bootstrap, OpenMembership: true, Controls: seeds,
 			Peer: d.peers, Lease: leaseCfg, Logger: d.log, Registry: d.registry,
-			EndpointManager: d.opts.EndpointManager, Fenced: d.opts.Fenced, Metering: d.opts.Metering,
+			EndpointManager: d.opts.EndpointManager, Fenced: d.opts.Fenced,
+			Metering: d.opts.Metering, UsageReporter: d.opts.UsageReporter, UsageSource: d.opts.UsageSource, View: d.view,
 		})
 		d.owner = limits.NewOwner(d.peers, d.view, d.limitsConfig(), d.log)
 	}
--- a/internal/daemon/usage.go
+++ b/internal/daemon/usage.go
@@ -33,6 +33,6 @@
 	}
 	self := metering.Process{Host: d.peers.Host(), Incarnation: d.peers.Incarnation()}
 	counter := metering.NewCounter(d.opts.Metering.Window, self)
-	d.usage = control.NewUsageReporter(d.peers, d.subscriber, counter, d.log)
+	d.usage = control.NewUsageSender(d.peers, d.subscriber, counter, d.log)
 	return usageMeter{counter}
 }
