--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -92,7 +92,7 @@
 	if answered == nil {
 		return false
 	}
-	timer := time.NewTimer(min(inquiryWait, time.Until(deadline)))
+	timer := time.NewTimer(min(s.srv.primaryPositions.wait, time.Until(deadline)))
 	defer timer.Stop()
 	select {
 	case <-answered:
--- a/internal/core/freshness.go
+++ b/internal/core/freshness.go
@@ -31,6 +31,9 @@
 // primary carries its position, so sampling needs no extra requests. It is safe for
 // concurrent use.
 type freshness struct {
+	// wait bounds the wait for the answer to an inquiry; it is inquiryWait outside of tests.
+	wait time.Duration
+
 	mu        sync.Mutex
 	services  map[string]*samples
 	inquiries map[string]inquiry
@@ -53,7 +56,7 @@
 }
 
 func newFreshness() *freshness {
-	return &freshness{services: make(map[string]*samples), inquiries: make(map[string]inquiry)}
+	return &freshness{wait: inquiryWait, services: make(map[string]*samples), inquiries: make(map[string]inquiry)}
 }
 
 // observe records the position in an answer from the primary of a term. at is the time at
@@ -89,14 +92,14 @@
 }
 
 // inquire begins an inquiry for a read that lacks a position, and returns nil. If one has begun
-// less than inquiryWait ago, it returns the channel that is closed with the answer. It answers
+// less than f.wait ago, it returns the channel that is closed with the answer. It answers
 // the load after a fleet was lost: the reads of all callers come together, no host knows a
 // position, and the primary alone cannot run them.
 func (f *freshness) inquire(service string, term uint64, now time.Time) <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q, ok := f.inquiries[service]
-	if ok && q.term == term && now.Sub(q.begun) < inquiryWait {
+	if ok && q.term == term && now.Sub(q.begun) < f.wait {
 		return q.answered
 	}
 	f.inquiries[service] = inquiry{term: term, begun: now, answered: make(chan struct{})}
--- a/internal/core/freshness_test.go
+++ b/internal/core/freshness_test.go
@@ -84,6 +84,7 @@
 func TestReadsAwaitPositionOfPrimary(t *testing.T) {
 	const reads = 20
 	f := newFixture(t)
+	f.server.primaryPositions.wait = time.Hour // on a busy machine the reads begin more than inquiryWait apart
 	if f.server.primaryPositions.inquire("logs", 1, clock.Now().Add(time.Minute)) != nil {
 		t.Fatal("another read asks already")
 	}
