--- a/internal/agreed/usage.go
+++ b/internal/agreed/usage.go
@@ -54,7 +54,7 @@
 }
 
 // DecideUsage records the counts of a window, which must be above the last decided one. It is
-// refused unless Fence is the current one.
+// refused unless Fence is the current one. A repeat of the last one changes nothing.
 type DecideUsage struct {
 	Fence  uint64            `cbor:"1,keyasint"`
 	Window int64             `cbor:"2,keyasint"`
@@ -112,7 +112,7 @@
 }
 
 // decideUsage appends a window to the pending ones, and drops those that are accepted and the
-// oldest ones above MaxUsagePending.
+// oldest ones above MaxUsagePending. A repeat of the last decision changes nothing.
 func decideUsage(s *State, c *DecideUsage) (*State, Outcome) {
 	if err := c.check(); err != nil {
 		return nil, refuse(result.MalformedMessage, "%v", err)
@@ -121,6 +121,9 @@
 	if c.Fence != u.Fence || u.Fence == 0 {
 		return nil, refuse(result.TermConflict, "the usage reports have fence %d; the decision expects %d", u.Fence, c.Fence)
 	}
+	if n := len(u.Pending); n > 0 && u.Pending[n-1].Window == c.Window && maps.Equal(u.Pending[n-1].Counts, c.Counts) {
+		return nil, Outcome{} // a repeat
+	}
 	if c.Window <= u.Decided {
 		return nil, refuse(result.TermConflict, "window %d is not above %d, which is decided", c.Window, u.Decided)
 	}
