--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/galenabridge/galenabridge/internal/control"
 	"github.com/galenabridge/galenabridge/internal/failover"
 	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/metering"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -41,6 +42,8 @@
 	disks map[string]*disk
 	// unreachableFrom holds the hosts whose control role cannot reach any endpoint.
 	unreachableFrom map[string]bool
+	// metering configures usage reports.
+	metering metering.Config
 }
 
 // endpointManager returns the EndpointManager of the control role of a host.
@@ -80,7 +83,12 @@
 // newFleet starts control hosts c0 to c(n-1), which are also entry hosts. Those in
 // unreachableFrom cannot reach endpoints.
 func newFleet(t testing.TB, n int, unreachableFrom ...string) *fleet {
-	f := &fleet{t: t, net: newNetwork(), dir: t.TempDir(), hosts: map[string]*testHost{}, leaseConfig: lease.DefaultConfig()}
+	return newMeteredFleet(t, n, metering.Config{}, unreachableFrom...)
+}
+
+// newMeteredFleet is newFleet with usage reports.
+func newMeteredFleet(t testing.TB, n int, cfg metering.Config, unreachableFrom ...string) *fleet {
+	f := &fleet{metering: cfg, t: t, net: newNetwork(), dir: t.TempDir(), hosts: map[string]*testHost{}, leaseConfig: lease.DefaultConfig()}
 	f.unreachableFrom, f.disks = make(map[string]bool), make(map[string]*disk)
 	for _, name := range unreachableFrom {
 		f.unreachableFrom[name] = true
@@ -134,7 +142,7 @@
 		h.control = control.New(control.Options{
 			Fleet: "fleet", DataDir: filepath.Join(f.dir, name), Bootstrap: true, Controls: f.controls,
 			Peer: h.peer, Lease: f.leaseConfig, Logger: logger().With("host", name), CompactEvery: 200, Registry: h.registry,
-			EndpointManager: f.endpointManager(name), OpenStore: f.disks[name].open,
+			EndpointManager: f.endpointManager(name), OpenStore: f.disks[name].open, Metering: f.metering,
 		})
 	}
 	h.subscriber = control.NewSubscriber(control.SubscriberOptions{
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -9,6 +9,7 @@
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/metering"
 	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/result"
 )
 
 // usageTimeout bounds a call that carries usage reports. It is below the time after which an entry
@@ -150,3 +151,41 @@
 	}
 	h.usage.Answered(e.sent, e.answer, e.received)
 }
+
+// UsageReading is what a control host knows of a window. FleetTime is zero while it is unknown.
+type UsageReading struct {
+	metering.Tally
+	FleetTime time.Time
+}
+
+// usageReadingEvent asks for a UsageReading.
+type usageReadingEvent struct {
+	window int64
+	reply  chan UsageReading // buffered
+}
+
+func (e usageReadingEvent) handle(h *Host, now time.Time) {
+	r := UsageReading{Tally: h.usage.Tally(e.window)}
+	if t, ok := h.usage.FleetTime(now); ok {
+		r.FleetTime = t
+	}
+	e.reply <- r
+}
+
+// UsageReading returns what this control host knows of a window. It fails with UnsupportedFeature if
+// usage reports are disabled.
+func (h *Host) UsageReading(ctx context.Context, window int64) (UsageReading, error) {
+	if h.usage == nil {
+		return UsageReading{}, result.New(result.UnsupportedFeature, "usage reports are disabled")
+	}
+	e := usageReadingEvent{window: window, reply: make(chan UsageReading, 1)}
+	if !h.post(e) {
+		return UsageReading{}, errQueueFull
+	}
+	select {
+	case r := <-e.reply:
+		return r, nil
+	case <-ctx.Done():
+		return UsageReading{}, ctx.Err()
+	}
+}
--- a/internal/metering/sim_test.go
+++ b/internal/metering/sim_test.go
@@ -10,61 +10,47 @@
 	"pgregory.net/rapid"
 )
 
-// Parameters of the simulation.
 const (
-	simWindow = 5 * time.Second
-	simStep   = 20 * time.Millisecond
+	simWindow  = 5 * time.Second
+	simStep    = 20 * time.Millisecond
+	simTimeout = 500 * time.Millisecond
 	// simMargin is the time at both ends of a window without requests: the fleet time differs from
 	// the true one by up to half of the longest round trip and the error of the clocks.
-	simMargin  = 450 * time.Millisecond
-	simTimeout = 500 * time.Millisecond
+	simMargin = 450 * time.Millisecond
 )
 
-// simStart is the true time at which a simulation begins.
-var simStart = time.Unix(1_760_000_000, 0)
-
 // simulation is a fleet whose messages are lost, repeated, delayed and reordered.
 type simulation struct {
 	t        *rapid.T
 	rng      *rand.Rand
 	now      time.Time // true time
 	loss     float64
-	controls []*simControl
-	entries  []*simEntry
-	leader   int // index of the leader, -1 while none is known
+	controls []*simHost
+	entries  []*simHost // all processes
+	leader   int        // index of the leader, -1 while none is known
 	term     uint64
 	queue    []simMessage
 	began    []simRequest
 }
 
-// simHost is what entry and control hosts have in common.
+// simHost is a process of an entry host, which has a counter, or of a control host.
 type simHost struct {
-	process Process
-	boot    time.Duration // offset of the monotonic clock to the true time
-	skew    time.Duration // offset of the time of day to the true time
-	alive   bool
+	process    Process
+	boot, skew time.Duration // of the monotonic clock and the time of day to the true time
+	alive      bool
+	collector  *Collector
+	counter    *Counter
+	upstream   int
+	killed     time.Time
+	safe       time.Time // when the last report that a control host received was built
 }
 
-func (h *simHost) mono(true time.Time) time.Time { return true.Add(h.boot) }
-func (h *simHost) day(true time.Time) time.Time  { return true.Add(h.skew) }
-
-type simControl struct {
-	simHost
-	collector *Collector
-}
-
-type simEntry struct {
-	simHost
-	counter  *Counter
-	upstream int
-	killed   time.Time
-	// safe is when the last report that a control host received was built.
-	safe time.Time
-}
+func (h *simHost) mono(now time.Time) time.Time { return now.Add(h.boot) }
+func (h *simHost) day(now time.Time) time.Time  { return now.Add(h.skew) }
 
 type simRequest struct {
 	at        time.Time
-	entry     *simEntry
+	entry     *simHost
 	workspace string
 }
 
@@ -78,8 +64,7 @@
 	s.queue = append(s.queue, simMessage{s.now.Add(d), run})
 }
 
-// delay returns the time that a message takes: mostly a few milliseconds, sometimes far more, so
-// that later messages overtake it.
+// delay is mostly a few milliseconds and sometimes far more, so that later messages overtake.
 func (s *simulation) delay() time.Duration {
 	if s.rng.Float64() < 0.1 {
 		return time.Duration(s.rng.Int64N(int64(400 * time.Millisecond)))
@@ -87,73 +72,67 @@
 	return time.Duration(1+s.rng.Int64N(4)) * time.Millisecond
 }
 
-// call delivers a batch to a control host and passes on the outcome. received runs on delivery.
-func (s *simulation) call(from Process, to *simControl, o Outgoing, received func(), outcome func(Answer, error)) {
-	done := false
-	finish := func(a Answer, err error) {
+// call delivers a batch to a control host, sometimes twice, and passes on the outcome.
+func (s *simulation) call(from, to *simHost, o Outgoing, answered func(Outgoing, Answer, time.Time), failed func(Outgoing)) {
+	built, done := s.now, false
+	s.later(simTimeout, func() {
 		if !done {
 			done = true
-			outcome(a, err)
-		}
-	}
-	s.later(simTimeout, func() { finish(Answer{}, fmt.Errorf("time-out")) })
-	process := to.process
-	deliver := func(first bool) {
-		if !to.alive || to.process != process {
-			return
+			failed(o)
 		}
-		a := to.collector.Receive(to.mono(s.now), to.day(s.now), from, o.Batch)
-		if !first {
-			return
-		}
-		received()
-		if s.rng.Float64() >= s.loss {
-			s.later(s.delay(), func() { finish(a, nil) })
+	})
+	deliver := func() Answer {
+		if !to.alive {
+			return Answer{}
 		}
+		from.safe = built
+		return to.collector.Receive(to.mono(s.now), to.day(s.now), from.process, o.Batch)
 	}
-	if s.rng.Float64() >= s.loss {
-		s.later(s.delay(), func() { deliver(true) })
-		if s.rng.Float64() < 0.1 {
-			s.later(2*time.Duration(s.rng.Int64N(int64(time.Second))), func() { deliver(false) })
+	if s.rng.Float64() < s.loss {
+		return
+	}
+	s.later(s.delay(), func() {
+		a := deliver()
+		if to.alive && s.rng.Float64() >= s.loss {
+			s.later(s.delay(), func() {
+				if !done {
+					done = true
+					answered(o, a, from.mono(s.now))
+				}
+			})
 		}
+	})
+	if s.rng.Float64() < 0.1 {
+		s.later(simTimeout+2*time.Duration(s.rng.Int64N(int64(time.Second))), func() { deliver() })
 	}
 }
 
-func (s *simulation) newProcess(host string) simHost {
-	return simHost{
-		process: Process{host, uint64(s.now.UnixNano())}, alive: true, skew: time.Duration(s.rng.Int64N(20)) * time.Millisecond,
+// start returns a new process of a host.
+func (s *simulation) start(kind string, i int) *simHost {
+	h := &simHost{
+		process: Process{fmt.Sprint(kind, i), uint64(s.now.UnixNano())}, alive: true, upstream: s.rng.IntN(3),
+		skew: time.Duration(s.rng.Int64N(20)) * time.Millisecond,
 		boot: -time.Duration(s.now.Unix())*time.Second + time.Duration(s.rng.Int64N(int64(time.Hour))),
 	}
+	h.counter, h.collector = NewCounter(simWindow, h.process), NewCollector(simWindow, h.process)
+	return h
 }
 
-func (s *simulation) startControl(i int) {
-	c := &simControl{simHost: s.newProcess(fmt.Sprintf("c%d", i))}
-	c.collector = NewCollector(simWindow, c.process)
-	s.controls[i] = c
-	s.updateMembers()
-}
-
-func (s *simulation) startEntry(i int) *simEntry {
-	e := &simEntry{simHost: s.newProcess(fmt.Sprintf("e%d", i)), upstream: s.rng.IntN(len(s.controls))}
-	e.counter = NewCounter(simWindow, e.process)
-	return e
-}
-
-// updateMembers registers the newest process of each host.
-func (s *simulation) updateMembers() {
+// register registers the newest process of each host.
+func (s *simulation) register() {
 	newest := map[string]Member{}
-	for _, c := range s.controls {
-		newest[c.process.Host] = Member{Process: c.process, Control: true}
-	}
 	for _, e := range s.entries {
 		newest[e.process.Host] = Member{Process: e.process, Entry: true}
 	}
-	members := []Member{}
+	var members []Member
 	for _, m := range newest {
 		members = append(members, m)
 	}
 	for _, c := range s.controls {
-		c.collector.SetMembers(c.mono(s.now), members, func(w string) bool { return w != "unknown" })
+		members = append(members, Member{Process: c.process, Control: true})
+	}
+	for _, c := range s.controls {
+		c.collector.SetMembers(c.mono(s.now), members, func(string) bool { return true })
 	}
 }
 
@@ -162,32 +141,26 @@
 	s.now = s.now.Add(simStep)
 	slices.SortStableFunc(s.queue, func(a, b simMessage) int { return a.at.Compare(b.at) })
 	for len(s.queue) > 0 && !s.queue[0].at.After(s.now) {
-		m := s.queue[0]
+		run := s.queue[0].run
 		s.queue = s.queue[1:]
-		m.run()
+		run()
 	}
 	for i, c := range s.controls {
 		if !c.alive {
 			continue
 		}
-		role := Role{Leading: i == s.leader, Term: s.term}
-		if s.leader >= 0 {
-			role.Leader = s.controls[s.leader].process.Host
-			role.Target = role.Leader
+		role, target := Role{Leading: i == s.leader, Term: s.term}, s.leader
+		if role.Leading {
+			target = (i + 1) % len(s.controls)
 		}
-		if second := s.controls[(i+1)%len(s.controls)]; role.Leading {
-			if role.Target = ""; second.alive {
-				role.Target = second.process.Host
-			}
+		if s.leader >= 0 {
+			role.Leader, role.Target = s.controls[s.leader].process.Host, s.controls[target].process.Host
 		}
 		c.collector.SetRole(role)
 		c.collector.Tick(c.mono(s.now), c.day(s.now))
 		if o, ok := c.collector.Batch(c.mono(s.now), c.day(s.now)); ok {
-			for _, to := range s.controls {
-				if to.process.Host == o.Target {
-					s.call(c.process, to, o, func() {}, s.batchOutcome(c, o))
-				}
-			}
+			to := s.controls[slices.IndexFunc(s.controls, func(h *simHost) bool { return h.process.Host == o.Target })]
+			s.call(c, to, o, c.collector.Answered, c.collector.Failed)
 		}
 	}
 	for _, e := range s.entries {
@@ -197,88 +170,72 @@
 	}
 }
 
-func (s *simulation) batchOutcome(c *simControl, o Outgoing) func(Answer, error) {
-	return func(a Answer, err error) {
-		if err != nil {
-			c.collector.Failed(o)
-		} else {
-			c.collector.Answered(o, a, c.mono(s.now))
-		}
-	}
-}
-
-func (s *simulation) stepEntry(e *simEntry, requests bool) {
+func (s *simulation) stepEntry(e *simHost, requests bool) {
 	into := time.Duration(s.now.UnixNano() % int64(simWindow))
 	if requests && into >= simMargin && into < simWindow-simMargin && s.rng.Float64() < 0.3 {
-		r := simRequest{s.now, e, fmt.Sprintf("w%d", s.rng.IntN(3))}
+		r := simRequest{s.now, e, fmt.Sprint("w", s.rng.IntN(3))}
 		s.began = append(s.began, r)
 		e.counter.Begin(e.mono(s.now), e.day(s.now), r.workspace)
 	}
-	o, ok := e.counter.Report(e.mono(s.now), e.day(s.now))
-	if !ok {
-		return
+	if o, ok := e.counter.Report(e.mono(s.now), e.day(s.now)); ok {
+		s.call(e, s.controls[e.upstream], o, e.counter.Answered, e.counter.Failed)
 	}
-	built := s.now
-	s.call(e.process, s.controls[e.upstream], o, func() { e.safe = built }, func(a Answer, err error) {
-		if err != nil {
-			e.counter.Failed(o)
-		} else {
-			e.counter.Answered(o, a, e.mono(s.now))
-		}
-	})
 }
 
-// truth returns the counts of all windows, without the requests of killed processes that may be
-// lost.
-func (s *simulation) truth(mayBeLost func(simRequest) bool) map[int64]map[string]uint64 {
-	all := map[int64]map[string]uint64{}
+// check compares the tally of a control host with the requests for which counted is true.
+func (s *simulation) check(c *simHost, counted func(simRequest) bool, wrong func(tally, truth uint64) error) {
+	truth := map[int64]map[string]uint64{}
 	for _, r := range s.began {
 		window := windowOf(r.at, simWindow)
-		if all[window] == nil {
-			all[window] = map[string]uint64{}
+		if truth[window] == nil {
+			truth[window] = map[string]uint64{}
 		}
-		if !mayBeLost(r) {
-			all[window][r.workspace]++
+		if counted(r) {
+			truth[window][r.workspace]++
+		}
+	}
+	for window := range truth {
+		for _, w := range []string{"w0", "w1", "w2"} {
+			if err := wrong(c.collector.Tally(window).Counts[w], truth[window][w]); err != nil {
+				s.t.Fatalf("%s, %s in window %d: %v", c.process.Host, w, window, err)
+			}
 		}
 	}
-	return all
 }
 
 // checkUpper checks that no tally exceeds the truth.
 func (s *simulation) checkUpper() {
-	truth := s.truth(func(simRequest) bool { return false })
 	for _, c := range s.controls {
-		for window := range truth {
-			for workspace, n := range c.collector.Tally(window).Counts {
-				if n > truth[window][workspace] {
-					s.t.Fatalf("%s counts %d requests of %s in window %d, the truth is %d", c.process.Host, n, workspace, window, truth[window][workspace])
-				}
+		s.check(c, func(simRequest) bool { return true }, func(tally, truth uint64) error {
+			if tally > truth {
+				return fmt.Errorf("counted %d requests of %d", tally, truth)
 			}
-		}
+			return nil
+		})
 	}
 }
 
-// checkLower checks that the leader misses nothing but what killed processes may lose: the
-// requests after the last report that a control host received. Without losses that report is at
-// most ReportInterval older than the kill.
+// checkLower checks that the leader knows all requests but those that a killed process began after
+// its last report that was received. Without losses that is at most 200 ms before the kill.
 func (s *simulation) checkLower() {
-	truth := s.truth(func(r simRequest) bool {
-		e := r.entry
-		safe := e.safe
-		if limit := e.killed.Add(-200*time.Millisecond - simStep); s.loss == 0 && limit.After(safe) {
+	s.check(s.controls[s.leader], func(r simRequest) bool {
+		safe := r.entry.safe
+		if limit := r.entry.killed.Add(-200*time.Millisecond - simStep); s.loss == 0 && limit.After(safe) {
 			safe = limit
 		}
-		return !e.alive && r.at.After(safe)
-	})
-	leader := s.controls[s.leader].collector
-	for window, counts := range truth {
-		tally := leader.Tally(window)
-		for workspace, n := range counts {
-			if tally.Counts[workspace] < n {
-				s.t.Fatalf("the leader counts %d requests of %s in window %d, it must know %d", tally.Counts[workspace], workspace, window, n)
-			}
+		return r.entry.alive || !r.at.After(safe)
+	}, func(tally, truth uint64) error {
+		if tally < truth {
+			return fmt.Errorf("counted %d requests, at least %d are known", tally, truth)
 		}
-	}
+		return nil
+	})
+}
+
+// timeKnown reports whether all hosts know the fleet time. They hold their counts back until then.
+func (s *simulation) timeKnown() bool {
+	unknown := func(h *simHost) bool { return !h.counter.fleet.known && !h.collector.fleet.known }
+	return !slices.ContainsFunc(s.controls, unknown) && !slices.ContainsFunc(s.entries, unknown)
 }
 
 // TestTallies guards against counts that are reported twice or lost: in random schedules of lost,
@@ -288,38 +245,38 @@
 func TestTallies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &simulation{
-			t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), now: simStart, term: 1,
-			loss: rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss"), controls: make([]*simControl, 3),
+			t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), now: time.Unix(1_760_000_000, 0), term: 1,
+			loss: rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss"),
 		}
-		for i := range s.controls {
-			s.controls[i] = &simControl{simHost: s.newProcess(fmt.Sprintf("c%d", i))}
-			s.controls[i].collector = NewCollector(simWindow, s.controls[i].process)
+		for i := range 3 {
+			s.controls = append(s.controls, s.start("c", i))
 		}
 		for i := range rapid.IntRange(2, 6).Draw(t, "entries") {
-			s.entries = append(s.entries, s.startEntry(i))
+			s.entries = append(s.entries, s.start("e", i))
 		}
-		s.updateMembers()
-		minority := (len(s.entries) + len(s.controls) - 1) / 2
-		for !s.timeKnown() { // a host holds its counts back until then
+		hosts := len(s.entries)
+		minority := min(hosts, (hosts+len(s.controls)-1)/2)
+		s.register()
+		for !s.timeKnown() {
 			s.step(false)
 		}
-		// One entry host and, at another time, one control host are killed.
+		// The kills are two seconds apart: what one host stores is then stored by another.
 		entryKill, controlKill := rapid.IntRange(0, 800).Draw(t, "entryKill"), rapid.IntRange(0, 800).Draw(t, "controlKill")
 		if d := controlKill - entryKill; d > -100 && d < 100 {
 			controlKill = entryKill + 100
 		}
 		for i := range 1000 {
-			switch {
+			switch event := s.rng.Float64(); {
 			case i == entryKill:
-				s.killEntry()
+				s.killEntry(s.rng.IntN(hosts))
 			case i == controlKill:
-				s.killControl()
-			case s.rng.Float64() < 0.005:
+				s.killControl(s.rng.IntN(len(s.controls)))
+			case event < 0.005:
 				s.changeLeader()
-			case s.rng.Float64() < 0.01:
-				s.changeUpstream(s.entries[s.rng.IntN(len(s.entries))])
-			case s.rng.Float64() < 0.02:
-				s.entries[s.rng.IntN(min(minority, len(s.entries)))].skew = time.Duration(s.rng.Int64N(int64(20*time.Second))) - 10*time.Second
+			case event < 0.015:
+				s.changeUpstream(s.entries[s.rng.IntN(hosts)])
+			case event < 0.035:
+				s.entries[s.rng.IntN(minority)].skew = time.Duration(s.rng.Int64N(int64(20*time.Second))) - 10*time.Second
 			}
 			s.step(true)
 			if i%100 == 0 {
@@ -333,49 +290,27 @@
 		s.checkUpper()
 		s.checkLower()
 		last := windowOf(s.now.Add(-3*time.Second), simWindow) - 1
-		if tally := s.controls[s.leader].collector.Tally(last); len(tally.Missing) > 0 || tally.Heard != len(entryHosts(s)) {
-			t.Fatalf("window %d lacks the final reports of %v", last, tally.Missing)
+		if tally := s.controls[s.leader].collector.Tally(last); len(tally.Missing) > 0 || tally.Heard != hosts {
+			t.Fatalf("window %d has %d final reports and lacks those of %v", last, tally.Heard, tally.Missing)
 		}
 	})
 }
 
-// timeKnown reports whether all hosts know the fleet time.
-func (s *simulation) timeKnown() bool {
-	for _, c := range s.controls {
-		if !c.collector.fleet.known {
-			return false
-		}
-	}
-	return !slices.ContainsFunc(s.entries, func(e *simEntry) bool { return !e.counter.fleet.known })
-}
-
-// entryHosts returns the names of the entry hosts.
-func entryHosts(s *simulation) map[string]bool {
-	all := map[string]bool{}
-	for _, e := range s.entries {
-		all[e.process.Host] = true
-	}
-	return all
-}
-
-func (s *simulation) killEntry() {
-	i := s.rng.IntN(len(s.entries))
-	e := s.entries[i]
-	e.alive, e.killed = false, s.now
+// killEntry kills an entry host, which starts again after a second.
+func (s *simulation) killEntry(i int) {
+	s.entries[i].alive, s.entries[i].killed = false, s.now
 	s.later(time.Second, func() {
-		s.entries = append(s.entries, s.startEntry(i))
-		s.updateMembers()
+		s.entries = append(s.entries, s.start("e", i))
+		s.register()
 	})
 }
 
-// killControl kills a control host. Its process is replaced after two seconds, and the entry hosts
-// use another one after 700 ms.
-func (s *simulation) killControl() {
-	i := s.rng.IntN(len(s.controls))
+// killControl kills a control host, which starts again after two seconds with nothing stored. The
+// entry hosts use another one after 700 ms.
+func (s *simulation) killControl(i int) {
 	s.controls[i].alive = false
 	if s.leader == i {
-		s.leader = -1
-		s.later(400*time.Millisecond, func() { s.electOther(i) })
+		s.changeLeader()
 	}
 	s.later(700*time.Millisecond, func() {
 		for _, e := range s.entries {
@@ -384,38 +319,35 @@
 			}
 		}
 	})
-	s.later(2*time.Second, func() { s.startControl(i) })
-}
-
-func (s *simulation) electOther(former int) {
-	s.term++
-	for s.leader = s.rng.IntN(len(s.controls)); s.leader == former || !s.controls[s.leader].alive; {
-		s.leader = (s.leader + 1) % len(s.controls)
-	}
+	s.later(2*time.Second, func() {
+		s.controls[i] = s.start("c", i)
+		s.register()
+	})
 }
 
+// changeLeader elects another control host after 300 ms.
 func (s *simulation) changeLeader() {
 	former := s.leader
-	if former < 0 || !s.allAlive() {
+	if former < 0 {
 		return
 	}
 	s.leader = -1
-	s.later(300*time.Millisecond, func() { s.electOther(former) })
-}
-
-func (s *simulation) allAlive() bool {
-	for _, c := range s.controls {
-		if !c.alive {
-			return false
+	s.later(300*time.Millisecond, func() {
+		s.term++
+		s.leader = (former + 1 + s.rng.IntN(2)) % 3
+		if !s.controls[s.leader].alive {
+			s.leader = 3 - former - s.leader
 		}
-	}
-	return true
+		if !s.controls[s.leader].alive {
+			s.leader = former
+		}
+	})
 }
 
-func (s *simulation) changeUpstream(e *simEntry) {
-	e.upstream = (e.upstream + 1) % len(s.controls)
+func (s *simulation) changeUpstream(e *simHost) {
+	e.upstream = (e.upstream + 1) % 3
 	if !s.controls[e.upstream].alive {
-		e.upstream = (e.upstream + 1) % len(s.controls)
+		e.upstream = (e.upstream + 1) % 3
 	}
 	e.counter.ResendAll()
 }
