--- a/internal/daemon/usage_test.go
+++ b/internal/daemon/usage_test.go
@@ -74,7 +74,7 @@
 			stacks := make([]byte, 1<<20)
 			stacks = stacks[:runtime.Stack(stacks, true)]
 			_, err := control.Control().UsageReading(context.Background(), 1)
-			if strings.Contains(string(stacks), "UsageReporter") != enabled || usageMessages(t, entry) > 0 != enabled ||
+			if strings.Contains(string(stacks), "UsageSender") != enabled || usageMessages(t, entry) > 0 != enabled ||
 				(entry.usage != nil) != enabled || entry.buildMeter() != nil != enabled || (err == nil) != enabled {
 				t.Errorf("enabled: %t, but %v messages, reporter %v, reading %v", enabled, usageMessages(t, entry), entry.usage, err)
 			}
