--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/galenabridge/galenabridge/internal/control"
 	"github.com/galenabridge/galenabridge/internal/failover"
 	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/metering"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -41,6 +42,10 @@
 	disks map[string]*disk
 	// unreachableFrom holds the hosts whose control role cannot reach any endpoint.
 	unreachableFrom map[string]bool
+	// usage receives the usage reports of hosts that are started after it is set.
+	usage *usageRecorder
+	// metering configures usage reports.
+	metering metering.Config
 }
 
 // endpointManager returns the EndpointManager of the control role of a host.
@@ -80,7 +85,12 @@
 // newFleet starts control hosts c0 to c(n-1), which are also entry hosts. Those in
 // unreachableFrom cannot reach endpoints.
 func newFleet(t testing.TB, n int, unreachableFrom ...string) *fleet {
-	f := &fleet{t: t, net: newNetwork(), dir: t.TempDir(), hosts: map[string]*testHost{}, leaseConfig: lease.DefaultConfig()}
+	return newMeteredFleet(t, n, metering.Config{}, unreachableFrom...)
+}
+
+// newMeteredFleet is newFleet with usage reports.
+func newMeteredFleet(t testing.TB, n int, cfg metering.Config, unreachableFrom ...string) *fleet {
+	f := &fleet{metering: cfg, t: t, net: newNetwork(), dir: t.TempDir(), hosts: map[string]*testHost{}, leaseConfig: lease.DefaultConfig()}
 	f.unreachableFrom, f.disks = make(map[string]bool), make(map[string]*disk)
 	for _, name := range unreachableFrom {
 		f.unreachableFrom[name] = true
@@ -131,11 +141,15 @@
 		OnReplaced: func() { close(h.replaced) }, Registry: h.registry,
 	})
 	if isControl {
-		h.control = control.New(control.Options{
+		opts := control.Options{
 			Fleet: "fleet", DataDir: filepath.Join(f.dir, name), Bootstrap: true, Controls: f.controls,
 			Peer: h.peer, Lease: f.leaseConfig, Logger: logger().With("host", name), CompactEvery: 200, Registry: h.registry,
-			EndpointManager: f.endpointManager(name), OpenStore: f.disks[name].open,
-		})
+			EndpointManager: f.endpointManager(name), OpenStore: f.disks[name].open, View: h.view, Metering: f.metering,
+		}
+		if f.usage != nil {
+			opts.Metering, opts.UsageSource, opts.UsageReporter = usageConfig, f.usage, usageReporter{f.usage, name}
+		}
+		h.control = control.New(opts)
 	}
 	h.subscriber = control.NewSubscriber(control.SubscriberOptions{
 		Fleet: "fleet", Domain: h.domain, Entry: true, Control: isControl, Controls: f.controls,
