Place home hosts by declared load where links are thin

Cause: home hosts are chosen by hash alone. On hosts with a link of 2 Mbit/s several services of the largest workspace had the same first home host, which saturated its link (242 to 264 KB/s of 250) while the mean host carried 23 to 48.

Change: hosts register the capacity of their link (setting limits.link_mbps). Where the declared load of one workspace or service could take more than half of a link, all hosts compute a placement from the agreed state: home hosts of different services are spread, pairs above 1/64 of a link go to the least loaded home host of their service, and a pair beyond half of a link is divided among several. Metrics and a log line show it. On wide links the ranking is the former one.

--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -99,7 +99,7 @@
 	d, err := daemon.New(daemon.Options{
 		Settings: settings.Settings, Dialer: platform.Dialer{},
 		EndpointManager: platform.NewEndpointManager(settings.Name, settings.PromoteAddr),
-		Fenced:          settings.Fenced, GracePeriod: settings.GracePeriod, Tolerance: settings.Tolerance, Logger: logger, IncarnationOffset: incarnationOffset,
+		Fenced:          settings.Fenced, GracePeriod: settings.GracePeriod, Tolerance: settings.Tolerance, LinkRate: settings.LinkRate, Logger: logger, IncarnationOffset: incarnationOffset,
 	})
 	if err != nil {
 		return err
--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -22,6 +22,9 @@
 	// Absent is set once the configuration lease of this incarnation has ended. The process
 	// must not act until it has registered again, and has given up its shares of rates.
 	Absent bool `json:"absent,omitempty" cbor:"8,keyasint,omitempty"`
+	// Link is the capacity of the host's network link in bytes a second, zero if unknown. The
+	// home hosts are chosen by it, so all hosts must have the same information.
+	Link int64 `json:"link,omitempty" cbor:"9,keyasint,omitempty"`
 }
 
 // Endpoint is one database server of a service's group.
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -43,10 +43,12 @@
 
 // SubscriberOptions configures a Subscriber.
 type SubscriberOptions struct {
-	Fleet    string
-	Domain   string
-	Entry    bool
-	Control  bool
+	Fleet   string
+	Domain  string
+	Entry   bool
+	Control bool
+	// Link is the capacity of the host's network link in bytes a second, zero if unknown.
+	Link     int64
 	Controls []config.ControlHost
 	// OpenMembership adds the control hosts of the agreed state to Controls, which
 	// are then seeds.
@@ -224,7 +226,9 @@
 // data.
 func (s *Subscriber) isRegistered() bool {
 	host, ok := s.state.Hosts[s.opts.Peer.Host()]
-	return ok && host == s.hostRecord(host.Registered)
+	want := s.hostRecord(host.Registered)
+	want.Link = host.Link // control hosts of an earlier build do not record it
+	return ok && host == want
 }
 
 // hostRecord returns this process as a registered host.
@@ -237,6 +241,7 @@
 		Entry:       s.opts.Entry,
 		Control:     s.opts.Control,
 		Registered:  registered,
+		Link:        s.opts.Link,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,7 +61,10 @@
 	GracePeriod time.Duration
 	// Tolerance is how far a workspace may exceed its rate. It is the same on all hosts.
 	Tolerance limits.Tolerance
-	Logger    *log.Logger
+	// LinkRate is the capacity of the host's network link in bytes a second, zero if it is
+	// unknown or without limit.
+	LinkRate int64
+	Logger   *log.Logger
 	// IncarnationOffset is added to the time of day, which gives the incarnation of the
 	// process; see ErrReplaced.
 	IncarnationOffset time.Duration
@@ -147,7 +150,7 @@
 	d.subscriber = control.NewSubscriber(control.SubscriberOptions{
 		Fleet: d.opts.Settings.Fleet, Domain: d.opts.Settings.Domain, OpenMembership: true, Controls: seeds,
 		Entry: d.opts.Settings.Entry != nil, Control: d.opts.Settings.Control != nil,
-		Peer: d.peers, Lease: leaseCfg, Logger: d.log, View: d.view, Registry: d.registry,
+		Link: d.opts.LinkRate, Peer: d.peers, Lease: leaseCfg, Logger: d.log, View: d.view, Registry: d.registry,
 	})
 }
 
@@ -156,7 +159,7 @@
 		return
 	}
 	d.holder = limits.NewHolder(d.peers, d.view, d.limitsConfig(), d.log)
-	d.forwarder = forward.New(d.peers, d.view, d.log)
+	d.forwarder = forward.New(d.peers, d.view, d.log, d.registry)
 	d.core = core.NewServer(core.Options{
 		View: d.view, Host: d.opts.Settings.Host, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
 		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Log: d.log, Registerer: d.registry,
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/clock"
@@ -37,15 +38,16 @@
 	view  view.Source
 	log   *log.Logger
 
-	mu    sync.Mutex
-	homes route.HomeTable
+	mu        sync.Mutex
+	homes     route.HomeTable
+	placement *placementReport
 	// avoided are the hosts that get no statements until they answer a probe.
 	avoided map[string]bool
 }
 
 // New returns a Forwarder. Run must be called for avoided hosts to be probed.
-func New(peers *peer.Node, src view.Source, logger *log.Logger) *Forwarder {
-	return &Forwarder{peers: peers, view: src, log: logger, avoided: make(map[string]bool)}
+func New(peers *peer.Node, src view.Source, logger *log.Logger, reg prometheus.Registerer) *Forwarder {
+	return &Forwarder{peers: peers, view: src, log: logger, avoided: make(map[string]bool), placement: newPlacementReport(reg, logger)}
 }
 
 // Run probes avoided hosts until ctx ends.
@@ -129,7 +131,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.homes.Update(state)
+	if f.homes.Update(state) {
+		f.placement.update(f.homes.Placement(f.peers.Host()))
+	}
 	choose := f.homes.Preferred
 	if unable {
 		choose = f.homes.Others
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -64,7 +64,7 @@
 		f.state.Hosts[id] = agreed.Host{ID: id, PeerAddr: "127.0.0.1:1", Domain: fmt.Sprint("d", i%4), Incarnation: 1, Entry: true}
 	}
 	f.publish()
-	f.forwarder = New(f.caller, f.view, log.New(io.Discard))
+	f.forwarder = New(f.caller, f.view, log.New(io.Discard), nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/route/home.go
+++ b/internal/route/home.go
@@ -24,10 +24,7 @@
 		total += len(names)
 		domains = append(domains, domain)
 	}
-	ranked := rendezvous.Top(domains, service, len(domains))
-	slices.SortStableFunc(ranked, func(a, b string) int {
-		return domainOrder(endpointDomains, a) - domainOrder(endpointDomains, b)
-	})
+	ranked := rankDomains(service, domains, endpointDomains)
 	size := min(total, max(HomeHostCount, smallFleetSize(total)))
 	byDomain := make([][]string, len(ranked))
 	for i, domain := range ranked {
@@ -44,6 +41,15 @@
 	return home
 }
 
+// rankDomains returns the failure domains in the order in which a service has home hosts in them.
+func rankDomains(service string, domains, endpointDomains []string) []string {
+	ranked := rendezvous.Top(domains, service, len(domains))
+	slices.SortStableFunc(ranked, func(a, b string) int {
+		return domainOrder(endpointDomains, a) - domainOrder(endpointDomains, b)
+	})
+	return ranked
+}
+
 // domainOrder returns 0 for a domain with endpoints and 1 for any other.
 func domainOrder(endpointDomains []string, domain string) int {
 	if slices.Contains(endpointDomains, domain) {
