Ignore latencies in pacing while the host's own link is saturated

Cause: pacing took the delay of a host's own saturated link for a slow endpoint and let fewer statements go to it, while its slots were free.

Metrics and a log line show it. Hosts without the setting count nothing.

--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/galenabridge/galenabridge/internal/daemon"
 	"github.com/galenabridge/galenabridge/internal/eventlog"
+	"github.com/galenabridge/galenabridge/internal/linkuse"
 	"github.com/galenabridge/galenabridge/platform"
 )
 
@@ -96,8 +97,9 @@
 		debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryLimit)))
 	}
 	logger = logger.With("host", settings.Name, "role", opts.Args.Role)
+	traffic := linkuse.NewMeter(settings.LinkRate)
 	d, err := daemon.New(daemon.Options{
-		Settings: settings.Settings, Dialer: platform.Dialer{},
+		Settings: settings.Settings, Dialer: platform.Dialer{Traffic: traffic}, Traffic: traffic,
 		EndpointManager: platform.NewEndpointManager(settings.Name, settings.PromoteAddr),
 		Fenced:          settings.Fenced, GracePeriod: settings.GracePeriod, Tolerance: settings.Tolerance, LinkRate: settings.LinkRate, Logger: logger, IncarnationOffset: incarnationOffset,
 	})
--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -8,6 +8,7 @@
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/connpool"
+	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pacing"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -116,6 +117,17 @@
 	e.position = later(e.position, p)
 }
 
+// pace has the latency of a statement that was sent at a time limit the statements in progress at
+// its endpoint. While the host's own link is saturated it is the likely cause of the latency, and
+// the sample is ignored: the endpoint would be paced with slots free.
+func (s *Server) pace(e *endpoint, route note.Route, kind Kind, at, sentAt time.Time, took time.Duration) {
+	if s.opts.Traffic.SaturatedSince(sentAt) {
+		s.metrics.pacingIgnored.Inc()
+		return
+	}
+	e.observeLatency(at, s.latencyExcess(route, kind, took))
+}
+
 // observeLatency records by how much the latency of a statement exceeded the usual one.
 func (e *endpoint) observeLatency(now time.Time, excess time.Duration) {
 	limit := e.srv.maxSlots(e.record.Service, e.record.ID)
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/activity"
+	"github.com/galenabridge/galenabridge/internal/linkuse"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
@@ -28,9 +29,13 @@
 	unpositioned prometheus.Counter
 	sessions     prometheus.Gauge
 	forwarded    *prometheus.CounterVec
+	// pacingIgnored counts the latencies that did not pace an endpoint, because the host's own
+	// link was saturated.
+	pacingIgnored prometheus.Counter
 }
 
-func newMetrics(reg prometheus.Registerer) *metrics {
+// newMetrics returns the metrics. Those of the link are registered only if it is measured.
+func newMetrics(reg prometheus.Registerer, traffic *linkuse.Meter) *metrics {
 	m := &metrics{
 		results: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenabridge_statements_total", Help: "Statements answered, by kind and result code; 0 is success.",
@@ -59,6 +64,9 @@
 		forwarded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenabridge_statements_forwarded_total", Help: "Statements offered to other hosts, by outcome.",
 		}, []string{"outcome"}),
+		pacingIgnored: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenabridge_pacing_ignored_total", Help: "Latencies that did not pace an endpoint, because the host's own link was saturated.",
+		}),
 		sessions: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "galenabridge_sessions", Help: "Open sessions of callers.",
 		}),
@@ -66,6 +74,11 @@
 	if reg != nil {
 		reg.MustRegister(m.results, m.duration, m.endpoint, m.waits, m.dials, m.retries, m.reads, m.unpositioned, m.forwarded, m.sessions)
 	}
+	if reg != nil && traffic != nil {
+		reg.MustRegister(m.pacingIgnored, prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "galenabridge_link_bytes_total", Help: "Bytes that were sent to or received from callers, endpoints and other hosts.",
+		}, func() float64 { return float64(traffic.Total()) }))
+	}
 	return m
 }
 
@@ -79,6 +92,7 @@
 		{Name: "reads", Collector: m.reads, Label: "role"},
 		{Name: "reads_without_position", Collector: m.unpositioned},
 		{Name: "forwarded", Collector: m.forwarded, Label: "outcome"},
+		{Name: "pacing_ignored", Collector: m.pacingIgnored},
 	}
 }
 
--- a/internal/core/metrics_test.go
+++ b/internal/core/metrics_test.go
@@ -18,7 +18,7 @@
 		t.Fatal(err)
 	}
 	registry := prometheus.NewRegistry()
-	m := newMetrics(registry)
+	m := newMetrics(registry, nil)
 	m.observeReply(Read, 0, "crew", note.ClassBulk, time.Millisecond)
 	m.observeWait(note.ClassBulk, waitRate, time.Now())
 	m.endpoint.WithLabelValues("bulk").Observe(0)
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -138,7 +138,7 @@
 	}
 	a := answers[0]
 	if a.Err == nil && takesSlot(c.Kind) {
-		co.endpoint.observeLatency(at, s.srv.latencyExcess(route, c.Kind, took))
+		s.srv.pace(co.endpoint, route, c.Kind, at, sentAt, took)
 	}
 	co.endpoint.observePosition(a.Position)
 	if co.primary && s.srv.stillValid(co.choice) && (a.Err == nil || a.Err.Code != result.EndpointReadOnly) {
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -15,6 +15,7 @@
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/limits"
+	"github.com/galenabridge/galenabridge/internal/linkuse"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pacing"
 	"github.com/galenabridge/galenabridge/internal/route"
@@ -39,7 +40,7 @@
 	Refund(workspace string)
 }
 
-// Options configures a Server. All fields but Forwarder and Registerer are required.
+// Options configures a Server. All fields but Forwarder, Traffic and Registerer are required.
 type Options struct {
 	View view.Source
 	// Host is the ID of this host.
@@ -54,7 +55,9 @@
 	// Observe receives evidence about the health of endpoints. It must not block.
 	Observe func(Evidence)
 	// Forwarder runs statements at other hosts; nil means that all run on this one.
-	Forwarder  Forwarder
+	Forwarder Forwarder
+	// Traffic measures the use of the host's network link; nil if the link is unknown.
+	Traffic    *linkuse.Meter
 	Log        *log.Logger
 	Registerer prometheus.Registerer
 }
@@ -99,7 +102,7 @@
 // to stop it.
 func NewServer(opts Options) *Server {
 	s := &Server{
-		opts: opts, metrics: newMetrics(opts.Registerer), primaryPositions: newFreshness(), baselines: pacing.NewBaseline(),
+		opts: opts, metrics: newMetrics(opts.Registerer, opts.Traffic), primaryPositions: newFreshness(), baselines: pacing.NewBaseline(),
 		endpoints: make(map[string]*endpoint), sessions: make(map[*Session]struct{}),
 		remoteTransactions: make(map[remoteKey]*Session), witnessed: make(map[string]bool),
 	}
@@ -186,6 +189,7 @@
 		case <-changed:
 		case <-ticker.C:
 			s.sweep()
+			s.opts.Traffic.Report(s.opts.Log)
 		}
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/galenabridge/galenabridge/internal/forward"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/limits"
+	"github.com/galenabridge/galenabridge/internal/linkuse"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/supervise"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -64,7 +65,10 @@
 	// LinkRate is the capacity of the host's network link in bytes a second, zero if it is
 	// unknown or without limit.
 	LinkRate int64
-	Logger   *log.Logger
+	// Traffic counts the bytes of the adapter's connections against LinkRate. The daemon adds
+	// those of connections to other hosts. It is nil if LinkRate is zero.
+	Traffic *linkuse.Meter
+	Logger  *log.Logger
 	// IncarnationOffset is added to the time of day, which gives the incarnation of the
 	// process; see ErrReplaced.
 	IncarnationOffset time.Duration
@@ -104,7 +108,7 @@
 		Host: opts.Settings.Host, Fleet: opts.Settings.Fleet, Secret: opts.Settings.FleetSecret,
 		Incarnation: uint64(time.Now().Add(opts.IncarnationOffset).UnixNano()), Listen: opts.Settings.Peer.Listen,
 		Advertise: opts.Settings.Peer.Advertise, Registry: d.registry, Logger: d.log,
-		OnReplaced: func() { close(d.replaced) },
+		CountBytes: opts.Traffic.Count, OnReplaced: func() { close(d.replaced) },
 	})
 	if err := d.peers.Listen(); err != nil {
 		return nil, err
@@ -162,7 +166,7 @@
 	d.forwarder = forward.New(d.peers, d.view, d.log, d.registry)
 	d.core = core.NewServer(core.Options{
 		View: d.view, Host: d.opts.Settings.Host, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
-		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Log: d.log, Registerer: d.registry,
+		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Traffic: d.opts.Traffic, Log: d.log, Registerer: d.registry,
 	})
 	d.holder.SetPool(d.core)
 	forward.Serve(d.peers, d.core)
@@ -183,6 +187,9 @@
 // Core returns the session core of the entry role, or nil.
 func (d *Daemon) Core() *core.Server { return d.core }
 
+// Traffic returns the meter of the host's network link, or nil if the link is unknown.
+func (d *Daemon) Traffic() *linkuse.Meter { return d.opts.Traffic }
+
 // Control returns the control role, or nil.
 func (d *Daemon) Control() *control.Host { return d.control }
 
--- a/internal/pacing/sim_test.go
+++ b/internal/pacing/sim_test.go
@@ -40,6 +40,7 @@
 	baseline *Baseline
 	waiting  []time.Duration // arrivals
 	running  int
+	link     *simLink // that answers pass; nil: at once
 }
 
 type job struct {
@@ -120,15 +121,26 @@
 		s.after(j.work, func() {
 			s.running--
 			s.served++
-			j.host.running--
-			took := s.now - j.sent
-			j.host.limit.Observe(time.Unix(0, int64(s.now)), j.host.baseline.Excess("read", took, simExpected), s.maxInProgress)
 			s.start()
-			s.pump(j.host)
+			if j.host.link == nil {
+				s.answer(j)
+				return
+			}
+			j.host.link.pass(simAnswerBytes, func() { s.answer(j) })
 		})
 	}
 }
 
+// answer delivers the answer to a statement at its host.
+func (s *sim) answer(j job) {
+	j.host.running--
+	took := s.now - j.sent
+	if !j.host.link.saturatedSince(j.sent) {
+		j.host.limit.Observe(time.Unix(0, int64(s.now)), j.host.baseline.Excess("read", took, simExpected), s.maxInProgress)
+	}
+	s.pump(j.host)
+}
+
 func (s *sim) run(d time.Duration) {
 	for s.now < d {
 		next := s.events[0]
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -262,7 +262,7 @@
 		c.cancel()
 		return
 	}
-	l.node.metrics.count(msg.kind, directionOut, len(msg.data))
+	l.node.count(msg.kind, directionOut, len(msg.data))
 }
 
 // serve reads messages from c until it fails or sends a malformed message, then closes and
@@ -296,7 +296,7 @@
 			c.refuse(result.PeerMalformed)
 			return
 		}
-		l.node.metrics.count(e.Kind, directionIn, len(data))
+		l.node.count(e.Kind, directionIn, len(data))
 		l.node.deliver(c.peer, e)
 	}
 }
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -62,6 +62,14 @@
 	m.bytes.WithLabelValues(kind.String(), direction).Add(float64(size))
 }
 
+// count counts a message that was sent or received.
+func (n *Node) count(kind Kind, direction string, size int) {
+	n.metrics.count(kind, direction, size)
+	if n.opts.CountBytes != nil {
+		n.opts.CountBytes(size)
+	}
+}
+
 func (m *metrics) countRefusal(code result.Code) {
 	m.refused.WithLabelValues(codeLabel(code)).Inc()
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -38,8 +38,11 @@
 	TLS *tls.Config
 	// Transport opens the connections; nil means TCP.
 	Transport Transport
-	Registry  prometheus.Registerer
-	Logger    *log.Logger
+	// CountBytes is called with the size of each message that was sent or received; it may be
+	// nil.
+	CountBytes func(bytes int)
+	Registry   prometheus.Registerer
+	Logger     *log.Logger
 	// OnReplaced is called once, when a newer process of this host is detected.
 	OnReplaced func()
 }
