--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -15,6 +15,7 @@
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/limits"
+	"github.com/galenabridge/galenabridge/internal/linkuse"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pacing"
 	"github.com/galenabridge/galenabridge/internal/route"
@@ -39,7 +40,7 @@
 	Refund(workspace string)
 }
 
-// Options configures a Server. All fields but Forwarder, Meter and Registerer are required.
+// Options configures a Server. All fields but Forwarder, Meter, Traffic and Registerer are required.
 type Options struct {
 	View view.Source
 	// Host is the ID of this host.
@@ -56,7 +57,9 @@
 	// Forwarder runs statements at other hosts; nil means that all run on this one.
 	Forwarder Forwarder
 	// Meter is told of the statements that are sent to endpoints; nil means that none are counted.
-	Meter      Meter
+	Meter Meter
+	// Traffic measures the use of the host's network link; nil if the link is unknown.
+	Traffic    *linkuse.Meter
 	Log        *log.Logger
 	Registerer prometheus.Registerer
 }
@@ -101,7 +104,7 @@
 // to stop it.
 func NewServer(opts Options) *Server {
 	s := &Server{
-		opts: opts, metrics: newMetrics(opts.Registerer), primaryPositions: newFreshness(), baselines: pacing.NewBaseline(),
+		opts: opts, metrics: newMetrics(opts.Registerer, opts.Traffic), primaryPositions: newFreshness(), baselines: pacing.NewBaseline(),
 		endpoints: make(map[string]*endpoint), sessions: make(map[*Session]struct{}),
 		remoteTransactions: make(map[remoteKey]*Session), witnessed: make(map[string]bool),
 	}
@@ -188,6 +191,7 @@
 		case <-changed:
 		case <-ticker.C:
 			s.sweep()
+			s.opts.Traffic.Report(s.opts.Log)
 		}
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/galenabridge/galenabridge/internal/forward"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/limits"
+	"github.com/galenabridge/galenabridge/internal/linkuse"
 	"github.com/galenabridge/galenabridge/internal/metering"
 	"github.com/galenabridge/galenabridge/internal/peer"
 	"github.com/galenabridge/galenabridge/internal/supervise"
@@ -62,7 +63,13 @@
 	GracePeriod time.Duration
 	// Tolerance is how far a workspace may exceed its rate. It is the same on all hosts.
 	Tolerance limits.Tolerance
-	Logger    *log.Logger
+	// LinkRate is the capacity of the host's network link in bytes a second, zero if it is
+	// unknown or without limit.
+	LinkRate int64
+	// Traffic counts the bytes of the adapter's connections against LinkRate. The daemon adds
+	// those of connections to other hosts. It is nil if LinkRate is zero.
+	Traffic *linkuse.Meter
+	Logger  *log.Logger
 	// IncarnationOffset is added to the time of day, which gives the incarnation of the
 	// process; see ErrReplaced.
 	IncarnationOffset time.Duration
@@ -110,7 +117,7 @@
 		Host: opts.Settings.Host, Fleet: opts.Settings.Fleet, Secret: opts.Settings.FleetSecret,
 		Incarnation: uint64(time.Now().Add(opts.IncarnationOffset).UnixNano()), Listen: opts.Settings.Peer.Listen,
 		Advertise: opts.Settings.Peer.Advertise, Registry: d.registry, Logger: d.log,
-		OnReplaced: func() { close(d.replaced) },
+		CountBytes: opts.Traffic.Count, OnReplaced: func() { close(d.replaced) },
 	})
 	if err := d.peers.Listen(); err != nil {
 		return nil, err
@@ -157,7 +164,7 @@
 	d.subscriber = control.NewSubscriber(control.SubscriberOptions{
 		Fleet: d.opts.Settings.Fleet, Domain: d.opts.Settings.Domain, OpenMembership: true, Controls: seeds,
 		Entry: d.opts.Settings.Entry != nil, Control: d.opts.Settings.Control != nil,
-		Peer: d.peers, Lease: leaseCfg, Logger: d.log, View: d.view, Registry: d.registry,
+		Link: d.opts.LinkRate, Peer: d.peers, Lease: leaseCfg, Logger: d.log, View: d.view, Registry: d.registry,
 	})
 }
 
@@ -166,10 +173,10 @@
 		return
 	}
 	d.holder = limits.NewHolder(d.peers, d.view, d.limitsConfig(), d.log)
-	d.forwarder = forward.New(d.peers, d.view, d.log)
+	d.forwarder = forward.New(d.peers, d.view, d.log, d.registry)
 	d.core = core.NewServer(core.Options{
 		View: d.view, Host: d.opts.Settings.Host, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
-		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Meter: d.buildMeter(),
+		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Meter: d.buildMeter(), Traffic: d.opts.Traffic,
 		Log: d.log, Registerer: d.registry,
 	})
 	d.holder.SetPool(d.core)
@@ -191,6 +198,9 @@
 // Core returns the session core of the entry role, or nil.
 func (d *Daemon) Core() *core.Server { return d.core }
 
+// Traffic returns the meter of the host's network link, or nil if the link is unknown.
+func (d *Daemon) Traffic() *linkuse.Meter { return d.opts.Traffic }
+
 // Control returns the control role, or nil.
 func (d *Daemon) Control() *control.Host { return d.control }
 
