--- a/internal/route/placement.go
+++ b/internal/route/placement.go
@@ -49,9 +49,9 @@
 // links that the declared load of one workspace or service could saturate. It is immutable.
 type Placement struct {
 	homes map[string][]string // home hosts by service
-	// shared are the home hosts that run the statements of the pairs above smallPair: one each,
+	// placed are the home hosts that run the statements of the pairs above smallPair: one each,
 	// or several for a pair that one host's link cannot carry.
-	shared map[pair][]string
+	placed map[pair][]string
 	load   map[string]int64 // declared load by home host, in bytes a second
 }
 
@@ -73,7 +73,7 @@
 		return nil
 	}
 	b := &placementBuilder{in: in, link: link, demands: demands}
-	b.p = &Placement{homes: spreadHomeHosts(in.services, in.hosts, in.endpointDomains), shared: make(map[pair][]string), load: make(map[string]int64)}
+	b.p = &Placement{homes: spreadHomeHosts(in.services, in.hosts, in.endpointDomains), placed: make(map[pair][]string), load: make(map[string]int64)}
 	b.addHomeHosts(total)
 	b.placeSmall()
 	b.placeOthers()
@@ -300,7 +300,7 @@
 		shared[i] = ranked[i].host.name
 		ranked[i].host.load += weight / int64(n)
 	}
-	b.p.shared[p] = shared
+	b.p.placed[p] = shared
 }
 
 // rank returns the home hosts of a service in the order in which they should serve a workspace
@@ -308,7 +308,7 @@
 // by hash; one of the sharing hosts serves its own callers.
 func (p *Placement) rank(caller, service, workspace string) []string {
 	ranked := RankHomeHosts(p.homes[service], service, workspace)
-	shared := p.shared[pair{service, workspace}]
+	shared := p.placed[pair{service, workspace}]
 	if len(shared) == 0 {
 		return ranked
 	}
@@ -325,7 +325,7 @@
 
 // firstHomes returns the home hosts that run the statements of a workspace on a service.
 func (p *Placement) firstHomes(service, workspace string) []string {
-	if shared := p.shared[pair{service, workspace}]; len(shared) > 0 {
+	if shared := p.placed[pair{service, workspace}]; len(shared) > 0 {
 		return shared
 	}
 	if homes := p.homes[service]; len(homes) > 0 {
@@ -344,13 +344,13 @@
 		return 0 // all move when the placement begins or ends
 	}
 	moved := 0
-	for key, hosts := range p.shared {
+	for key, hosts := range p.placed {
 		if before := former.firstHomes(key.service, key.workspace); !sameSet(hosts, before) {
 			moved++
 		}
 	}
-	for key, before := range former.shared {
-		if _, ok := p.shared[key]; !ok && !sameSet(p.firstHomes(key.service, key.workspace), before) {
+	for key, before := range former.placed {
+		if _, ok := p.placed[key]; !ok && !sameSet(p.firstHomes(key.service, key.workspace), before) {
 			moved++
 		}
 	}
@@ -386,8 +386,8 @@
 	if p == nil {
 		return s
 	}
-	s.Active, s.Placed, s.Load = true, len(p.shared), p.load[host]
-	for _, hosts := range p.shared {
+	s.Active, s.Placed, s.Load = true, len(p.placed), p.load[host]
+	for _, hosts := range p.placed {
 		if len(hosts) > 1 {
 			s.Shared++
 		}
--- a/internal/route/placement_test.go
+++ b/internal/route/placement_test.go
@@ -274,7 +274,7 @@
 				s = &next
 				table.Update(s)
 			}
-			b.ReportMetric(float64(len(table.placement.shared)), "placed")
+			b.ReportMetric(float64(len(table.placement.placed)), "placed")
 		})
 		b.Run(fmt.Sprintf("%d hosts, look-up", c.hosts), func(b *testing.B) {
 			for b.Loop() {
