--- a/internal/metering/batch.go
+++ b/internal/metering/batch.go
@@ -7,8 +7,14 @@
 )
 
 const (
-	// BatchInterval is the minimum time between two batches to another control host.
-	BatchInterval = 100 * time.Millisecond
+	// BatchInterval is the minimum time between two batches to another control host. The time grows
+	// by batchSpacing for each process in the last batch, up to maxBatchInterval: counts are
+	// cumulative, so that fewer batches of a large fleet carry fewer bytes. At some 70 bytes a
+	// process that is 7 KB/s up to 50 processes. The final reports, built 300 ms after the end of a
+	// window, still reach the leader within a second.
+	BatchInterval    = 100 * time.Millisecond
+	batchSpacing     = 10 * time.Millisecond
+	maxBatchInterval = 500 * time.Millisecond
 	// syncInterval is the time without an answer of the leader after which a control host sends a
 	// batch without counts, so that both know each other's time.
 	syncInterval = 5 * time.Second
@@ -27,7 +33,7 @@
 		c.inFlight = false
 		c.retry()
 	}
-	if c.role.Target == "" || c.inFlight || now.Sub(c.lastBatch) < BatchInterval {
+	if c.role.Target == "" || c.inFlight || now.Before(c.nextBatch) {
 		return Outgoing{}, false
 	}
 	processes := c.pendingProcesses(now)
@@ -55,6 +61,7 @@
 	if !c.fleet.known {
 		reports = append(reports, c.idleReports(now)...)
 	}
+	c.nextBatch = now.Add(min(max(BatchInterval, time.Duration(len(reports))*batchSpacing), maxBatchInterval))
 	return Outgoing{Batch: Batch{MonoNS: now.UnixNano(), Reports: reports}, Target: c.role.Target, epoch: c.epoch, sent: now}, true
 }
 
--- a/internal/metering/collector.go
+++ b/internal/metering/collector.go
@@ -58,6 +58,7 @@
 	targetStore  Process
 	inFlight     bool
 	lastBatch    time.Time
+	nextBatch    time.Time
 	lastAnswered time.Time
 }
 
