--- a/internal/agreed/usage.go
+++ b/internal/agreed/usage.go
@@ -95,11 +95,15 @@
 	return nil
 }
 
-// claimUsage records a new holder and its fence. A claim that expects another fence is refused.
+// claimUsage records a new holder and its fence. A claim that expects another fence is refused, but a
+// repeat of the claim by which the process became the holder changes nothing.
 func claimUsage(s *State, index uint64, c *ClaimUsage) (*State, Outcome) {
 	if err := c.check(); err != nil {
 		return nil, refuse(result.MalformedMessage, "%v", err)
 	}
+	if c.Previous < s.Usage.Fence && c.Host == s.Usage.Holder && c.Incarnation == s.Usage.Incarnation {
+		return nil, Outcome{}
+	}
 	if c.Previous != s.Usage.Fence {
 		return nil, refuse(result.TermConflict, "the usage reports have fence %d; the claim expects %d", s.Usage.Fence, c.Previous)
 	}
