--- a/internal/agreed/usage_test.go
+++ b/internal/agreed/usage_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"fmt"
+	"encoding/hex"
 	"reflect"
 	"testing"
 
@@ -83,37 +83,22 @@
 	}
 }
 
-// TestUsageNotInEncodingWithoutDuty guards against a data folder that differs from those of builds
-// before the usage reports although none are required: its state has field 14 only once a host has
-// claimed, and is read and written as by commit 4e0f982.
+// formerEncoding is the state after putDocument(1, "logs") as encoded by commit 4e0f982.
+const formerEncoding = "a2010102a80101026003a601a30101026004f602a003a004a1646c6f6773a801646c6f677302000300040005600660076009687265706c6963617305a006a16764622d6c6f6773a601646c6f6773026764622d6c6f677303646c6f677305600701096004f605a006a007a1646c6f6773a701646c6f677302f6030004600567666f726d696e67060007010ba20101024474657874"
+
+// TestUsageNotInEncodingWithoutDuty guards against a data folder that builds before the usage reports
+// cannot read, or that cannot be read after them, although no reports are required.
 func TestUsageNotInEncodingWithoutDuty(t *testing.T) {
-	for _, claimed := range []bool{false, true} {
-		s, _ := applyCommands(t, putDocument(1, "logs"))
-		if claimed {
-			s, _ = Apply(s, 2, claim("a", 1, 0, 10))
-		}
-		data, err := s.Encode()
-		if err != nil {
-			t.Fatal(err)
-		}
-		var fields struct {
-			State map[uint64]any `cbor:"2,keyasint"`
-		}
-		if err := decMode.Unmarshal(data, &fields); err != nil {
-			t.Fatal(err)
-		}
-		if _, ok := fields.State[14]; ok != claimed || !claimed && fmt.Sprintf("%x", data) != formerEncoding {
-			t.Errorf("claimed %t: field of the usage reports present %t", claimed, ok)
-		}
-		again, err := Decode(data)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if encoded, err := again.Encode(); err != nil || !bytes.Equal(data, encoded) {
-			t.Errorf("claimed %t: differs after decoding: %v", claimed, err)
-		}
+	s, _ := applyCommands(t, putDocument(1, "logs"))
+	former, err := hex.DecodeString(formerEncoding)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := Decode(former)
+	if err != nil || !reflect.DeepEqual(decoded, s) {
+		t.Errorf("decoded %+v, error %v; want %+v", decoded, err, s)
+	}
+	if data, err := s.Encode(); err != nil || !bytes.Equal(data, former) {
+		t.Errorf("encoded %x, error %v; want that of former builds", data, err)
 	}
 }
-
-// formerEncoding is the state after putDocument(1, "logs") as encoded by commit 4e0f982.
-const formerEncoding = "a2010102a80101026003a601a30101026004f602a003a004a1646c6f6773a801646c6f677302000300040005600660076009687265706c6963617305a006a16764622d6c6f6773a601646c6f6773026764622d6c6f677303646c6f677305600701096004f605a006a007a1646c6f6773a701646c6f677302f6030004600567666f726d696e67060007010ba20101024474657874"
--- a/internal/control/usage_fleet_test.go
+++ b/internal/control/usage_fleet_test.go
@@ -18,10 +18,9 @@
 	return control.UsageStatus{}
 }
 
-// TestUsageStateSurvivesSnapshots decides more windows than log entries are kept (CompactEvery),
-// while one control host is down. It guards against a snapshot without the latest usage commands,
-// which do not raise the revision: after a restart of all hosts the state must be there, and the
-// host that was down must get it. No entry host may see any of it.
+// TestUsageStateSurvivesSnapshots decides more windows than log entries are kept (CompactEvery), while
+// one control host is down. It guards against a snapshot without the latest usage commands, which do
+// not raise the revision: after a restart each host must have the state, and no view may have it.
 func TestUsageStateSurvivesSnapshots(t *testing.T) {
 	f := newFleet(t, 3)
 	f.waitValid("c0", "c1", "c2")
@@ -31,12 +30,7 @@
 	fence := f.hosts["c0"].usage().Fence
 	const last = 450
 	for window := int64(1); window <= last; window++ {
-		f.propose("c0", agreed.Command{DecideUsage: &agreed.DecideUsage{Fence: fence, Window: window, Counts: map[string]uint64{"crew": 3}}}, 0)
-	}
-	waitFor(t, "the last window", func() bool { return f.hosts["c0"].usage().Decided == last })
-	want := f.hosts["c0"].usage()
-	if want.Pending != agreed.MaxUsagePending {
-		t.Fatalf("usage %+v, want %d pending", want, agreed.MaxUsagePending)
+		f.propose("c0", agreed.Command{DecideUsage: &agreed.DecideUsage{Fence: fence, Window: window}}, 0)
 	}
 	for _, name := range []string{"c0", "c1"} {
 		f.hosts[name].stop()
@@ -48,7 +42,7 @@
 	for name, h := range f.hosts {
 		waitFor(t, "the usage state on "+name, func() bool {
 			u := h.usage()
-			return u.Fence == want.Fence && u.Decided == last && u.Pending == want.Pending
+			return u.Fence == fence && u.Decided == last && u.Pending == agreed.MaxUsagePending
 		})
 		if u := h.view.Current().State.Usage; u.Fence != 0 || len(u.Pending) > 0 {
 			t.Errorf("the view of %s has usage state %+v", name, u)
--- a/internal/metering/schedule_model_test.go
+++ b/internal/metering/schedule_model_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
@@ -28,13 +29,16 @@
 	modelLease = 2 * time.Second
 )
 
-var modelConfig = Config{Window: 5 * time.Second, Late: 10 * time.Second, Lease: 3 * time.Second}
+var (
+	modelConfig = Config{Window: 5 * time.Second, Late: 10 * time.Second, Lease: 3 * time.Second}
+	modelStart  = time.Unix(1_000_000, 0)
+)
 
-// modelHost is a control host. leading is set as long as it takes itself for the leader.
+// modelHost is a control host. It has a schedule as long as it takes itself for the leader.
 type modelHost struct {
 	name           string
 	incarnation    uint64
-	schedule       *Schedule // nil unless leading
+	schedule       *Schedule
 	applied        agreed.Usage
 	quorumAt       time.Time
 	leaseUntil     time.Time
@@ -65,11 +69,11 @@
 	callers   []string // that have sent, with the times in callTimes
 	callTimes []time.Time
 	accepted  int64
-	failure   string
+	failures  []string
 }
 
 func newModel(intN func(int) int, f fault) *model {
-	m := &model{intN: intN, fault: f, now: time.Unix(1_000_000, 0), state: agreed.New(), index: 1,
+	m := &model{intN: intN, fault: f, now: modelStart, state: agreed.New(), index: 1,
 		refused: map[uint64]bool{}, holders: map[uint64]string{}, counts: map[int64]string{}}
 	for i := range 3 {
 		m.hosts = append(m.hosts, &modelHost{name: fmt.Sprint("c", i), incarnation: 1})
@@ -77,12 +81,6 @@
 	return m
 }
 
-func (m *model) fail(format string, args ...any) {
-	if m.failure == "" {
-		m.failure = fmt.Sprintf("%v: ", m.now.Sub(time.Unix(1_000_000, 0))) + fmt.Sprintf(format, args...)
-	}
-}
-
 func (m *model) chance(oneIn int) bool { return !m.calm && m.intN(oneIn) == 0 }
 
 func (m *model) random(limit time.Duration) time.Duration {
@@ -137,10 +135,10 @@
 			}
 		}
 		if n := len(m.state.Usage.Pending); n > agreed.MaxUsagePending {
-			m.fail("%d undelivered windows", n)
+			m.failures = append(m.failures, fmt.Sprint(n, " undelivered windows"))
 		}
-		if m.failure != "" {
-			return m.failure
+		if len(m.failures) > 0 {
+			return strings.Join(m.failures, "; ")
 		}
 	}
 	return ""
@@ -298,32 +296,27 @@
 
 // arrive checks a call that was sent against the rules.
 func (m *model) arrive(h *modelHost, a Action, counts string) {
-	if holder, ok := m.holders[a.Fence]; ok && holder != h.name {
-		m.fail("fence %d is used by %s and %s", a.Fence, holder, h.name)
-	}
-	if m.refused[a.Fence] {
-		m.fail("the refused fence %d is used again by %s", a.Fence, h.name)
-	}
-	if former, ok := m.counts[a.Window]; ok && former != counts {
-		m.fail("window %d is reported as %s and %s", a.Window, former, counts)
-	}
-	if !m.now.Before(h.leaseUntil) {
-		m.fail("%s sends without a lease", h.name)
-	}
-	if a.Fence != m.state.Usage.Fence {
-		m.fail("%s sends after its successor has claimed", h.name)
-	}
-	if m.now.Sub(h.lastCall) < callGap {
-		m.fail("%s sends %v after its last call", h.name, m.now.Sub(h.lastCall))
-	}
-	m.holders[a.Fence], m.counts[a.Window], h.lastCall = h.name, counts, m.now
-	other := false
+	holder, used := m.holders[a.Fence]
+	former, reported := m.counts[a.Window]
+	returned, other := false, false
 	for i := len(m.callers) - 1; i >= 0 && m.now.Sub(m.callTimes[i]) < modelConfig.Lease; i-- {
-		if m.callers[i] == h.name && other {
-			m.fail("%s acts before and after another holder", h.name)
-		}
+		returned = returned || other && m.callers[i] == h.name
 		other = other || m.callers[i] != h.name
 	}
+	for rule, broken := range map[string]bool{
+		"a fence is used by two hosts":                       used && holder != h.name,
+		"a refused fence is used again":                      m.refused[a.Fence],
+		"a window is reported with two counts":               reported && former != counts,
+		"a host sends without a lease":                       !m.now.Before(h.leaseUntil),
+		"a host sends after its successor has claimed":       a.Fence != m.state.Usage.Fence,
+		"a host sends too soon after its last call":          m.now.Sub(h.lastCall) < callGap,
+		"a host acts before and after another in lease time": returned,
+	} {
+		if broken {
+			m.failures = append(m.failures, fmt.Sprintf("%v: %s: %s, fence %d, window %d", m.now.Sub(modelStart), rule, h.name, a.Fence, a.Window))
+		}
+	}
+	m.holders[a.Fence], m.counts[a.Window], h.lastCall = h.name, counts, m.now
 	m.callers, m.callTimes = append(m.callers, h.name), append(m.callTimes, m.now)
 }
 
--- a/internal/metering/schedule_test.go
+++ b/internal/metering/schedule_test.go
@@ -42,13 +42,13 @@
 		fault fault
 		want  string
 	}{
-		{"counts taken anew", recount, "is reported as"},
-		{"successor uses the recorded fence", shareFence, "is used by"},
-		{"claim without a delay", claimAtOnce, "acts before and after another holder"},
+		{"counts taken anew", recount, "a window is reported with two counts"},
+		{"successor uses the recorded fence", shareFence, "a fence is used by two hosts"},
+		{"claim without a delay", claimAtOnce, "a host acts before and after another"},
 		{"claim without a delay, by the former holder", claimAtOnce, "sends after its successor"},
-		{"permission not checked", noLeaseCheck, "sends without a lease"},
+		{"permission not checked", noLeaseCheck, "a host sends without a lease"},
 		{"permission of a renewed lease", renewedLease, "sends after its successor"},
-		{"refusal forgotten", forgetRefusal, "the refused fence"},
+		{"refusal forgotten", forgetRefusal, "a refused fence is used again"},
 		{"windows kept", keepAllWindows, "undelivered windows"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
