--- a/internal/metering/schedule_model_test.go
+++ b/internal/metering/schedule_model_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
@@ -27,13 +29,16 @@
 	modelLease = 2 * time.Second
 )
 
-var modelConfig = Config{Window: 5 * time.Second, Late: 10 * time.Second, Lease: 3 * time.Second}
+var (
+	modelConfig = Config{Window: 5 * time.Second, Late: 10 * time.Second, Lease: 3 * time.Second}
+	modelStart  = time.Unix(1_000_000, 0)
+)
 
-// modelHost is a control host. leading is set as long as it takes itself for the leader.
+// modelHost is a control host. It has a schedule as long as it takes itself for the leader.
 type modelHost struct {
 	name           string
 	incarnation    uint64
-	schedule       *Schedule // nil unless leading
+	schedule       *Schedule
 	applied        agreed.Usage
 	quorumAt       time.Time
 	leaseUntil     time.Time
@@ -43,12 +48,6 @@
 	lastCall       time.Time
 }
 
-// modelEvent is something that happens at a time, unless it is dropped because of what happened before.
-type modelEvent struct {
-	at time.Time
-	do func()
-}
-
 // model runs the schedules of some hosts against an agreed state and a platform.
 type model struct {
 	intN   func(int) int
@@ -60,25 +59,21 @@
 	state  *agreed.State
 	index  uint64
 	looks  uint64
-	events []modelEvent
+	events []func() bool // each is called until it returns true
 
 	downUntil time.Time
 	fence     uint64 // highest executed
 	refused   map[uint64]bool
 	holders   map[uint64]string
 	counts    map[int64]string
-	arrivals  []modelArrival
+	callers   []string // that have sent, with the times in callTimes
+	callTimes []time.Time
 	accepted  int64
-	failure   string
-}
-
-type modelArrival struct {
-	holder string
-	at     time.Time
+	failures  []string
 }
 
 func newModel(intN func(int) int, f fault) *model {
-	m := &model{intN: intN, fault: f, now: time.Unix(1_000_000, 0), state: agreed.New(), index: 1,
+	m := &model{intN: intN, fault: f, now: modelStart, state: agreed.New(), index: 1,
 		refused: map[uint64]bool{}, holders: map[uint64]string{}, counts: map[int64]string{}}
 	for i := range 3 {
 		m.hosts = append(m.hosts, &modelHost{name: fmt.Sprint("c", i), incarnation: 1})
@@ -86,12 +81,6 @@
 	return m
 }
 
-func (m *model) fail(format string, args ...any) {
-	if m.failure == "" {
-		m.failure = fmt.Sprintf("%v: ", m.now.Sub(time.Unix(1_000_000, 0))) + fmt.Sprintf(format, args...)
-	}
-}
-
 func (m *model) chance(oneIn int) bool { return !m.calm && m.intN(oneIn) == 0 }
 
 func (m *model) random(limit time.Duration) time.Duration {
@@ -99,7 +88,14 @@
 }
 
 func (m *model) after(d time.Duration, do func()) {
-	m.events = append(m.events, modelEvent{m.now.Add(d), do})
+	at := m.now.Add(d)
+	m.events = append(m.events, func() bool {
+		if at.After(m.now) {
+			return false
+		}
+		do()
+		return true
+	})
 }
 
 // FleetTime and Tally implement TallySource. The counts differ at each look.
@@ -116,10 +112,8 @@
 	return t
 }
 
-func (m *model) running(h *modelHost) bool { return !m.now.Before(h.suspendedUntil) }
-func (m *model) connected(h *modelHost) bool {
-	return m.running(h) && !m.now.Before(h.cutUntil)
-}
+func (m *model) running(h *modelHost) bool   { return !m.now.Before(h.suspendedUntil) }
+func (m *model) connected(h *modelHost) bool { return m.running(h) && !m.now.Before(h.cutUntil) }
 
 // run runs some steps and returns the first violation, empty if there was none.
 func (m *model) run(steps int) string {
@@ -127,14 +121,12 @@
 		m.now = m.now.Add(modelStep)
 		m.disturb()
 		m.elect()
-		due := m.events
+		events := m.events
 		m.events = nil
-		for _, e := range due {
-			if e.at.After(m.now) {
+		for _, e := range events {
+			if !e() {
 				m.events = append(m.events, e)
-				continue
 			}
-			e.do()
 		}
 		for _, h := range m.hosts {
 			if m.running(h) {
@@ -143,10 +135,10 @@
 			}
 		}
 		if n := len(m.state.Usage.Pending); n > agreed.MaxUsagePending {
-			m.fail("%d undelivered windows", n)
+			m.failures = append(m.failures, fmt.Sprint(n, " undelivered windows"))
 		}
-		if m.failure != "" {
-			return m.failure
+		if len(m.failures) > 0 {
+			return strings.Join(m.failures, "; ")
 		}
 	}
 	return ""
@@ -178,13 +170,8 @@
 	}
 	m.leader = nil
 	h := m.hosts[m.intN(len(m.hosts))]
-	others := 0
-	for _, o := range m.hosts {
-		if m.connected(o) {
-			others++
-		}
-	}
-	if !m.connected(h) || others < 2 || m.intN(8) > 0 {
+	majority := slices.ContainsFunc(m.hosts, func(o *modelHost) bool { return o != h && m.connected(o) })
+	if !m.connected(h) || !majority || m.intN(8) > 0 {
 		return
 	}
 	opts := ScheduleOptions{Config: modelConfig, Host: h.name, Incarnation: h.incarnation, LeadingSince: m.now, ActFor: modelLease}
@@ -309,33 +296,28 @@
 
 // arrive checks a call that was sent against the rules.
 func (m *model) arrive(h *modelHost, a Action, counts string) {
-	if holder, ok := m.holders[a.Fence]; ok && holder != h.name {
-		m.fail("fence %d is used by %s and %s", a.Fence, holder, h.name)
-	}
-	if m.refused[a.Fence] {
-		m.fail("the refused fence %d is used again by %s", a.Fence, h.name)
-	}
-	if former, ok := m.counts[a.Window]; ok && former != counts {
-		m.fail("window %d is reported as %s and %s", a.Window, former, counts)
+	holder, used := m.holders[a.Fence]
+	former, reported := m.counts[a.Window]
+	returned, other := false, false
+	for i := len(m.callers) - 1; i >= 0 && m.now.Sub(m.callTimes[i]) < modelConfig.Lease; i-- {
+		returned = returned || other && m.callers[i] == h.name
+		other = other || m.callers[i] != h.name
 	}
-	if !m.now.Before(h.leaseUntil) {
-		m.fail("%s sends without a lease", h.name)
-	}
-	if a.Fence != m.state.Usage.Fence {
-		m.fail("%s sends after its successor has claimed", h.name)
-	}
-	if m.now.Sub(h.lastCall) < callGap {
-		m.fail("%s sends %v after its last call", h.name, m.now.Sub(h.lastCall))
-	}
-	m.holders[a.Fence], m.counts[a.Window], h.lastCall = h.name, counts, m.now
-	other := false
-	for i := len(m.arrivals) - 1; i >= 0 && m.now.Sub(m.arrivals[i].at) < modelConfig.Lease; i-- {
-		if m.arrivals[i].holder == h.name && other {
-			m.fail("%s acts before and after another holder", h.name)
+	for rule, broken := range map[string]bool{
+		"a fence is used by two hosts":                       used && holder != h.name,
+		"a refused fence is used again":                      m.refused[a.Fence],
+		"a window is reported with two counts":               reported && former != counts,
+		"a host sends without a lease":                       !m.now.Before(h.leaseUntil),
+		"a host sends after its successor has claimed":       a.Fence != m.state.Usage.Fence,
+		"a host sends too soon after its last call":          m.now.Sub(h.lastCall) < callGap,
+		"a host acts before and after another in lease time": returned,
+	} {
+		if broken {
+			m.failures = append(m.failures, fmt.Sprintf("%v: %s: %s, fence %d, window %d", m.now.Sub(modelStart), rule, h.name, a.Fence, a.Window))
 		}
-		other = other || m.arrivals[i].holder != h.name
 	}
-	m.arrivals = append(m.arrivals, modelArrival{h.name, m.now})
+	m.holders[a.Fence], m.counts[a.Window], h.lastCall = h.name, counts, m.now
+	m.callers, m.callTimes = append(m.callers, h.name), append(m.callTimes, m.now)
 }
 
 // execute executes a call at the platform.
