Hedged reads: send a late read once more to another endpoint

Cause: a read whose answer is lost was held until its statement time-out, which leaves no time for a second attempt where it equals the deadline of the caller.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -217,6 +217,26 @@
 	}
 }
 
+// TryAcquire checks out an idle connection with the key as Acquire does, without waiting and
+// without opening one. It reports false if there is none.
+func (p *Pool[C]) TryAcquire(key string, prefer func(C) bool) (C, bool) {
+	now := time.Now()
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		var none C
+		return none, false
+	}
+	conn, ok, dead := p.takeIdle(now, key, prefer)
+	if ok {
+		p.lastUsed[key] = now
+		p.peak = max(p.peak, p.demand())
+	}
+	p.mu.Unlock()
+	closeAll(dead)
+	return conn, ok
+}
+
 // Release returns a checked-out connection. A connection that is not reusable, because
 // its state is unknown or a request was cancelled on it, is closed.
 func (p *Pool[C]) Release(c C, reusable bool) {
--- a/internal/core/checkout.go
+++ b/internal/core/checkout.go
@@ -57,10 +57,19 @@
 // releases it.
 func (s *Session) acquireSlot(ctx context.Context, c choice, route note.Route) (func(), error) {
 	deadline, _ := ctx.Deadline()
-	return s.srv.gate.AcquireSlot(ctx, gate.SlotRequest{
+	return s.srv.gate.AcquireSlot(ctx, s.slotRequest(c, route, deadline))
+}
+
+func (s *Session) slotRequest(c choice, route note.Route, deadline time.Time) gate.SlotRequest {
+	return gate.SlotRequest{
 		Endpoint: c.endpoint.record.ID, Service: c.endpoint.record.Service, Workspace: s.workspace,
 		Weight: 1, Class: admissionClass(route), Deadline: deadline,
-	})
+	}
+}
+
+// prefersConn returns the preference for a connection that needs no change of its state.
+func (s *Session) prefersConn() func(*conn) bool {
+	return func(k *conn) bool { return k.lastSession == s.id || k.matches(s.values) }
 }
 
 // acquire checks out a connection of a suitable endpoint, with a slot and with the
@@ -130,7 +139,7 @@
 		return nil, asResult(err, result.DeadlineInQueue)
 	}
 	begun = time.Now()
-	borrowed, err := c.endpoint.pool.Acquire(ctx, s.workspace, func(k *conn) bool { return k.lastSession == s.id || k.matches(s.values) })
+	borrowed, err := c.endpoint.pool.Acquire(ctx, s.workspace, s.prefersConn())
 	s.timings.connection += s.srv.metrics.observeWait(op.route.Class, waitConnection, begun)
 	if err != nil {
 		releaseSlot()
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -26,8 +26,10 @@
 	// unpositioned counts the reads of routes with a staleness bound that required the
 	// primary, because no recent position of it was known.
 	unpositioned prometheus.Counter
-	sessions     prometheus.Gauge
-	forwarded    *prometheus.CounterVec
+	// hedges counts hedged reads by what became of them.
+	hedges    *prometheus.CounterVec
+	sessions  prometheus.Gauge
+	forwarded *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -56,6 +58,9 @@
 		unpositioned: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenabridge_reads_without_position_total", Help: "Reads that required the primary because no recent position of it was known.",
 		}),
+		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenabridge_hedged_reads_total", Help: "Reads sent once more to another endpoint because their answer was late, by outcome.",
+		}, []string{"outcome"}),
 		forwarded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenabridge_statements_forwarded_total", Help: "Statements offered to other hosts, by outcome.",
 		}, []string{"outcome"}),
@@ -64,7 +69,7 @@
 		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.results, m.duration, m.endpoint, m.waits, m.dials, m.retries, m.reads, m.unpositioned, m.forwarded, m.sessions)
+		reg.MustRegister(m.results, m.duration, m.endpoint, m.waits, m.dials, m.retries, m.reads, m.unpositioned, m.hedges, m.forwarded, m.sessions)
 	}
 	return m
 }
@@ -78,6 +83,7 @@
 		{Name: "retries", Collector: m.retries},
 		{Name: "reads", Collector: m.reads, Label: "role"},
 		{Name: "reads_without_position", Collector: m.unpositioned},
+		{Name: "hedged_reads", Collector: m.hedges, Label: "outcome"},
 		{Name: "forwarded", Collector: m.forwarded, Label: "outcome"},
 	}
 }
--- a/internal/core/pick.go
+++ b/internal/core/pick.go
@@ -88,6 +88,32 @@
 	return best, nil
 }
 
+// pickHedge chooses the endpoint for a second attempt of a read: the member with the lowest
+// cost among those other than the first, that have not failed for this statement, and that are
+// neither suspected nor known to lack the position. Unless mayDial, a connection of the
+// workspace must be idle.
+func (s *Server) pickHedge(now time.Time, n need, first string, mayDial bool) (choice, bool) {
+	v := s.opts.View.Current()
+	if !v.Valid() {
+		return choice{}, false
+	}
+	g := v.State.Groups[n.service]
+	var best choice
+	lowest := 0.0
+	for _, id := range g.Members {
+		e, ok := s.usable(v, id)
+		if !ok || id == first || slices.Contains(n.exclude, id) || !mayDial && !e.pool.HasIdle(n.workspace) {
+			continue
+		}
+		c := choice{endpoint: e, primary: g.Phase == agreed.PhaseActive && id == g.Primary, term: g.Term}
+		cost := s.cost(now, c, n)
+		if cost < unhealthyCost && (best.endpoint == nil || cost < lowest) {
+			best, lowest = c, cost
+		}
+	}
+	return best, best.endpoint != nil
+}
+
 // pickPrimary returns the active primary of the group. It fails with NoPrimary when there
 // is none or it must not get new work.
 func (s *Server) pickPrimary(v view.View, g agreed.Group, n need) (choice, error) {
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -72,28 +72,43 @@
 	return result.New(code, "%v", err)
 }
 
+// neededPrepared returns the prepared statement that st executes, or nil.
+func (s *Session) neededPrepared(st Statement) *preparedStatement {
+	if st.Kind != Execute {
+		return nil
+	}
+	p := s.prepared[st.Name]
+	return &p
+}
+
 // restore sets the session values, and the prepared statement that st executes, on the
 // connection. It waits for confirmation before anything else is sent.
 func (s *Session) restore(co *checkout, st Statement, deadline time.Time) *result.Error {
-	var needed *preparedStatement
-	if st.Kind == Execute {
-		p := s.prepared[st.Name]
-		needed = &p
+	refused, err := co.restore(s.values, s.neededPrepared(st), deadline)
+	if err != nil {
+		return s.connectionLost(co, err)
 	}
-	commands := co.conn.restoreCommands(s.values, needed)
+	return refused
+}
+
+// restore sets session values and a prepared statement, unless it is nil, on the connection.
+// It returns the refusal of the endpoint, or an error after which the state of the connection
+// is unknown. After either one the connection must be closed.
+func (co *checkout) restore(values map[string]string, needed *preparedStatement, deadline time.Time) (*result.Error, error) {
+	commands := co.conn.restoreCommands(values, needed)
 	if len(commands) == 0 {
-		return nil
+		return nil, nil
 	}
 	answers, _, err := co.conn.Exchange(deadline, commands...)
 	if err != nil {
-		return s.connectionLost(co, err)
+		return nil, err
 	}
 	for _, a := range answers {
 		if a.Err != nil {
-			return result.New(result.EndpointLost, "restoring the session state at %s: %s", co.endpoint.record.ID, a.Err.Detail)
+			return result.New(result.EndpointLost, "restoring the session state at %s: %s", co.endpoint.record.ID, a.Err.Detail), nil
 		}
 	}
-	return nil
+	return nil, nil
 }
 
 // connectionLost reports the loss of a connection before a statement was sent and marks
@@ -106,8 +121,13 @@
 // command returns the statement as it is sent to the endpoint of the checkout. A primary
 // holds every position, so none is required of it.
 func (s *Session) command(co *checkout, st Statement, after Position) Command {
-	if st.Kind == Execute {
-		st.Name = co.conn.prepared[s.prepared[st.Name]]
+	return co.command(st, s.neededPrepared(st), after)
+}
+
+// command is Session.command with the prepared statement that st executes, or nil.
+func (co *checkout) command(st Statement, needed *preparedStatement, after Position) Command {
+	if needed != nil {
+		st.Name = co.conn.prepared[*needed]
 	}
 	if co.primary {
 		after = Position{}
@@ -125,24 +145,45 @@
 // position that the answer carries. The returned bool reports whether any byte may have
 // reached the endpoint.
 func (s *Session) exchange(co *checkout, route note.Route, c Command) (Answer, bool, error) {
-	timeout := time.Duration(route.Timeout) * time.Millisecond
-	at, sentAt := clock.Now(), time.Now()
-	answers, sent, err := co.conn.Exchange(s.srv.exchangeDeadline(sentAt, timeout), c)
-	took := time.Since(sentAt)
+	sentAt := time.Now()
+	r := s.srv.exchange(co, route, c, s.srv.exchangeDeadline(sentAt, time.Duration(route.Timeout)*time.Millisecond))
+	s.recordAttempt(co, time.Since(sentAt))
+	return r.answer, r.sent, r.err
+}
+
+// recordAttempt adds a statement that was sent to the endpoint of a checkout to the timings.
+func (s *Session) recordAttempt(co *checkout, took time.Duration) {
 	s.timings.endpoint += took
 	s.timings.attempts++
 	s.timings.endpointID = co.endpoint.record.ID
-	s.srv.metrics.endpoint.WithLabelValues(string(route.Class)).Observe(took.Seconds())
+}
+
+// exchanged is the outcome of sending a statement to an endpoint. sent reports whether any
+// byte may have reached the endpoint.
+type exchanged struct {
+	answer Answer
+	sent   bool
+	err    error
+	took   time.Duration
+}
+
+// exchange sends a statement and waits for its answer until the deadline. It records what the
+// answer tells about the endpoint, and does not use the session.
+func (s *Server) exchange(co *checkout, route note.Route, c Command, deadline time.Time) exchanged {
+	at, sentAt := clock.Now(), time.Now()
+	answers, sent, err := co.conn.Exchange(deadline, c)
+	took := time.Since(sentAt)
+	s.metrics.endpoint.WithLabelValues(string(route.Class)).Observe(took.Seconds())
 	if err != nil {
-		return Answer{}, sent, err
+		return exchanged{sent: sent, err: err, took: took}
 	}
 	a := answers[0]
 	if a.Err == nil && takesSlot(c.Kind) {
-		co.endpoint.observeLatency(at, s.srv.latencyExcess(route, c.Kind, took))
+		co.endpoint.observeLatency(at, s.latencyExcess(route, c.Kind, took))
 	}
 	co.endpoint.observePosition(a.Position)
-	if co.primary && s.srv.stillValid(co.choice) && (a.Err == nil || a.Err.Code != result.EndpointReadOnly) {
-		s.srv.primaryPositions.observe(route.Service, co.term, at, a.Position)
+	if co.primary && s.stillValid(co.choice) && (a.Err == nil || a.Err.Code != result.EndpointReadOnly) {
+		s.primaryPositions.observe(route.Service, co.term, at, a.Position)
 	}
-	return a, true, nil
+	return exchanged{answer: a, sent: true, took: took}
 }
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -66,6 +66,7 @@
 	metrics          *metrics
 	gate             *gate.Gate
 	primaryPositions *freshness
+	hedges           *hedges
 
 	mu        sync.Mutex
 	baselines *pacing.Baseline
@@ -100,6 +101,7 @@
 func NewServer(opts Options) *Server {
 	s := &Server{
 		opts: opts, metrics: newMetrics(opts.Registerer), primaryPositions: newFreshness(), baselines: pacing.NewBaseline(),
+		hedges:    newHedges(),
 		endpoints: make(map[string]*endpoint), sessions: make(map[*Session]struct{}),
 		remoteTransactions: make(map[remoteKey]*Session), witnessed: make(map[string]bool),
 	}
--- a/internal/core/single.go
+++ b/internal/core/single.go
@@ -31,24 +31,34 @@
 	}
 }
 
-// attempt sends the statement once, releases the connection and reports whether another
-// attempt may follow.
+// attempt sends the statement once, or a read that is late a second time (see hedge.go),
+// releases the connection and reports whether another attempt may follow.
 func (op *operation) attempt(co *checkout) (Reply, bool) {
 	s := op.session
 	op.dispatched = true
-	a, sent, err := s.exchange(co, op.route, s.command(co, op.st, op.need.minPosition))
-	if err != nil {
-		co.release(false)
-		return op.afterConnectionLost(co, sent, err)
+	c := s.command(co, op.st, op.need.minPosition)
+	if h, ok := op.planHedge(co); ok {
+		return h.run(c)
+	}
+	a, sent, err := s.exchange(co, op.route, c)
+	co.release(err == nil && a.State == Idle)
+	return op.conclude(co, exchanged{answer: a, sent: sent, err: err})
+}
+
+// conclude returns the reply for the outcome of an attempt, and whether another one may
+// follow. The connection has been released.
+func (op *operation) conclude(co *checkout, r exchanged) (Reply, bool) {
+	a := r.answer
+	if r.err != nil {
+		return op.afterConnectionLost(co, r.sent, r.err)
 	}
-	co.release(a.State == Idle)
 	if a.Err != nil {
 		return op.afterRefusal(co, a)
 	}
 	if op.writes {
-		s.recordCommit(co.term, a.Position)
+		op.session.recordCommit(co.term, a.Position)
 	} else {
-		s.srv.metrics.reads.WithLabelValues(role(co.primary)).Inc()
+		op.session.srv.metrics.reads.WithLabelValues(role(co.primary)).Inc()
 	}
 	return Reply{Rows: a.Rows, Signature: a.Signature}, false
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -48,6 +48,12 @@
 	return g.queueFor(r).acquire(ctx, r)
 }
 
+// TryAcquireSlot takes a slot if one is free and no request waits for a slot of the endpoint.
+// The returned function is that of AcquireSlot.
+func (g *Gate) TryAcquireSlot(r SlotRequest) (func(), bool) {
+	return g.queueFor(r).tryAcquire(r)
+}
+
 // Waiting returns the number of requests that wait for a slot of an endpoint.
 func (g *Gate) Waiting(endpoint string) int {
 	g.mu.Lock()
@@ -123,6 +129,35 @@
 	return nil, result.New(result.DeadlineInQueue, "waiting for a slot of endpoint %s", r.Endpoint)
 }
 
+// tryAcquire starts a request at once, or not at all.
+func (e *endpointQueue) tryAcquire(r SlotRequest) (func(), bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.resize(now)
+	if e.queue.Waiting() > 0 {
+		return nil, false
+	}
+	decision := make(chan error, 1)
+	e.lastID++
+	id := e.lastID
+	e.waiting[id] = decision
+	e.apply(e.queue.Arrive(now, admit.Request{
+		ID: id, Workspace: r.Workspace, Weight: r.Weight, Class: r.Class, Deadline: r.Deadline,
+	}))
+	select {
+	case err := <-decision:
+		return func() { e.release(id) }, err == nil
+	default:
+	}
+	waiting, effects := e.queue.Cancel(now, id)
+	if waiting {
+		delete(e.waiting, id)
+	}
+	e.apply(effects)
+	return nil, false
+}
+
 // finishWait returns the function that frees the slot, or the error of a refusal.
 func (e *endpointQueue) finishWait(id uint64, r SlotRequest, err error) (func(), error) {
 	if code := result.CodeOf(err); code != 0 {
