Early rejection: refuse what cannot start in time, with a retry time

Cause: a statement waited up to the target of its route for a slot and was then refused, although the drain of the queue showed before that it could not be served; the retry hint was 200 ms whatever the queue.

Change: internal/drain estimates the drain of each class of an endpoint's queue from its starts while requests waited; internal/admit refuses at arrival, or at a later tenth of the target, what cannot start in time, and tells when to come back.

--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -134,6 +134,25 @@
 	return next
 }
 
+// ahead returns how many waiters of the class are served before w if no other request arrives,
+// by the start tags that they would have.
+func (c *classQueue) ahead(now time.Time, w *waiter) int {
+	f := c.flows[w.Workspace]
+	n := slices.Index(f.waiters, w)
+	if now.Sub(f.waiters[0].arrived) >= lifoAfter {
+		n = len(f.waiters) - 1 - n
+	}
+	tag := f.start + float64(n)*f.cost.Seconds()/w.Weight
+	for _, other := range c.active {
+		if other == f || other.start > tag {
+			continue
+		}
+		step := max(other.cost, minCharge).Seconds() / other.waiters[0].Weight
+		n += min(len(other.waiters), int((tag-other.start)/step)+1)
+	}
+	return n
+}
+
 // charge returns the estimated slot time of a request of the workspace.
 func (c *classQueue) charge(r Request) time.Duration { return c.flows[r.Workspace].cost }
 
@@ -186,6 +205,10 @@
 func (f *fair) push(w *waiter)   { f.classes[w.Class].push(w) }
 func (f *fair) remove(w *waiter) { f.classes[w.Class].remove(w) }
 
+func (f *fair) ahead(now time.Time, w *waiter) (int, bool) {
+	return f.classes[w.Class].ahead(now, w), true
+}
+
 func (f *fair) charge(r Request) time.Duration { return f.classes[r.Class].charge(r) }
 
 func (f *fair) settle(r runningRequest, used time.Duration) {
--- a/internal/admit/fifo.go
+++ b/internal/admit/fifo.go
@@ -28,6 +28,8 @@
 	return w
 }
 
+func (f *fifo) ahead(time.Time, *waiter) (int, bool) { return 0, false }
+
 func (f *fifo) charge(Request) time.Duration { return 0 }
 
 func (f *fifo) settle(runningRequest, time.Duration) {}
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -26,6 +26,7 @@
 	running            map[uint64]runningRequest
 	runningByClass     map[note.Class]int
 	waitingByWorkspace map[string]int // waiting requests by workspace
+	classes            map[note.Class]*classState
 	deadlines          deadlineHeap
 	effects            []Effect
 }
@@ -38,6 +39,10 @@
 		running:            make(map[uint64]runningRequest),
 		runningByClass:     make(map[note.Class]int),
 		waitingByWorkspace: make(map[string]int),
+		classes:            make(map[note.Class]*classState),
+	}
+	for _, class := range precedence {
+		q.classes[class] = &classState{}
 	}
 	if cfg.Policy == PolicyFIFO {
 		q.discipline = &fifo{}
@@ -65,7 +70,12 @@
 	default:
 		q.enqueue(now, r)
 	}
-	return q.dispatch(now)
+	q.dispatch(now)
+	if w := q.waiting[r.ID]; w != nil {
+		q.judgeArrival(now, w)
+		q.recordWaiting(now)
+	}
+	return q.effects
 }
 
 // Done frees the slot of a started request. It ignores an unknown ID.
@@ -98,19 +108,20 @@
 	return q.dispatch(now)
 }
 
-// Tick refuses waiting requests whose deadline has passed.
+// Tick refuses waiting requests whose deadline has passed, and those that cannot be expected
+// to start in time.
 func (q *Queue) Tick(now time.Time) []Effect {
 	q.expireDeadlines(now)
 	return q.dispatch(now)
 }
 
-// NextDeadline returns the time at which Tick is due, or false if no waiting request
-// has a deadline.
+// NextDeadline returns the time at which Tick is due, for a deadline or a decision about an
+// early refusal, or false if no waiting request has a deadline.
 func (q *Queue) NextDeadline() (time.Time, bool) {
 	if len(q.deadlines) == 0 {
 		return time.Time{}, false
 	}
-	return q.deadlines[0].Deadline, true
+	return q.deadlines[0].due, true
 }
 
 // Waiting returns the number of waiting requests.
@@ -123,21 +134,32 @@
 // Each event starts with it, so that no request starts after its deadline.
 func (q *Queue) expireDeadlines(now time.Time) {
 	q.effects = nil
-	for len(q.deadlines) > 0 && !now.Before(q.deadlines[0].Deadline) {
+	for len(q.deadlines) > 0 && !now.Before(q.deadlines[0].due) {
 		w := q.deadlines[0]
-		q.discipline.remove(w)
-		q.removeWaiter(w)
-		q.refuse(w.ID, result.DeadlineInQueue)
+		if now.Before(w.Deadline) {
+			q.judge(now, w)
+			continue
+		}
+		q.refuseWaiter(now, w, false)
 	}
 }
 
+// refuseWaiter refuses a waiting request because of its deadline.
+func (q *Queue) refuseWaiter(now time.Time, w *waiter, early bool) {
+	retryAfter := q.classes[w.Class].meter.RetryAfter(now)
+	q.discipline.remove(w)
+	q.removeWaiter(w)
+	q.effects = append(q.effects, Refuse{ID: w.ID, Code: result.DeadlineInQueue, Early: early, RetryAfter: retryAfter})
+}
+
 func (q *Queue) refuse(id uint64, code result.Code) {
 	q.effects = append(q.effects, Refuse{ID: id, Code: code})
 }
 
 func (q *Queue) enqueue(now time.Time, r Request) {
-	w := &waiter{Request: r, arrived: now, heapIndex: -1}
+	w := &waiter{Request: r, arrived: now, due: r.Deadline, heapIndex: -1}
 	q.waiting[r.ID] = w
+	q.classes[r.Class].arrive(now)
 	q.waitingByWorkspace[r.Workspace]++
 	if !r.Deadline.IsZero() {
 		heap.Push(&q.deadlines, w)
@@ -149,6 +171,7 @@
 // it.
 func (q *Queue) removeWaiter(w *waiter) {
 	delete(q.waiting, w.ID)
+	q.classes[w.Class].waiting--
 	q.waitingByWorkspace[w.Workspace]--
 	if q.waitingByWorkspace[w.Workspace] == 0 {
 		delete(q.waitingByWorkspace, w.Workspace)
@@ -168,16 +191,18 @@
 		q.removeWaiter(w)
 		q.running[w.ID] = runningRequest{request: w.Request, startedAt: now, estimate: q.discipline.charge(w.Request)}
 		q.runningByClass[w.Class]++
+		q.classes[w.Class].start(now)
 		q.effects = append(q.effects, Start{ID: w.ID})
 	}
+	q.recordWaiting(now)
 	return q.effects
 }
 
-// deadlineHeap orders waiters by deadline.
+// deadlineHeap orders waiters by the time at which they are considered next.
 type deadlineHeap []*waiter
 
 func (h deadlineHeap) Len() int           { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool { return h[i].Deadline.Before(h[j].Deadline) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].due.Before(h[j].due) }
 
 func (h deadlineHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
--- a/internal/admit/sim_test.go
+++ b/internal/admit/sim_test.go
@@ -25,6 +25,8 @@
 	rate float64
 	// service is the mean slot time of a request, exponentially distributed.
 	service time.Duration
+	// until is when the arrivals end, simDuration if zero.
+	until time.Duration
 }
 
 // outcome holds the results of the requests of one stream.
@@ -32,6 +34,10 @@
 	arrived int
 	served  int
 	latency []time.Duration
+	// held are the waits of the refused requests.
+	held []time.Duration
+	// retried counts the refused requests that came back when they were told to.
+	retried, retriesInTime int
 }
 
 func (o outcome) share() float64 { return float64(o.served) / float64(o.arrived) }
@@ -43,6 +49,7 @@
 
 type simRequest struct {
 	stream  int
+	retry   bool
 	arrived time.Time
 	service time.Duration
 }
@@ -50,6 +57,7 @@
 type simEvent struct {
 	at     time.Time
 	stream int // of an arrival, or -1
+	retry  bool
 	id     uint64
 }
 
@@ -77,6 +85,12 @@
 	now      time.Time
 	nextID   uint64
 	deadline time.Duration
+	// target is the target of the requests, or zero.
+	target time.Duration
+	// cutOff: only what ends before the arrivals do is counted.
+	cutOff bool
+	// retries: a refused request comes back once, at the time that it was told.
+	retries bool
 }
 
 const (
@@ -86,21 +100,32 @@
 )
 
 func simulate(policy Policy, seed uint64, slots int, streams []stream) []outcome {
+	return newSimulator(policy, seed, slots, streams).run()
+}
+
+func newSimulator(policy Policy, seed uint64, slots int, streams []stream) *simulator {
 	cfg := DefaultConfig(slots)
 	cfg.Policy = policy
-	s := &simulator{
+	return &simulator{
 		queue: New(cfg), rnd: rand.New(rand.NewPCG(seed, 5)), streams: streams,
 		outcomes: make([]outcome, len(streams)), requests: map[uint64]simRequest{},
 		now: epoch, deadline: simDeadline,
 	}
-	for i := range streams {
+}
+
+func (s *simulator) run() []outcome {
+	for i := range s.streams {
 		s.scheduleArrival(i)
 	}
 	for len(s.events) > 0 {
+		for next, ok := s.queue.NextDeadline(); ok && next.Before(s.events[0].at); next, ok = s.queue.NextDeadline() {
+			s.now = next
+			s.take(s.queue.Tick(s.now))
+		}
 		ev := heap.Pop(&s.events).(simEvent)
 		s.now = ev.at
 		if ev.stream >= 0 {
-			s.arrive(ev.stream)
+			s.arrive(ev.stream, ev.retry)
 		} else {
 			s.finish(ev.id)
 		}
@@ -110,30 +135,44 @@
 
 func (s *simulator) scheduleArrival(i int) {
 	gap := time.Duration(s.rnd.ExpFloat64() / s.streams[i].rate * float64(time.Second))
-	if at := s.now.Add(gap); at.Sub(epoch) < simDuration {
+	until := s.streams[i].until
+	if until == 0 {
+		until = simDuration
+	}
+	if at := s.now.Add(gap); at.Sub(epoch) < until {
 		heap.Push(&s.events, simEvent{at: at, stream: i})
 	}
 }
 
-func (s *simulator) arrive(i int) {
-	s.scheduleArrival(i)
+func (s *simulator) arrive(i int, retry bool) {
+	if retry {
+		s.outcomes[i].retried++
+	} else {
+		s.scheduleArrival(i)
+		s.outcomes[i].arrived++
+	}
 	st := s.streams[i]
 	s.nextID++
-	s.outcomes[i].arrived++
 	s.requests[s.nextID] = simRequest{
-		stream: i, arrived: s.now,
+		stream: i, arrived: s.now, retry: retry,
 		service: time.Duration(s.rnd.ExpFloat64() * float64(st.service)),
 	}
 	s.take(s.queue.Arrive(s.now, Request{
-		ID: s.nextID, Workspace: st.workspace, Class: st.class, Deadline: s.now.Add(s.deadline),
+		ID: s.nextID, Workspace: st.workspace, Class: st.class, Deadline: s.now.Add(s.deadline), Target: s.target,
 	}))
 }
 
 func (s *simulator) finish(id uint64) {
 	r := s.requests[id]
 	delete(s.requests, id)
-	s.outcomes[r.stream].served++
-	s.outcomes[r.stream].latency = append(s.outcomes[r.stream].latency, s.now.Sub(r.arrived))
+	if r.retry {
+		if s.now.Sub(r.arrived) <= s.deadline {
+			s.outcomes[r.stream].retriesInTime++
+		}
+	} else if !s.cutOff || s.now.Sub(epoch) < simDuration {
+		s.outcomes[r.stream].served++
+		s.outcomes[r.stream].latency = append(s.outcomes[r.stream].latency, s.now.Sub(r.arrived))
+	}
 	s.take(s.queue.Done(s.now, id))
 }
 
@@ -143,6 +182,11 @@
 		case Start:
 			heap.Push(&s.events, simEvent{at: s.now.Add(s.requests[ef.ID].service), stream: -1, id: ef.ID})
 		case Refuse:
+			r := s.requests[ef.ID]
+			if s.retries && ef.RetryAfter > 0 && !r.retry {
+				heap.Push(&s.events, simEvent{at: s.now.Add(ef.RetryAfter), stream: r.stream, retry: true})
+			}
+			s.outcomes[r.stream].held = append(s.outcomes[r.stream].held, s.now.Sub(r.arrived))
 			delete(s.requests, ef.ID)
 		}
 	}
@@ -153,7 +197,7 @@
 func eightWorkspaces(factor float64) []stream {
 	var streams []stream
 	for i := range 8 {
-		st := stream{fmt.Sprintf("w%d", i), note.ClassInteractive, 87.5, 5 * time.Millisecond}
+		st := stream{fmt.Sprintf("w%d", i), note.ClassInteractive, 87.5, 5 * time.Millisecond, 0}
 		if i == 0 {
 			st.rate *= factor
 		}
@@ -192,8 +236,8 @@
 	var table strings.Builder
 	for _, slots := range []int{simSlots, 1} {
 		// The crew needs 20% of the slots, the audit 160%.
-		crew := stream{"crew", note.ClassInteractive, 40 * float64(slots), 5 * time.Millisecond}
-		audit := stream{"audit", note.ClassBulk, 8 * float64(slots), 200 * time.Millisecond}
+		crew := stream{"crew", note.ClassInteractive, 40 * float64(slots), 5 * time.Millisecond, 0}
+		audit := stream{"audit", note.ClassBulk, 8 * float64(slots), 200 * time.Millisecond, 0}
 		alone := simulate(PolicyFair, 2, slots, []stream{crew})[0].p99()
 		fmt.Fprintf(&table, "\n%d slots: interactive p99 alone %s", slots, alone.Round(100*time.Microsecond))
 		for _, policy := range []Policy{PolicyFIFO, PolicyFair} {
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -78,6 +78,9 @@
 	Class  note.Class
 	// Deadline ends the wait; the zero time means none.
 	Deadline time.Time
+	// Target is the time in which the request should be answered. One that cannot be
+	// expected to is refused early; zero means that it waits until its deadline.
+	Target time.Duration
 }
 
 // Effect is an output of a Queue.
@@ -91,6 +94,10 @@
 	ID uint64
 	// Code is DeadlineInQueue or QueueFull.
 	Code result.Code
+	// Early: the request could not be expected to start before its deadline.
+	Early bool
+	// RetryAfter is when a retry would be served; zero while that is unknown.
+	RetryAfter time.Duration
 }
 
 func (Start) isEffect()  {}
@@ -99,8 +106,15 @@
 // waiter is a request in the queue.
 type waiter struct {
 	Request
-	arrived   time.Time
+	arrived time.Time
+	// due is when the request is considered next: at its deadline, or before for an early
+	// refusal.
+	due       time.Time
 	heapIndex int // in Queue.deadlines, or -1
+	// ahead is the number of requests that were to be served before it at its arrival, and
+	// startsBefore the starts of its class until then.
+	ahead        int
+	startsBefore int
 }
 
 // lifoAfter is the wait of a workspace's oldest request from which on its newest
@@ -125,6 +139,9 @@
 	remove(w *waiter)
 	// pop removes and returns the next waiter that may start, or nil.
 	pop(now time.Time, load load) *waiter
+	// ahead returns how many waiters are served before w if no other request arrives, or
+	// false if the discipline does not tell.
+	ahead(now time.Time, w *waiter) (int, bool)
 	// charge returns the estimated slot time to charge a workspace for a request.
 	charge(r Request) time.Duration
 	// settle corrects the charge once the request has completed.
--- a/internal/core/checkout.go
+++ b/internal/core/checkout.go
@@ -63,7 +63,7 @@
 func (s *Session) slotRequest(c choice, route note.Route, deadline time.Time) gate.SlotRequest {
 	return gate.SlotRequest{
 		Endpoint: c.endpoint.record.ID, Service: c.endpoint.record.Service, Workspace: s.workspace,
-		Weight: 1, Class: admissionClass(route), Deadline: deadline,
+		Weight: 1, Class: admissionClass(route), Deadline: deadline, Target: time.Duration(route.Target) * time.Millisecond,
 	}
 }
 
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -26,6 +26,8 @@
 	// unpositioned counts the reads of routes with a staleness bound that required the
 	// primary, because no recent position of it was known.
 	unpositioned prometheus.Counter
+	// early counts the statements refused because no slot would have come free in time.
+	early *prometheus.CounterVec
 	// hedges counts hedged reads by what became of them.
 	hedges    *prometheus.CounterVec
 	sessions  prometheus.Gauge
@@ -58,6 +60,9 @@
 		unpositioned: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenabridge_reads_without_position_total", Help: "Reads that required the primary because no recent position of it was known.",
 		}),
+		early: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenabridge_early_refusals_total", Help: "Statements refused before their wait ended, because no slot would have come free in time.",
+		}, []string{"class"}),
 		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenabridge_hedged_reads_total", Help: "Reads sent once more to another endpoint because their answer was late, by outcome.",
 		}, []string{"outcome"}),
@@ -69,7 +74,7 @@
 		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.results, m.duration, m.endpoint, m.waits, m.dials, m.retries, m.reads, m.unpositioned, m.hedges, m.forwarded, m.sessions)
+		reg.MustRegister(m.results, m.duration, m.endpoint, m.waits, m.dials, m.retries, m.reads, m.unpositioned, m.early, m.hedges, m.forwarded, m.sessions)
 	}
 	return m
 }
@@ -83,6 +88,7 @@
 		{Name: "retries", Collector: m.retries},
 		{Name: "reads", Collector: m.reads, Label: "role"},
 		{Name: "reads_without_position", Collector: m.unpositioned},
+		{Name: "refused_early", Collector: m.early, Label: "class"},
 		{Name: "hedged_reads", Collector: m.hedges, Label: "outcome"},
 		{Name: "forwarded", Collector: m.forwarded, Label: "outcome"},
 	}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -106,6 +106,7 @@
 		remoteTransactions: make(map[remoteKey]*Session), witnessed: make(map[string]bool),
 	}
 	s.gate = gate.New(admit.PolicyFair, s.slots, s.hasIdleConnection)
+	s.gate.OnEarlyRefusal(func(class note.Class) { s.metrics.early.WithLabelValues(string(class)).Inc() })
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.answering, s.stopAnswering = context.WithCancel(s.ctx)
 	return s
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenabridge/galenabridge/internal/admit"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -22,6 +24,12 @@
 	Weight    float64
 	Class     note.Class
 	Deadline  time.Time
+	Target    time.Duration
+}
+
+// admission returns the request as the queue knows it.
+func (r SlotRequest) admission(id uint64) admit.Request {
+	return admit.Request{ID: id, Workspace: r.Workspace, Weight: r.Weight, Class: r.Class, Deadline: r.Deadline, Target: r.Target}
 }
 
 // Gate holds an admission queue for each endpoint. It is safe for concurrent use.
@@ -29,6 +37,8 @@
 	policy admit.Policy
 	slots  func(service, endpoint string) int
 	ready  func(endpoint, workspace string) bool
+	// onEarly is told of each request that is refused because it could not start in time.
+	onEarly func(class note.Class)
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointQueue
@@ -38,9 +48,13 @@
 // endpoint, which may change over time. ready is admit.Config.Ready for an endpoint, or
 // nil.
 func New(policy admit.Policy, slots func(service, endpoint string) int, ready func(endpoint, workspace string) bool) *Gate {
-	return &Gate{policy: policy, slots: slots, ready: ready, endpoints: make(map[string]*endpointQueue)}
+	return &Gate{policy: policy, slots: slots, ready: ready, onEarly: func(note.Class) {}, endpoints: make(map[string]*endpointQueue)}
 }
 
+// OnEarlyRefusal sets a function that is called for each request that is refused before its
+// deadline because it could not start in time. It must be set before the first request.
+func (g *Gate) OnEarlyRefusal(f func(class note.Class)) { g.onEarly = f }
+
 // AcquireSlot waits for a slot until ctx ends, and returns a function that frees it. The
 // caller must call the function once, when the request has ended. The error is a
 // result.Error whose code has NotRun set.
@@ -79,7 +93,7 @@
 		if g.ready != nil {
 			cfg.Ready = func(workspace string) bool { return g.ready(r.Endpoint, workspace) }
 		}
-		e = &endpointQueue{queue: admit.New(cfg), slots: slots, waiting: make(map[uint64]chan error)}
+		e = &endpointQueue{queue: admit.New(cfg), slots: slots, waiting: make(map[uint64]chan error), onEarly: g.onEarly}
 		g.endpoints[r.Endpoint] = e
 	}
 	return e
@@ -100,6 +114,7 @@
 	// waiting holds the channel of each waiting request by its ID in the queue. It
 	// receives nil when the request starts and an error when it is refused.
 	waiting    map[uint64]chan error
+	onEarly    func(class note.Class)
 	timer      *time.Timer
 	timerArmed bool
 }
@@ -113,9 +128,7 @@
 	e.lastID++
 	id := e.lastID
 	e.waiting[id] = decision
-	e.apply(e.queue.Arrive(now, admit.Request{
-		ID: id, Workspace: r.Workspace, Weight: r.Weight, Class: r.Class, Deadline: r.Deadline,
-	}))
+	e.apply(e.queue.Arrive(now, r.admission(id)))
 	e.peak = max(e.peak, e.queue.Running()+e.queue.Waiting())
 	e.mu.Unlock()
 	select {
@@ -142,9 +155,7 @@
 	e.lastID++
 	id := e.lastID
 	e.waiting[id] = decision
-	e.apply(e.queue.Arrive(now, admit.Request{
-		ID: id, Workspace: r.Workspace, Weight: r.Weight, Class: r.Class, Deadline: r.Deadline,
-	}))
+	e.apply(e.queue.Arrive(now, r.admission(id)))
 	select {
 	case err := <-decision:
 		return func() { e.release(id) }, err == nil
@@ -158,12 +169,25 @@
 	return nil, false
 }
 
+// refusal is the decision of a queue to refuse a request.
+type refusal struct{ admit.Refuse }
+
+// Error implements error.
+func (r *refusal) Error() string { return "refused" }
+
 // finishWait returns the function that frees the slot, or the error of a refusal.
-func (e *endpointQueue) finishWait(id uint64, r SlotRequest, err error) (func(), error) {
-	if code := result.CodeOf(err); code != 0 {
-		return nil, result.New(code, "waiting for a slot of endpoint %s", r.Endpoint)
+func (e *endpointQueue) finishWait(id uint64, r SlotRequest, decision error) (func(), error) {
+	var refused *refusal
+	if !errors.As(decision, &refused) {
+		return func() { e.release(id) }, nil
+	}
+	err := result.New(refused.Code, "waiting for a slot of endpoint %s", r.Endpoint)
+	if refused.Early {
+		err.Detail = "no slot of endpoint " + r.Endpoint + " would come free in time"
+		e.onEarly(r.Class)
 	}
-	return func() { e.release(id) }, nil
+	err.RetryAfter = refused.RetryAfter
+	return nil, err
 }
 
 func (e *endpointQueue) release(id uint64) {
@@ -202,7 +226,7 @@
 		case admit.Start:
 			e.notify(effect.ID, nil)
 		case admit.Refuse:
-			e.notify(effect.ID, &result.Error{Code: effect.Code})
+			e.notify(effect.ID, &refusal{effect})
 		}
 	}
 	e.schedule()
