--- a/internal/core/hedge.go
+++ b/internal/core/hedge.go
@@ -79,20 +79,18 @@
 	for {
 		select {
 		case r := <-first:
-			s.recordAttempt(h.co, time.Since(h.sentAt))
 			reply, again := h.op.conclude(h.co, r.exchanged)
-			if second == nil || answers == nil {
-				return reply, again
-			}
-			second.cancel()
-			if !again {
-				return reply, false
+			if answers != nil {
+				second.cancel()
 			}
-			// The hedge is the next attempt, if it was sent.
-			if r := <-answers; second.succeeded(r) {
-				return second.conclude(r), false
+			if answers != nil && (again || r.err != nil) {
+				// The hedge is the next attempt, if it was sent. It ends by the same time.
+				if r := <-answers; second.succeeded(r) {
+					return second.conclude(r), false
+				}
 			}
-			return reply, true
+			s.recordAttempt(h.co, time.Since(h.sentAt))
+			return reply, again
 		case r := <-answers:
 			if second.succeeded(r) {
 				return second.conclude(r), false
--- a/internal/core/hedges.go
+++ b/internal/core/hedges.go
@@ -96,6 +96,7 @@
 func (a *secondAttempt) conclude(r attemptResult) Reply {
 	s := a.hedged.op.session
 	s.srv.metrics.hedges.WithLabelValues(hedgeWon).Inc()
+	s.recordAttempt(a.hedged.co, a.startedAt.Sub(a.hedged.sentAt))
 	s.recordAttempt(r.checkout, time.Since(a.startedAt))
 	reply, _ := a.hedged.op.conclude(r.checkout, r.exchanged)
 	return reply
