--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -139,6 +139,10 @@
 // countingLimiter grants every request and counts tokens.
 type countingLimiter struct{ taken, refunded *atomic.Int64 }
 
+func (l countingLimiter) TryAcquire(workspace string) bool {
+	return l.Acquire(context.Background(), workspace) == nil
+}
+
 func (l countingLimiter) Acquire(context.Context, string) error {
 	l.taken.Add(1)
 	return nil
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -27,11 +27,15 @@
 	// unpositioned counts the reads of routes with a staleness bound that required the
 	// primary, because no recent position of it was known.
 	unpositioned prometheus.Counter
-	sessions     prometheus.Gauge
-	forwarded    *prometheus.CounterVec
 	// pacingIgnored counts the latencies that did not pace an endpoint, because the host's own
 	// link was saturated.
 	pacingIgnored prometheus.Counter
+	// early counts the statements refused because no slot would have come free in time.
+	early *prometheus.CounterVec
+	// hedges counts hedged reads by what became of them.
+	hedges    *prometheus.CounterVec
+	sessions  prometheus.Gauge
+	forwarded *prometheus.CounterVec
 }
 
 // newMetrics returns the metrics. Those of the link are registered only if it is measured.
@@ -61,6 +65,12 @@
 		unpositioned: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenabridge_reads_without_position_total", Help: "Reads that required the primary because no recent position of it was known.",
 		}),
+		early: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenabridge_early_refusals_total", Help: "Statements refused before their wait ended, because no slot would have come free in time.",
+		}, []string{"class"}),
+		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenabridge_hedged_reads_total", Help: "Reads sent once more to another endpoint because their answer was late, by outcome.",
+		}, []string{"outcome"}),
 		forwarded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "galenabridge_statements_forwarded_total", Help: "Statements offered to other hosts, by outcome.",
 		}, []string{"outcome"}),
@@ -72,7 +82,7 @@
 		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.results, m.duration, m.endpoint, m.waits, m.dials, m.retries, m.reads, m.unpositioned, m.forwarded, m.sessions)
+		reg.MustRegister(m.results, m.duration, m.endpoint, m.waits, m.dials, m.retries, m.reads, m.unpositioned, m.early, m.hedges, m.forwarded, m.sessions)
 	}
 	if reg != nil && traffic != nil {
 		reg.MustRegister(m.pacingIgnored, prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -91,6 +101,8 @@
 		{Name: "retries", Collector: m.retries},
 		{Name: "reads", Collector: m.reads, Label: "role"},
 		{Name: "reads_without_position", Collector: m.unpositioned},
+		{Name: "refused_early", Collector: m.early, Label: "class"},
+		{Name: "hedged_reads", Collector: m.hedges, Label: "outcome"},
 		{Name: "forwarded", Collector: m.forwarded, Label: "outcome"},
 		{Name: "pacing_ignored", Collector: m.pacingIgnored},
 	}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -36,6 +36,8 @@
 type Limiter interface {
 	// Acquire takes tokens for one operation, waiting until ctx ends.
 	Acquire(ctx context.Context, workspace string) error
+	// TryAcquire takes tokens for one more attempt of an operation if they are there at once.
+	TryAcquire(workspace string) bool
 	// Refund returns the tokens of an operation that was not sent to any endpoint.
 	Refund(workspace string)
 }
@@ -71,6 +73,7 @@
 	metrics          *metrics
 	gate             *gate.Gate
 	primaryPositions *freshness
+	hedges           *hedges
 
 	mu        sync.Mutex
 	baselines *pacing.Baseline
@@ -105,10 +108,12 @@
 func NewServer(opts Options) *Server {
 	s := &Server{
 		opts: opts, metrics: newMetrics(opts.Registerer, opts.Traffic), primaryPositions: newFreshness(), baselines: pacing.NewBaseline(),
+		hedges:    newHedges(),
 		endpoints: make(map[string]*endpoint), sessions: make(map[*Session]struct{}),
 		remoteTransactions: make(map[remoteKey]*Session), witnessed: make(map[string]bool),
 	}
 	s.gate = gate.New(admit.PolicyFair, s.slots, s.hasIdleConnection)
+	s.gate.OnEarlyRefusal(func(class note.Class) { s.metrics.early.WithLabelValues(string(class)).Inc() })
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.answering, s.stopAnswering = context.WithCancel(s.ctx)
 	return s
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -64,6 +64,24 @@
 	return h.abandon(workspace, w)
 }
 
+// TryAcquire takes a token if the host's share has one at once and no request waits for it.
+func (h *Holder) TryAcquire(workspace string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.queues[workspace] != nil {
+		return false
+	}
+	now := clock.Now()
+	h.observeLease(now)
+	key := rateKey(workspace)
+	h.quota.Offer(now, key, 1)
+	if h.quota.Take(now, key, 1).Granted {
+		return true
+	}
+	h.quota.Withdraw(key, 1)
+	return false
+}
+
 // takeOrEnqueue takes a token, or returns the waiter for the request. It returns nil
 // and no error if the token was taken, and an error if the request is refused.
 func (h *Holder) takeOrEnqueue(ctx context.Context, workspace string) (*waiter, error) {
