--- a/internal/control/usage_driver.go
+++ b/internal/control/usage_driver.go
@@ -58,6 +58,7 @@
 func (d *usageDriver) stop() {
 	if d != nil {
 		d.cancel()
+		d.host.metrics.usage.pending.Set(0) // the successor counts them
 	}
 }
 
