Early rejection: buckets by monotonic time, retry time only for requests with a target

Cause: the buckets of the estimate were numbered by the wall clock, which jumps on some machines; the PostgreSQL entry, whose requests have no target, would have got other retry hints; GB2003 said that the deadline had passed.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -144,9 +144,13 @@
 	}
 }
 
-// refuseWaiter refuses a waiting request because of its deadline.
+// refuseWaiter refuses a waiting request because of its deadline. One with a target is told when
+// to come back.
 func (q *Queue) refuseWaiter(now time.Time, w *waiter, early bool) {
-	retryAfter := q.classes[w.Class].meter.RetryAfter(now)
+	var retryAfter time.Duration
+	if w.Target > 0 {
+		retryAfter = q.classes[w.Class].meter.RetryAfter(now)
+	}
 	q.discipline.remove(w)
 	q.removeWaiter(w)
 	q.effects = append(q.effects, Refuse{ID: w.ID, Code: result.DeadlineInQueue, Early: early, RetryAfter: retryAfter})
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -46,6 +46,9 @@
 // waited, as the others only follow the arrivals. It is not safe for concurrent use.
 type Meter struct {
 	buckets [bucketCount]bucket
+	// origin is the time of the first event, from which the buckets are numbered: the wall
+	// clocks of some machines jump.
+	origin  time.Time
 	waiting int
 	slots   int
 	// updated is the time until which busy time is recorded.
@@ -91,7 +94,10 @@
 
 // at returns the bucket of a time.
 func (m *Meter) at(now time.Time) *bucket {
-	number := now.UnixNano() / int64(bucketLength)
+	if m.origin.IsZero() {
+		m.origin = now
+	}
+	number := m.number(now)
 	b := &m.buckets[number%bucketCount]
 	if b.number != number {
 		*b = bucket{number: number}
@@ -99,6 +105,9 @@
 	return b
 }
 
+// number returns the number of the bucket of a time.
+func (m *Meter) number(t time.Time) int64 { return max(int64(t.Sub(m.origin)/bucketLength), 0) }
+
 // Rates are the events of a queue in a time of backlog, a second.
 type Rates struct {
 	arrivals float64
@@ -123,9 +132,9 @@
 		return Rates{}, false
 	}
 	m.recordBusy(now)
-	last := now.UnixNano() / int64(bucketLength)
-	first := max(last-bucketCount+1, m.since.UnixNano()/int64(bucketLength))
-	r := Rates{window: now.Sub(time.Unix(0, first*int64(bucketLength))), count: int(last - first + 1)}
+	last := m.number(now)
+	first := max(last-bucketCount+1, m.number(m.since))
+	r := Rates{window: now.Sub(m.origin.Add(time.Duration(first) * bucketLength)), count: int(last - first + 1)}
 	var busy time.Duration
 	slotTime := 0.0
 	for _, b := range m.buckets {
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -11,7 +11,7 @@
 	{TooManyHandshakes, "too_many_handshakes", "53300", true, "The host is verifying as many keys as it may at once.", "Reconnect after a short wait."},
 	{NoConfigLease, "no_config_lease", "57P03", true, "The host has no valid configuration lease, so it cannot know whether the key still holds.", "Retry, if possible through another host."},
 	{NoPrimary, "no_primary", "57P03", true, "The service has no primary that may be written to within the deadline.", "Retry later; the status command names the reason."},
-	{DeadlineInQueue, "deadline_in_queue", "57014", true, "The deadline passed before the request was sent to an endpoint.", "Retry, or allow a longer deadline."},
+	{DeadlineInQueue, "deadline_in_queue", "57014", true, "The deadline passed before the request was sent to an endpoint, or no slot would have come free in time.", "Retry, or allow a longer deadline."},
 	{RateExceeded, "rate_exceeded", "53400", true, "The workspace is over its rate and burst across the fleet.", "Wait for the time in the hint, then retry."},
 	{QueueFull, "queue_full", "53300", true, "The queue of the workspace for this endpoint is full.", "Retry after a short wait."},
 	{OutcomeUnknown, "outcome_unknown", "08007", false, "The request was sent but no answer may be passed on; it may or may not have run.", "Check before repeating, or repeat with the same request id."},
