Usage reports: tell collectors which windows are decided

Cause: hosts and control hosts resent the counts of decided windows after each change of the leader. Change: the collector gets the last decided window with each state. Measured: go test -race -run 'Usage|Collector|Tall' passed.

--- a/internal/control/usage_collector.go
+++ b/internal/control/usage_collector.go
@@ -72,6 +72,7 @@
 		return
 	}
 	u.state, u.controls = s, nil
+	u.SetDecided(s.Usage.Decided)
 	members := make([]metering.Member, 0, len(s.Hosts))
 	for _, host := range s.Hosts {
 		p := metering.Process{Host: host.ID, Incarnation: host.Incarnation}
