--- a/internal/core/meter_test.go
+++ b/internal/core/meter_test.go
@@ -2,21 +2,15 @@
 
 import (
 	"slices"
-	"sync"
 	"testing"
 
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
 // recordingMeter records the calls of a Meter.
-type recordingMeter struct {
-	mu    sync.Mutex
-	calls []MeteredKind
-}
+type recordingMeter struct{ calls []MeteredKind }
 
 func (m *recordingMeter) Begin(workspace string, kind MeteredKind) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if workspace == "crew" {
 		m.calls = append(m.calls, kind)
 	}
