--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -86,7 +86,7 @@
 		if rd.Rejoin {
 			return h.rejoin()
 		}
-		if err := h.store.Save(rd.Durable); err != nil {
+		if err := h.save(rd.Durable); err != nil {
 			h.recordSaveError(err)
 			return nil
 		}
@@ -104,6 +104,21 @@
 	return nil
 }
 
+// slowSave is the duration of a save from which on it is logged. It is below the configuration
+// lease (2 s), which ends on all hosts while the disk of the leader stalls.
+const slowSave = 500 * time.Millisecond
+
+// save saves the output of consensus and logs a save that took long. While it waits for the disk,
+// the host answers nobody, which otherwise looks like a lost quorum.
+func (h *Host) save(d consensus.Durable) error {
+	begun := clock.Now()
+	err := h.store.Save(d)
+	if took := clock.Since(begun); took >= slowSave {
+		h.log.Warn("store_save_slow", "took_ms", took.Milliseconds(), "entries", len(d.Entries))
+	}
+	return err
+}
+
 // recordSaveError records that the store failed. The pending output of consensus
 // is kept and saved again later. Until then new proposals fail with the error.
 func (h *Host) recordSaveError(err error) {
