Account for the memory that callers make a host hold

Messages in progress, prepared texts, session values, queued statements, copies for forwarding and unread answers were unbounded in sum.

internal/budget reserves them on the account of the connection before they are read or copied, within a fifth of limits.memory_mb. When it is spent, the connection with the most is closed, or the largest one of the workspace with the most; an eighth is left for requests of up to 16 KB. A statement for which there is no memory is refused with 2020 (BUSY) before it is sent, a prepared text or value over the limit of its session (256 items, 4 MiB) or workspace with 3012 (TOOBIG). A message that was begun must progress by 4 KiB/s, and an answer must be read at that rate. The connections of callers are bounded by max_fds and memory_mb; the oldest one without a session gives way to a new one, sessions are never closed for others. The home host of a forwarded statement accounts for it as well. Without these settings only the limits that need none apply.

--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -100,6 +100,7 @@
 		Settings: settings.Settings, Dialer: platform.Dialer{},
 		EndpointManager: platform.NewEndpointManager(settings.Name, settings.PromoteAddr),
 		Fenced:          settings.Fenced, GracePeriod: settings.GracePeriod, Tolerance: settings.Tolerance, Logger: logger, IncarnationOffset: incarnationOffset,
+		CallerMemory: settings.Limits().Memory,
 	})
 	if err != nil {
 		return err
--- a/internal/core/checkout.go
+++ b/internal/core/checkout.go
@@ -40,6 +40,7 @@
 // release returns a reusable connection to the pool, closes any other, and then frees the
 // slot. In this order the next holder of the slot finds the connection in the pool.
 func (co *checkout) release(reusable bool) {
+	co.conn.trim()
 	co.endpoint.pool.Release(co.conn, reusable)
 	co.freeSlot()
 }
--- a/internal/core/conn.go
+++ b/internal/core/conn.go
@@ -20,6 +20,8 @@
 	values        map[string]string
 	prepared      map[preparedStatement]string
 	preparedCount int
+	// stateBytes is the memory of values and prepared.
+	stateBytes int64
 	// stateUnknown: the connection may differ from the record, as after a rollback, so
 	// that its state is discarded before the next use.
 	stateUnknown bool
@@ -43,11 +45,15 @@
 	var commands []Command
 	if c.stateUnknown || !c.isSubset(values) {
 		commands = append(commands, Command{Statement: Statement{Kind: Discard}})
-		c.values, c.prepared, c.stateUnknown = map[string]string{}, map[preparedStatement]string{}, false
+		c.forgetState(false)
 	}
 	for name, value := range values {
 		if current, ok := c.values[name]; !ok || current != value {
 			commands = append(commands, Command{Statement: Statement{Kind: SetValue, Name: name, Text: value}})
+			if ok {
+				c.stateBytes -= keptSize(name, current)
+			}
+			c.stateBytes += keptSize(name, value)
 			c.values[name] = value
 		}
 	}
@@ -55,11 +61,31 @@
 		c.preparedCount++
 		name := "g" + strconv.Itoa(c.preparedCount)
 		c.prepared[*needed] = name
+		c.stateBytes += keptSize(name, needed.text)
 		commands = append(commands, Command{Statement: Statement{Kind: Prepare, Name: name, Text: needed.text, Writes: needed.writes}})
 	}
 	return commands
 }
 
+// maxConnStateBytes bounds the values and prepared statements on a connection in the pool, above what
+// the sessions of a workspace usually have in common.
+const maxConnStateBytes = 128 << 10
+
+// trim drops the record of a connection that holds too much. The endpoint discards it before the next
+// use.
+func (c *conn) trim() {
+	if c.stateBytes > maxConnStateBytes {
+		c.forgetState(true)
+	}
+}
+
+// forgetState drops the record of the state. unknown tells whether the endpoint still has to discard
+// the state.
+func (c *conn) forgetState(unknown bool) {
+	c.values, c.prepared = map[string]string{}, map[preparedStatement]string{}
+	c.stateBytes, c.stateUnknown = 0, unknown
+}
+
 // isSubset reports whether the session sets every value that the connection holds. A
 // single value cannot be unset, so any other value requires a full discard.
 func (c *conn) isSubset(values map[string]string) bool {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/note"
@@ -153,6 +154,8 @@
 func (fakeCaller) IsIdle() bool { return true }
 func (fakeCaller) Disconnect()  {}
 
+func (fakeCaller) Account() *budget.Account { return nil }
+
 // fixture is a server with three fake endpoints, of which "p" is the primary.
 type fixture struct {
 	t         *testing.T
--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/connpool"
 	"github.com/galenabridge/galenabridge/internal/pacing"
@@ -161,9 +164,9 @@
 
 // suspect marks the endpoint as suspected and probes it in the background until it
 // answers. It does nothing if the endpoint is suspected already or closed, nor at the end of a
-// shutdown, which ends exchanges before their time.
+// shutdown, which ends exchanges before their time, nor when this host lacks memory for an answer.
 func (e *endpoint) suspect(workspace string, cause error) {
-	if e.srv.pastAnswers() {
+	if e.srv.pastAnswers() || errors.Is(cause, budget.ErrFull) {
 		return
 	}
 	e.mu.Lock()
--- a/internal/core/forward.go
+++ b/internal/core/forward.go
@@ -53,6 +53,11 @@
 		return Reply{}, "", false
 	}
 	hosts := s.srv.opts.Forwarder.Route(a.route.Service, s.workspace, !s.srv.opts.View.Current().Valid())
+	if len(hosts) > 0 {
+		if err := s.reserveCopies(st, forwardCopies); err != nil {
+			return refuse(err), "", true
+		}
+	}
 	for i, h := range slices.Concat(hosts, firstOf(hosts)) {
 		if s.srv.pastAnswers() {
 			return refuse(errStopping()), "", true
@@ -93,7 +98,7 @@
 	case err != nil && errors.Is(err, ErrNotRun), err == nil && response.Declined:
 		return Reply{}, false
 	case err == nil:
-		return s.acceptResponse(host, response), true
+		return s.acceptResponse(host, response, writes), true
 	case st.Kind == Begin || st.Kind == BeginReadOnly:
 		s.srv.opts.Forwarder.EndTransaction(host, s.id)
 		return Reply{}, false
@@ -144,9 +149,16 @@
 }
 
 // acceptResponse takes over what another host reported about the session, and returns the
-// reply for the caller.
-func (s *Session) acceptResponse(host string, r RemoteResponse) Reply {
+// reply for the caller. Rows for which there is no memory are dropped.
+func (s *Session) acceptResponse(host string, r RemoteResponse, writes bool) Reply {
 	s.lastCommit, s.lastCommitTerm = r.LastCommit, r.LastCommitTerm
 	s.timings.add(host, r.Timings)
+	size := int64(0)
+	for _, row := range r.Rows {
+		size += int64(len(row))
+	}
+	if err := s.account.Reserve(size); err != nil {
+		return answerDropped(writes)
+	}
 	return Reply{Rows: r.Rows, Signature: r.Signature, Err: r.Err, State: r.State}
 }
--- a/internal/core/forward_transaction.go
+++ b/internal/core/forward_transaction.go
@@ -22,6 +22,9 @@
 // its commit was not sent.
 func (s *Session) runInRemoteTransaction(st Statement) Reply {
 	tx := s.remote
+	if err := s.reserveCopies(st, forwardCopies); err != nil {
+		return refuse(err)
+	}
 	tx.wrote = tx.wrote || s.writes(st)
 	response, err := s.callTransactionHost(st)
 	switch {
@@ -30,7 +33,7 @@
 	case response.Declined:
 		return s.abortTransaction(result.New(result.EndpointLost, "host %s does not have the transaction any more", tx.host))
 	}
-	reply := s.acceptResponse(tx.host, response)
+	reply := s.acceptResponse(tx.host, response, s.writes(st))
 	if response.State != InTransaction {
 		s.remote = nil
 		s.state = Failed
@@ -46,7 +49,7 @@
 	switch {
 	case err == nil && !response.Declined:
 		s.remote = nil
-		return s.acceptResponse(tx.host, response)
+		return s.acceptResponse(tx.host, response, tx.wrote)
 	case err == nil, errors.Is(err, ErrNotRun), !tx.wrote:
 		s.endTransaction()
 		return refuse(result.New(result.TransactionAborted, "host %s was lost before it could commit any change", tx.host))
--- a/internal/core/remote.go
+++ b/internal/core/remote.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -94,6 +95,8 @@
 func (remoteCaller) IsIdle() bool { return true }
 func (remoteCaller) Disconnect()  {}
 
+func (remoteCaller) Account() *budget.Account { return nil }
+
 // AcceptsRemote reports whether the host runs statements for other hosts now.
 func (s *Server) AcceptsRemote() bool {
 	s.mu.Lock()
@@ -209,7 +212,7 @@
 	if r.Prepared != nil {
 		s.prepared[r.Statement.Name] = preparedStatement{text: r.Prepared.Text, writes: r.Prepared.Writes}
 	}
-	reply := s.serve(r.Statement)
+	reply := s.serveRemote(r)
 	s.abortIfStopping()
 	s.lastReplyAt = clock.Now()
 	if s.tx == nil {
@@ -221,6 +224,25 @@
 	}
 }
 
+// serveRemote serves a statement with an account of its own. What came with the request is dropped
+// afterwards, so that an open transaction holds none of it.
+func (s *Session) serveRemote(r RemoteRequest) Reply {
+	s.account = s.srv.opts.Budget.Open(nil)
+	defer func() {
+		s.account.Close()
+		s.account, s.values, s.valueBytes = nil, nil, 0
+		clear(s.prepared)
+	}()
+	s.account.SetWorkspace(s.workspace)
+	for name, value := range r.Values {
+		s.valueBytes += keptSize(name, value)
+	}
+	if err := s.reserveCopies(r.Statement, forwardCopies); err != nil {
+		return refuse(err)
+	}
+	return s.serve(r.Statement)
+}
+
 // registerRemote registers a session that begins a transaction. A transaction that an
 // earlier request of the same session has left behind is rolled back.
 func (s *Server) registerRemote(key remoteKey, session *Session) {
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -47,9 +47,15 @@
 		}
 	}
 	if s.state == InTransaction {
+		if err := s.reserveCopies(st, 1); err != nil {
+			return refuse(err)
+		}
 		return s.runInTransaction(st)
 	}
 	writes := s.writes(st)
+	if err := s.reserveCopies(st, 1); err != nil {
+		return refuse(err)
+	}
 	a, err := s.authorizeStatement(writes)
 	if err != nil {
 		return refuse(err)
@@ -112,7 +118,7 @@
 	if co.primary {
 		after = Position{}
 	}
-	return Command{Statement: st, MinPosition: after}
+	return Command{Statement: st, MinPosition: after, Account: s.account}
 }
 
 // takesSlot reports whether a kind of statement occupies a slot of an endpoint while it
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -12,6 +12,7 @@
 	"github.com/galenabridge/galenabridge/internal/activity"
 	"github.com/galenabridge/galenabridge/internal/admit"
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/limits"
@@ -39,7 +40,7 @@
 	Refund(workspace string)
 }
 
-// Options configures a Server. All fields but Forwarder and Registerer are required.
+// Options configures a Server. All fields but Forwarder, Budget and Registerer are required.
 type Options struct {
 	View view.Source
 	// Host is the ID of this host.
@@ -54,7 +55,9 @@
 	// Observe receives evidence about the health of endpoints. It must not block.
 	Observe func(Evidence)
 	// Forwarder runs statements at other hosts; nil means that all run on this one.
-	Forwarder  Forwarder
+	Forwarder Forwarder
+	// Budget is the memory for callers; nil means no limit.
+	Budget     *budget.Budget
 	Log        *log.Logger
 	Registerer prometheus.Registerer
 }
@@ -344,5 +347,8 @@
 // Activity lists the counters that are reported in the log.
 func (s *Server) Activity() []activity.Counter { return s.metrics.activity() }
 
+// Budget returns the memory for callers, which may be nil.
+func (s *Server) Budget() *budget.Budget { return s.opts.Budget }
+
 // Sessions returns the number of open sessions.
 func (s *Server) Sessions() int { return len(s.openSessions()) }
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -24,6 +25,8 @@
 	key       string
 	workspace string
 	caller    Caller
+	// account pays for what the session keeps and for its statement in progress.
+	account *budget.Account
 
 	// mu is held while a statement is served and while an idle transaction is
 	// expired, so that an expiry never interrupts a statement.
@@ -31,6 +34,8 @@
 	state    State
 	values   map[string]string
 	prepared map[string]preparedStatement
+	// valueBytes is the size of the values, keptBytes that of all the session keeps.
+	valueBytes, keptBytes int64
 	// lastCommit is the position of the session's last acknowledged write.
 	lastCommit Position
 	// lastCommitTerm is the term of the group in which it was acknowledged.
@@ -61,6 +66,9 @@
 	IsIdle() bool
 	// Disconnect closes the connection. It may be called more than once.
 	Disconnect()
+	// Account returns the account of the connection, which may be nil. The caller settles it
+	// when a reply has been sent.
+	Account() *budget.Account
 }
 
 // authorizationTimeout bounds the wait for the host's configuration lease when a session is
@@ -72,7 +80,7 @@
 // unless the lease was lost long ago.
 func (s *Server) Open(database, key string, caller Caller) (*Session, *result.Error) {
 	session := &Session{
-		srv: s, id: s.lastSessionID.Add(1), database: database, key: key, caller: caller,
+		srv: s, id: s.lastSessionID.Add(1), database: database, key: key, caller: caller, account: caller.Account(),
 		values: map[string]string{}, prepared: map[string]preparedStatement{}, lastReplyAt: clock.Now(),
 	}
 	if err := session.awaitAuthorization(authorizationTimeout); err != nil {
@@ -84,6 +92,7 @@
 		return nil, err
 	}
 	s.metrics.sessions.Inc()
+	session.account.SetWorkspace(session.workspace)
 	return session, nil
 }
 
@@ -225,13 +234,11 @@
 	case Rollback:
 		return s.rollback()
 	case SetValue:
-		s.values[st.Name] = st.Text
-		return Reply{}
+		return s.setValue(st)
 	case Prepare:
-		s.prepared[st.Name] = preparedStatement{text: st.Text, writes: st.Writes}
-		return Reply{}
+		return s.prepare(st)
 	case Forget:
-		delete(s.prepared, st.Name)
+		s.forget(st.Name)
 		return Reply{}
 	case Read, Write, Execute:
 		return s.run(st)
--- a/internal/core/single.go
+++ b/internal/core/single.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
@@ -64,6 +67,9 @@
 // whether it may be retried: a write only if no byte of it was sent, a read also after
 // it was sent unless the deadline has passed.
 func (op *operation) afterConnectionLost(co *checkout, sent bool, err error) (Reply, bool) {
+	if errors.Is(err, budget.ErrFull) {
+		return answerDropped(op.writes), false
+	}
 	op.need.exclude = append(op.need.exclude, co.endpoint.record.ID)
 	timedOut := !time.Now().Before(op.deadline) && isTimeout(err)
 	if !timedOut {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/connpool"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
@@ -113,6 +114,9 @@
 	Statement
 	// MinPosition is the position that the endpoint must have applied; zero requires none.
 	MinPosition Position
+	// Account pays for the rows of the answer. A Link fails with budget.ErrFull if there is
+	// no memory for them. It may be nil.
+	Account *budget.Account
 }
 
 // Answer is the complete response of an endpoint to a Command.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/activity"
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/config"
 	"github.com/galenabridge/galenabridge/internal/control"
 	"github.com/galenabridge/galenabridge/internal/core"
@@ -61,7 +62,9 @@
 	GracePeriod time.Duration
 	// Tolerance is how far a workspace may exceed its rate. It is the same on all hosts.
 	Tolerance limits.Tolerance
-	Logger    *log.Logger
+	// CallerMemory is the memory in bytes that callers may make the host hold; zero means no limit.
+	CallerMemory int64
+	Logger       *log.Logger
 	// IncarnationOffset is added to the time of day, which gives the incarnation of the
 	// process; see ErrReplaced.
 	IncarnationOffset time.Duration
@@ -86,6 +89,7 @@
 	holder     *limits.Holder
 	forwarder  *forward.Forwarder
 	core       *core.Server
+	budget     *budget.Budget
 	stopping   atomic.Bool
 	// replaced is closed when a higher incarnation of this host was seen.
 	replaced chan struct{}
@@ -97,6 +101,7 @@
 		opts: opts, log: opts.Logger, registry: prometheus.NewRegistry(), view: view.NewPublisher(),
 		replaced: make(chan struct{}),
 	}
+	d.budget = budget.New(opts.CallerMemory, d.registry, d.log)
 	d.peers = peer.NewNode(peer.Options{
 		Host: opts.Settings.Host, Fleet: opts.Settings.Fleet, Secret: opts.Settings.FleetSecret,
 		Incarnation: uint64(time.Now().Add(opts.IncarnationOffset).UnixNano()), Listen: opts.Settings.Peer.Listen,
@@ -159,7 +164,7 @@
 	d.forwarder = forward.New(d.peers, d.view, d.log)
 	d.core = core.NewServer(core.Options{
 		View: d.view, Host: d.opts.Settings.Host, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
-		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Log: d.log, Registerer: d.registry,
+		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Budget: d.budget, Log: d.log, Registerer: d.registry,
 	})
 	d.holder.SetPool(d.core)
 	forward.Serve(d.peers, d.core)
@@ -180,6 +185,9 @@
 // Core returns the session core of the entry role, or nil.
 func (d *Daemon) Core() *core.Server { return d.core }
 
+// Budget returns the memory for callers.
+func (d *Daemon) Budget() *budget.Budget { return d.budget }
+
 // Control returns the control role, or nil.
 func (d *Daemon) Control() *control.Host { return d.control }
 
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -46,6 +46,8 @@
 	StatementFailed    Code = 2017
 	StatementTimeout   Code = 2018
 	TransactionAborted Code = 2019
+	HostFull           Code = 2020
+	TooManySessions    Code = 2021
 
 	MalformedMessage    Code = 3001
 	MessageTooLarge     Code = 3002
@@ -58,6 +60,8 @@
 	SlowClient          Code = 3009
 	UnknownSessionParam Code = 3010
 	UnknownStatement    Code = 3011
+	SessionTooLarge     Code = 3012
+	AnswerTooLarge      Code = 3013
 
 	NoteConflict   Code = 4001
 	NoteInvalid    Code = 4002
--- a/internal/tcpopt/tcpopt_linux.go
+++ b/internal/tcpopt/tcpopt_linux.go
@@ -18,3 +18,20 @@
 	}
 	return setErr
 }
+
+// SetBuffers sets the sizes of the receive and of the send buffer of a socket, in bytes. The kernel
+// takes twice as much. Connections inherit them from their listener.
+func SetBuffers(c syscall.RawConn, size int) error {
+	var setErr error
+	err := c.Control(func(fd uintptr) {
+		for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
+			if setErr == nil {
+				setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, size)
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
--- a/internal/tcpopt/tcpopt_other.go
+++ b/internal/tcpopt/tcpopt_other.go
@@ -9,3 +9,6 @@
 
 // setUserTimeout does nothing on systems without a TCP user timeout.
 func setUserTimeout(syscall.RawConn, time.Duration) error { return nil }
+
+// SetBuffers leaves the buffers as they are.
+func SetBuffers(syscall.RawConn, int) error { return nil }
