--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -103,6 +103,7 @@
 		EndpointManager: platform.NewEndpointManager(settings.Name, settings.PromoteAddr),
 		Metering:        settings.Metering, UsageReporter: platform.NewUsageReporter(settings.Name, settings.PromoteAddr),
 		Fenced: settings.Fenced, GracePeriod: settings.GracePeriod, Tolerance: settings.Tolerance, LinkRate: settings.LinkRate, Logger: logger, IncarnationOffset: incarnationOffset,
+		CallerMemory: settings.Limits().Memory,
 	})
 	if err != nil {
 		return err
--- a/internal/core/hedge.go
+++ b/internal/core/hedge.go
@@ -63,6 +63,19 @@
 // run sends the read, once more if its answer is late, and returns the reply and whether
 // another attempt may follow.
 func (h *hedgedRead) run(c Command) (Reply, bool) {
+	reply, again := h.await(c)
+	size := int64(0)
+	for _, row := range reply.Rows {
+		size += int64(len(row))
+	}
+	if h.op.session.account.Reserve(size) != nil {
+		return answerDropped(h.op.writes), false
+	}
+	return reply, again
+}
+
+// await sends the read, once more if its answer is late, and returns as run does.
+func (h *hedgedRead) await(c Command) (Reply, bool) {
 	s := h.op.session
 	first := make(chan attemptResult, 1)
 	s.srv.attemptInBackground(first, func() attemptResult {
@@ -124,6 +137,10 @@
 	reusable := false
 	defer func() { co.release(reusable) }()
 	srv := h.op.session.srv
+	// The account of the session is for its goroutine only, and may be closed before the answer.
+	c.Account = srv.opts.Budget.Open(nil)
+	c.Account.SetWorkspace(h.workspace)
+	defer c.Account.Close()
 	srv.countBegun(h.workspace, MeteredKind{Kind: c.Kind})
 	r := srv.exchange(co, h.op.route, c, h.due)
 	reusable = r.err == nil && r.answer.State == Idle
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -47,9 +47,15 @@
 		}
 	}
 	if s.state == InTransaction {
+		if err := s.reserveCopies(st, 1); err != nil {
+			return refuse(err)
+		}
 		return s.runInTransaction(st)
 	}
 	writes := s.writes(st)
+	if err := s.reserveCopies(st, 1); err != nil {
+		return refuse(err)
+	}
 	a, err := s.authorizeStatement(writes)
 	if err != nil {
 		return refuse(err)
@@ -121,7 +127,9 @@
 // command returns the statement as it is sent to the endpoint of the checkout. A primary
 // holds every position, so none is required of it.
 func (s *Session) command(co *checkout, st Statement, after Position) Command {
-	return co.command(st, s.neededPrepared(st), after)
+	c := co.command(st, s.neededPrepared(st), after)
+	c.Account = s.account
+	return c
 }
 
 // command is Session.command with the prepared statement that st executes, or nil.
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -12,6 +12,7 @@
 	"github.com/galenabridge/galenabridge/internal/activity"
 	"github.com/galenabridge/galenabridge/internal/admit"
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/limits"
@@ -42,7 +43,7 @@
 	Refund(workspace string)
 }
 
-// Options configures a Server. All fields but Forwarder, Meter, Traffic and Registerer are required.
+// Options configures a Server. All fields but Forwarder, Meter, Traffic, Budget and Registerer are required.
 type Options struct {
 	View view.Source
 	// Host is the ID of this host.
@@ -61,7 +62,9 @@
 	// Meter is told of the statements that are sent to endpoints; nil means that none are counted.
 	Meter Meter
 	// Traffic measures the use of the host's network link; nil if the link is unknown.
-	Traffic    *linkuse.Meter
+	Traffic *linkuse.Meter
+	// Budget is the memory for callers; nil means no limit.
+	Budget     *budget.Budget
 	Log        *log.Logger
 	Registerer prometheus.Registerer
 }
@@ -355,5 +358,8 @@
 // Activity lists the counters that are reported in the log.
 func (s *Server) Activity() []activity.Counter { return s.metrics.activity() }
 
+// Budget returns the memory for callers, which may be nil.
+func (s *Server) Budget() *budget.Budget { return s.opts.Budget }
+
 // Sessions returns the number of open sessions.
 func (s *Server) Sessions() int { return len(s.openSessions()) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/activity"
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/config"
 	"github.com/galenabridge/galenabridge/internal/control"
 	"github.com/galenabridge/galenabridge/internal/core"
@@ -69,7 +70,9 @@
 	// Traffic counts the bytes of the adapter's connections against LinkRate. The daemon adds
 	// those of connections to other hosts. It is nil if LinkRate is zero.
 	Traffic *linkuse.Meter
-	Logger  *log.Logger
+	// CallerMemory is the memory in bytes that callers may make the host hold; zero means no limit.
+	CallerMemory int64
+	Logger       *log.Logger
 	// IncarnationOffset is added to the time of day, which gives the incarnation of the
 	// process; see ErrReplaced.
 	IncarnationOffset time.Duration
@@ -102,6 +105,7 @@
 	forwarder  *forward.Forwarder
 	core       *core.Server
 	usage      *control.UsageSender // nil if usage reports are disabled
+	budget     *budget.Budget
 	stopping   atomic.Bool
 	// replaced is closed when a higher incarnation of this host was seen.
 	replaced chan struct{}
@@ -113,6 +117,7 @@
 		opts: opts, log: opts.Logger, registry: prometheus.NewRegistry(), view: view.NewPublisher(),
 		replaced: make(chan struct{}),
 	}
+	d.budget = budget.New(opts.CallerMemory, d.registry, d.log)
 	d.peers = peer.NewNode(peer.Options{
 		Host: opts.Settings.Host, Fleet: opts.Settings.Fleet, Secret: opts.Settings.FleetSecret,
 		Incarnation: uint64(time.Now().Add(opts.IncarnationOffset).UnixNano()), Listen: opts.Settings.Peer.Listen,
@@ -176,7 +181,7 @@
 	d.forwarder = forward.New(d.peers, d.view, d.log, d.registry)
 	d.core = core.NewServer(core.Options{
 		View: d.view, Host: d.opts.Settings.Host, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
-		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Meter: d.buildMeter(), Traffic: d.opts.Traffic,
+		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Meter: d.buildMeter(), Traffic: d.opts.Traffic, Budget: d.budget,
 		Log: d.log, Registerer: d.registry,
 	})
 	d.holder.SetPool(d.core)
@@ -201,6 +206,9 @@
 // Traffic returns the meter of the host's network link, or nil if the link is unknown.
 func (d *Daemon) Traffic() *linkuse.Meter { return d.opts.Traffic }
 
+// Budget returns the memory for callers.
+func (d *Daemon) Budget() *budget.Budget { return d.budget }
+
 // Control returns the control role, or nil.
 func (d *Daemon) Control() *control.Host { return d.control }
 
