--- a/internal/core/pick.go
+++ b/internal/core/pick.go
@@ -158,12 +158,11 @@
 	return e, e != nil
 }
 
-// cost returns the cost of an endpoint for a read. Statements that wait for a slot count as those
-// in progress: without them reads queued at an endpoint that pacing had narrowed, while the slots of
-// others were free. A random part below 0.1 spreads reads over endpoints of equal cost.
+// cost returns the cost of an endpoint for a read. A random part below 0.1 spreads reads
+// over endpoints of equal cost.
 func (s *Server) cost(now time.Time, c choice, n need) float64 {
 	l := c.endpoint.load(now)
-	cost := float64(l.inflight+s.gate.Waiting(c.endpoint.record.ID)) + rand.Float64()/10
+	cost := float64(l.inflight) + rand.Float64()/10
 	if c.endpoint.record.Domain != s.opts.Domain {
 		cost += remoteCost
 	}
