Leave a quarter of the sessions to other workspaces

Idle sessions are never closed for others, so that those of one workspace could take all places of a host and keep out the callers of all others. A workspace may have three quarters of them.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -153,6 +153,9 @@
 
 // Workspace returns the workspace of the account, empty before it is known.
 func (a *Account) Workspace() string {
+	if a == nil {
+		return ""
+	}
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 	return a.workspace
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -161,20 +161,27 @@
 		return n
 	}
 	first := add(1)
-	first.SetWaiting(false)
+	if !first.Keep("a") {
+		t.Fatal("a session is refused")
+	}
 	add(2)
 	add(3)
 	fourth := add(4)
 	if !closed[2] || closed[1] || closed[3] || c.Open() != 3 {
 		t.Fatalf("closed %v, %d open; want the oldest without a session closed", closed, c.Open())
 	}
-	fourth.SetWaiting(false)
-	add(5).SetWaiting(false)
+	fifth := add(5)
+	if !fourth.Keep("a") || fifth.Keep("a") || !fifth.Keep("b") {
+		t.Fatal("an owner does not have two of three connections")
+	}
 	if added := add(6); added != nil {
 		t.Fatal("a connection is accepted beside the full number of sessions")
 	}
 	first.Remove()
 	first.Remove()
+	if len(c.owners) != 2 || c.owners["a"] != 1 {
+		t.Errorf("owners %v, want one connection each", c.owners)
+	}
 	if added := add(7); added == nil || c.Open() != 3 {
 		t.Fatalf("%d open; want the place of a session that has ended to be free", c.Open())
 	}
--- a/internal/budget/connections.go
+++ b/internal/budget/connections.go
@@ -13,11 +13,18 @@
 
 	mu      sync.Mutex
 	open    int
-	waiting list.List // of *Connection, oldest first
+	waiting list.List      // of *Connection, oldest first
+	owners  map[string]int // connections by owner, of those that have one
 }
 
+// ownerShare is the part of the connections that one owner may have, so that the idle ones of one
+// cannot keep out the callers of all others. None of many owners comes near it.
+const ownerShare = 0.75
+
 // NewConnections returns a limit of n connections; zero means none.
-func NewConnections(n int) *Connections { return &Connections{limit: n} }
+func NewConnections(n int) *Connections {
+	return &Connections{limit: n, owners: make(map[string]int)}
+}
 
 // Connection is one open connection.
 type Connection struct {
@@ -25,6 +32,7 @@
 	close   func()
 	element *list.Element // in Connections.waiting, nil while it does not wait
 	removed bool
+	owner   *string
 }
 
 // Add adds a connection that waits. close closes it, and is called without locks. If there are too
@@ -73,6 +81,24 @@
 	}
 }
 
+// Keep ends the waiting of a connection for good and assigns it to an owner. It returns false, and
+// changes nothing, if the owner has as many as it may or the connection was removed.
+func (n *Connection) Keep(owner string) bool {
+	c := n.all
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n.removed || c.limit > 0 && c.owners[owner] >= max(int(ownerShare*float64(c.limit)), 1) {
+		return false
+	}
+	if n.element != nil {
+		c.waiting.Remove(n.element)
+		n.element = nil
+	}
+	c.owners[owner]++
+	n.owner = &owner
+	return true
+}
+
 // Remove removes a connection that was closed. Further calls have no effect.
 func (n *Connection) Remove() {
 	n.all.mu.Lock()
@@ -86,6 +112,11 @@
 	}
 	n.removed = true
 	n.all.open--
+	if n.owner != nil {
+		if n.all.owners[*n.owner]--; n.all.owners[*n.owner] == 0 {
+			delete(n.all.owners, *n.owner)
+		}
+	}
 	if n.element != nil {
 		n.all.waiting.Remove(n.element)
 		n.element = nil
