--- a/internal/core/hedge_test.go
+++ b/internal/core/hedge_test.go
@@ -160,7 +160,7 @@
 
 // TestNothingElseSentTwice guards against a second copy of a statement that may write, that
 // belongs to a transaction, that only the primary may run, whose route leaves time for
-// sequential attempts, or for which there is no budget or slot. All endpoints are silent until
+// sequential attempts, or for which there is no budget, token or slot. All endpoints are silent until
 // the statement times out.
 func TestNothingElseSentTwice(t *testing.T) {
 	const timeout = 300
@@ -185,6 +185,7 @@
 		"time for a second one": {st: read, prepare: route(note.ReadBounded, timeout/4)},
 		"no target":             {st: read, prepare: route(note.ReadBounded, 0)},
 		"no budget":             {st: read, prepare: func(f *fixture) { f.server.hedges = newHedges() }},
+		"rate spent":            {st: read, prepare: func(f *fixture) { f.server.opts.Limiter = noSpareTokens{f.server.opts.Limiter} }},
 		"no free slot elsewhere": {st: read, prepare: func(f *fixture) {
 			s := &Session{srv: f.server, workspace: "crew"}
 			for _, id := range []string{"p", "p", "p", "p", "r2", "r2", "r2", "r2"} {
