Choose the failure domain of a read by the crossing decision

Cause: reads crossed failure domains by a fixed cost, and nothing told how many did.

Change: pickEndpoint takes the side from internal/crossing and the endpoint on it by the other costs, which are unchanged.

No measurement in a fleet.

--- a/cmd/galenabridged/main.go
+++ b/cmd/galenabridged/main.go
@@ -102,7 +102,7 @@
 		Settings: settings.Settings, Dialer: platform.Dialer{Traffic: traffic}, Traffic: traffic,
 		EndpointManager: platform.NewEndpointManager(settings.Name, settings.PromoteAddr),
 		Metering:        settings.Metering, UsageReporter: platform.NewUsageReporter(settings.Name, settings.PromoteAddr),
-		Fenced: settings.Fenced, GracePeriod: settings.GracePeriod, Tolerance: settings.Tolerance, LinkRate: settings.LinkRate, Logger: logger, IncarnationOffset: incarnationOffset,
+		Fenced: settings.Fenced, GracePeriod: settings.GracePeriod, Tolerance: settings.Tolerance, LinkRate: settings.LinkRate, CrossingMSPerKB: settings.CrossingMSPerKB, Logger: logger, IncarnationOffset: incarnationOffset,
 	})
 	if err != nil {
 		return err
--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -8,6 +8,7 @@
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/connpool"
+	"github.com/galenabridge/galenabridge/internal/crossing"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pacing"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -55,6 +56,8 @@
 	closed      bool
 	// pace limits the statements in progress according to their latency.
 	pace *pacing.Limit
+	// latency is the latency of reads.
+	latency crossing.Latency
 }
 
 func newEndpoint(srv *Server, e agreed.Endpoint, limit int) *endpoint {
@@ -126,6 +129,7 @@
 		return
 	}
 	e.observeLatency(at, s.latencyExcess(route, kind, took))
+	e.observeReadLatency(kind, took)
 }
 
 // observeLatency records by how much the latency of a statement exceeded the usual one.
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -32,6 +32,10 @@
 	// pacingIgnored counts the latencies that did not pace an endpoint, because the host's own
 	// link was saturated.
 	pacingIgnored prometheus.Counter
+	// crossingStatements and crossingBytes count the statements of services with members in several
+	// failure domains by the cause for which they left this host's; none: they stayed.
+	crossingStatements, crossingBytes *prometheus.CounterVec
+	crossingFraction                  *prometheus.GaugeVec
 }
 
 // newMetrics returns the metrics. Those of the link are registered only if it is measured.
@@ -67,12 +71,22 @@
 		pacingIgnored: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenabridge_pacing_ignored_total", Help: "Latencies that did not pace an endpoint, because the host's own link was saturated.",
 		}),
+		crossingStatements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenabridge_crossing_statements_total", Help: "Statements by the cause for which they left the failure domain; none: they stayed.",
+		}, []string{"service", "cause"}),
+		crossingBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenabridge_crossing_bytes_total", Help: "Bytes of statements and answers by the cause for which they left the failure domain.",
+		}, []string{"service", "cause"}),
+		crossingFraction: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "galenabridge_crossing_fraction", Help: "Fraction of the reads of a service that is to leave the failure domain.",
+		}, []string{"service"}),
 		sessions: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "galenabridge_sessions", Help: "Open sessions of callers.",
 		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.results, m.duration, m.endpoint, m.waits, m.dials, m.retries, m.reads, m.unpositioned, m.forwarded, m.sessions)
+		reg.MustRegister(m.results, m.duration, m.endpoint, m.waits, m.dials, m.retries, m.reads, m.unpositioned, m.forwarded, m.sessions,
+			m.crossingStatements, m.crossingBytes, m.crossingFraction)
 	}
 	if reg != nil && traffic != nil {
 		reg.MustRegister(m.pacingIgnored, prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -93,6 +107,8 @@
 		{Name: "reads_without_position", Collector: m.unpositioned},
 		{Name: "forwarded", Collector: m.forwarded, Label: "outcome"},
 		{Name: "pacing_ignored", Collector: m.pacingIgnored},
+		{Name: "crossing", Collector: m.crossingStatements, Label: "cause"},
+		{Name: "crossing_bytes", Collector: m.crossingBytes, Label: "cause"},
 	}
 }
 
--- a/internal/core/metrics_test.go
+++ b/internal/core/metrics_test.go
@@ -25,12 +25,15 @@
 	m.dials.WithLabelValues("ok").Inc()
 	m.reads.WithLabelValues("replica").Inc()
 	m.forwarded.WithLabelValues(forwardAnswered).Inc()
+	m.crossingStatements.WithLabelValues("logs", "none").Inc()
+	m.crossingBytes.WithLabelValues("logs", "none").Inc()
+	m.crossingFraction.WithLabelValues("logs").Set(0)
 	families, err := registry.Gather()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(families) != 10 {
-		t.Errorf("%d metrics gathered, want 10", len(families))
+	if len(families) != 13 {
+		t.Errorf("%d metrics gathered, want 13", len(families))
 	}
 	for _, f := range families {
 		if !strings.Contains(string(page), "`"+f.GetName()) {
--- a/internal/core/pick.go
+++ b/internal/core/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/crossing"
 	"github.com/galenabridge/galenabridge/internal/rendezvous"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -13,9 +14,6 @@
 
 // Costs of choosing an endpoint for a read. The unit is one statement in progress there.
 const (
-	// remoteCost: traffic between failure domains is expensive, and the answer takes a
-	// longer round trip.
-	remoteCost = 1.5
 	// primaryCost reserves the primary for the statements that only it can run.
 	primaryCost = 1.6
 	// dialCost: no connection of the workspace is idle. Opening one occupies a slot for
@@ -40,6 +38,8 @@
 	// unpositioned: a replica would qualify if a position of the primary in the term were known.
 	unpositioned bool
 	term         uint64
+	// target and timeout are those of the route.
+	target, timeout time.Duration
 	// exclude lists the endpoints at which this statement has failed.
 	exclude []string
 }
@@ -49,10 +49,14 @@
 	endpoint *endpoint
 	primary  bool
 	term     uint64
+	// cause is why the endpoint is in another failure domain. It is empty if all members of the
+	// service are in one domain.
+	cause crossing.Cause
 }
 
 // pickEndpoint chooses an endpoint under the current view: the primary, or the member
-// with the lowest cost for a read. It needs a valid configuration lease.
+// with the lowest cost for a read, within the failure domain that package crossing decides. It needs a
+// valid configuration lease.
 func (s *Server) pickEndpoint(now time.Time, n need) (choice, error) {
 	v := s.opts.View.Current()
 	if !v.Valid() {
@@ -65,8 +69,7 @@
 	if n.primary {
 		return s.pickPrimary(v, g, n)
 	}
-	var best choice
-	lowest := 0.0
+	candidates := make([]candidate, 0, len(g.Members))
 	preferredReplica := s.preferredReplica(v, g)
 	for _, id := range g.Members {
 		e, ok := s.usable(v, id)
@@ -78,14 +81,18 @@
 		if id != preferredReplica {
 			cost += nonPreferredCost
 		}
-		if best.endpoint == nil || cost < lowest {
-			best, lowest = c, cost
-		}
+		candidates = append(candidates, candidate{choice: c, cost: cost, local: e.record.Domain == s.opts.Domain})
+	}
+	var best candidate
+	if s.spansDomains(v, g) {
+		best, ok = chooseAcrossDomains(candidates, s.crossings.read(s.opts.Host, n))
+	} else {
+		best, ok = cheapest(candidates, func(candidate) bool { return true })
 	}
-	if best.endpoint == nil {
-		return best, result.New(result.NoEndpoint, "no endpoint of service %q is in use", n.service)
+	if !ok {
+		return choice{}, result.New(result.NoEndpoint, "no endpoint of service %q is in use", n.service)
 	}
-	return best, nil
+	return best.choice, nil
 }
 
 // pickPrimary returns the active primary of the group. It fails with NoPrimary when there
@@ -98,7 +105,14 @@
 	if !ok {
 		return choice{}, result.New(result.NoPrimary, "the primary %s of service %q is not in use", g.Primary, n.service)
 	}
-	return choice{endpoint: e, primary: true, term: g.Term}, nil
+	c := choice{endpoint: e, primary: true, term: g.Term}
+	if s.spansDomains(v, g) {
+		c.cause = crossing.CauseNone
+		if e.record.Domain != s.opts.Domain {
+			c.cause = causePrimary
+		}
+	}
+	return c, nil
 }
 
 // preferredReplica returns the replica on which this host concentrates its reads: one in
@@ -137,9 +151,6 @@
 func (s *Server) cost(now time.Time, c choice, n need) float64 {
 	l := c.endpoint.load(now)
 	cost := float64(l.inflight) + rand.Float64()/10
-	if c.endpoint.record.Domain != s.opts.Domain {
-		cost += remoteCost
-	}
 	if c.primary {
 		cost += primaryCost
 	}
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -143,6 +143,7 @@
 	if a.Err == nil && takesSlot(c.Kind) {
 		s.srv.pace(co.endpoint, route, c.Kind, at, sentAt, took)
 	}
+	s.srv.countCrossing(co, c, a)
 	co.endpoint.observePosition(a.Position)
 	if co.primary && s.srv.stillValid(co.choice) && (a.Err == nil || a.Err.Code != result.EndpointReadOnly) {
 		s.srv.primaryPositions.observe(route.Service, co.term, at, a.Position)
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -13,6 +13,7 @@
 	"github.com/galenabridge/galenabridge/internal/admit"
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/clock"
+	"github.com/galenabridge/galenabridge/internal/crossing"
 	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/limits"
 	"github.com/galenabridge/galenabridge/internal/linkuse"
@@ -59,9 +60,12 @@
 	// Meter is told of the statements that are sent to endpoints; nil means that none are counted.
 	Meter Meter
 	// Traffic measures the use of the host's network link; nil if the link is unknown.
-	Traffic    *linkuse.Meter
-	Log        *log.Logger
-	Registerer prometheus.Registerer
+	Traffic *linkuse.Meter
+	// CrossingMSPerKB is what 1,000 bytes between failure domains cost, as the wait of a caller in
+	// milliseconds that is worth as much; zero if only the delay counts.
+	CrossingMSPerKB float64
+	Log             *log.Logger
+	Registerer      prometheus.Registerer
 }
 
 // Server serves client sessions. It is safe for concurrent use and implements
@@ -71,6 +75,7 @@
 	metrics          *metrics
 	gate             *gate.Gate
 	primaryPositions *freshness
+	crossings        *crossings
 
 	mu        sync.Mutex
 	baselines *pacing.Baseline
@@ -104,7 +109,7 @@
 // to stop it.
 func NewServer(opts Options) *Server {
 	s := &Server{
-		opts: opts, metrics: newMetrics(opts.Registerer, opts.Traffic), primaryPositions: newFreshness(), baselines: pacing.NewBaseline(),
+		opts: opts, metrics: newMetrics(opts.Registerer, opts.Traffic), primaryPositions: newFreshness(), crossings: newCrossings(), baselines: pacing.NewBaseline(),
 		endpoints: make(map[string]*endpoint), sessions: make(map[*Session]struct{}),
 		remoteTransactions: make(map[remoteKey]*Session), witnessed: make(map[string]bool),
 	}
@@ -181,6 +186,8 @@
 func (s *Server) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	crossingTicker := time.NewTicker(crossing.Interval)
+	defer crossingTicker.Stop()
 	defer s.shutDown()
 	for {
 		changed := s.opts.View.Changed()
@@ -189,6 +196,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
+		case <-crossingTicker.C:
+			s.stepCrossings(clock.Now())
 		case <-ticker.C:
 			s.sweep()
 			s.opts.Traffic.Report(s.opts.Log)
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -313,6 +313,7 @@
 	}
 	after = later(after, own)
 	n.primary, n.minPosition = false, after
+	n.target, n.timeout = readTimes(route)
 	return n
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,8 @@
 	// LinkRate is the capacity of the host's network link in bytes a second, zero if it is
 	// unknown or without limit.
 	LinkRate int64
+	// CrossingMSPerKB is core.Options.CrossingMSPerKB.
+	CrossingMSPerKB float64
 	// Traffic counts the bytes of the adapter's connections against LinkRate. The daemon adds
 	// those of connections to other hosts. It is nil if LinkRate is zero.
 	Traffic *linkuse.Meter
@@ -177,7 +179,7 @@
 	d.core = core.NewServer(core.Options{
 		View: d.view, Host: d.opts.Settings.Host, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
 		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Meter: d.buildMeter(), Traffic: d.opts.Traffic,
-		Log: d.log, Registerer: d.registry,
+		CrossingMSPerKB: d.opts.CrossingMSPerKB, Log: d.log, Registerer: d.registry,
 	})
 	d.holder.SetPool(d.core)
 	forward.Serve(d.peers, d.core)
