--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -197,6 +197,7 @@
 	if a.Err == nil && takesSlot(c.Kind) {
 		s.pace(co.endpoint, route, c.Kind, at, sentAt, took)
 	}
+	s.countCrossing(co, c, a)
 	co.endpoint.observePosition(a.Position)
 	if co.primary && s.stillValid(co.choice) && (a.Err == nil || a.Err.Code != result.EndpointReadOnly) {
 		s.primaryPositions.observe(route.Service, co.term, at, a.Position)
