Placement: fewer moves when rates change

The loads of home hosts were compared in steps of 1/16 of a link, and the load of small pairs shifted them across steps.

Change: steps of 1/8, and the load of small pairs counts in whole steps.

Measured (go test -v -run Placement ./internal/route), pairs of 688 that move on average and at most: a rate rises by a tenth 0.5 and 15 before, 0.3 and 7 after; a rate doubles 4.2 and 29, 3.5 and 29; three small workspaces are added 5.5 and 7, none.

--- a/internal/route/placement.go
+++ b/internal/route/placement.go
@@ -36,7 +36,7 @@
 	// levelDivisor divides a link into the part by which the loads of two home hosts must differ
 	// for a pair to prefer one. Smaller differences leave the choice to the hash, which moves
 	// fewer pairs at a change.
-	levelDivisor = 16
+	levelDivisor = 8
 	// maxBytesPerSecond bounds declared loads and links. Sums of a million of them fit.
 	maxBytesPerSecond = 1e12
 )
@@ -208,7 +208,9 @@
 // isSmall reports whether pairs of the weight are placed by their hash.
 func (b *placementBuilder) isSmall(weight int64) bool { return weight < b.unit/smallPairDivisor }
 
-// placeSmall adds the load of small pairs: an equal part to each home host of the service.
+// placeSmall adds the load of small pairs: an equal part to each home host of the service, in whole
+// levels. The home hosts of a service then differ by the placed pairs only. With the exact load any
+// change of a small rate moved hosts across levels, and with them a quarter of the placed pairs.
 func (b *placementBuilder) placeSmall() {
 	inAll, byService := int64(0), make(map[string]int64)
 	for _, d := range b.demands {
@@ -225,7 +227,8 @@
 	for _, service := range b.in.services {
 		homes := b.homes[service]
 		for _, host := range homes {
-			host.load += (inAll + byService[service]) / int64(len(homes))
+			load := (inAll + byService[service]) / int64(len(homes))
+			host.load += (load + host.unit - 1) / host.unit * host.unit
 		}
 	}
 }
--- a/internal/route/placement_test.go
+++ b/internal/route/placement_test.go
@@ -159,6 +159,11 @@
 		}},
 		{"a rate rises by a tenth", workspaces, 8, workspaces, func(s *agreed.State, i int) { scaleRate(s, fmt.Sprint("workspace", i), 1.1) }},
 		{"a rate doubles", workspaces, 8, workspaces, func(s *agreed.State, i int) { scaleRate(s, fmt.Sprint("workspace", i), 2) }},
+		{"three workspaces are added", 20, pairs / 100, pairs / 20, func(s *agreed.State, i int) {
+			for n := range 3 {
+				s.Catalog.Workspaces[fmt.Sprint("added", i, "-", n)] = note.Workspace{Rate: float64(2 + i)}
+			}
+		}},
 		{"a service is added", 20, pairs / 3, pairs / 3, func(s *agreed.State, i int) { s.Catalog.Services["added"+fmt.Sprint(i)] = note.Service{} }},
 	} {
 		total, most := 0, 0
