Crossing: tell load from distance, and back off from loaded domains

The part that damps swings also sent reads where no room was known. A host with few reads kept the latency of an overload for many seconds after it was over. A replica lost for an instant changed the fraction for half a minute.

Change: floors are bounded by that of the fastest replica and the round trip, which the core measures at dials and exchanges that take no slot; nothing is added without room; rare statements weigh more in the mean; the fraction of a domain without a replica is kept apart, and with only the primary left it falls to the share of the replicas when all are loaded. riseStep 0.02 to 0.01.

--- a/internal/core/crossing.go
+++ b/internal/core/crossing.go
@@ -143,6 +143,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.latency.Into(&state, now)
+	state.RoundTrip = e.roundTrip
 	state.Free = max(0, slots-e.inflight-waiting)
 	state.Wait = time.Duration(waiting) * state.Latency / time.Duration(max(slots, 1))
 	return state, !e.suspected
@@ -283,6 +284,16 @@
 	e.latency.Observe(clock.Now(), took)
 }
 
+// observeRoundTrip records the time of a dial, or of an exchange that takes no slot.
+func (e *endpoint) observeRoundTrip(took time.Duration) {
+	took = max(took, time.Microsecond)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.roundTrip == 0 || took < e.roundTrip {
+		e.roundTrip = took
+	}
+}
+
 // readTimes returns the target of a route, its timeout if it has none, and the timeout.
 func readTimes(route note.Route) (target, timeout time.Duration) {
 	return queueWait(route), time.Duration(route.Timeout) * time.Millisecond
--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -58,6 +58,8 @@
 	pace *pacing.Limit
 	// latency is the latency of reads.
 	latency crossing.Latency
+	// roundTrip is the least time of a dial or of an exchange that takes no slot; zero: unknown.
+	roundTrip time.Duration
 }
 
 func newEndpoint(srv *Server, e agreed.Endpoint, limit int) *endpoint {
@@ -67,13 +69,14 @@
 }
 
 func (e *endpoint) dial(ctx context.Context, workspace string) (*conn, error) {
-	at, before := clock.Now(), e.srv.opts.View.Current()
+	at, before, begun := clock.Now(), e.srv.opts.View.Current(), time.Now()
 	link, err := e.srv.opts.Dialer.Dial(ctx, e.record, workspace)
 	if err != nil {
 		e.srv.metrics.dials.WithLabelValues("failed").Inc()
 		return nil, err
 	}
 	e.srv.metrics.dials.WithLabelValues("ok").Inc()
+	e.observeRoundTrip(time.Since(begun))
 	e.observePosition(link.StartPosition())
 	e.observePrimary(at, before, link.StartPosition())
 	return newConn(link), nil
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -84,10 +84,12 @@
 	if len(commands) == 0 {
 		return nil
 	}
+	begun := time.Now()
 	answers, _, err := co.conn.Exchange(deadline, commands...)
 	if err != nil {
 		return s.connectionLost(co, err)
 	}
+	co.endpoint.observeRoundTrip(time.Since(begun))
 	for _, a := range answers {
 		if a.Err != nil {
 			return result.New(result.EndpointLost, "restoring the session state at %s: %s", co.endpoint.record.ID, a.Err.Detail)
--- a/internal/crossing/crossing.go
+++ b/internal/crossing/crossing.go
@@ -27,16 +27,16 @@
 	// enter, so that a domain which takes reads from others never sends any because of them.
 	loaded = enter / 2
 	// riseStep is the greatest rise of the fraction in a step: a domain that is short by a half has
-	// moved a third of its reads after 5 s. Answers from a loaded replica are late by its queue; with
-	// 0.05 the hosts' fraction swings between 0.2 and 0.7 where a third is needed.
-	riseStep = 0.02
+	// moved a third of its reads after 8 s. Answers of a loaded replica are late by its queue; with 0.05
+	// the fraction swings between 0.2 and 0.7 where a third is needed.
+	riseStep = 0.01
 	// proportional is the part of the reads that leaves in addition at twice the pressure at which the
 	// fraction rises, or stays at none. It reacts before the fraction does and damps its swings.
 	proportional = 0.2
-	// fallStep is the greatest fall in a step without pressure. It is half of riseStep: a late read costs
-	// more than one that crosses for some seconds.
+	// fallStep is the greatest fall in a step without pressure.
 	fallStep = 0.01
-	// backOff is the factor in a step in which the other domains have no room: halved within 1 s.
+	// backOff is the factor in a step in which the other domains are loaded twice as much as they may
+	// be, or unknown: halved within 1 s. Below that it is nearer to 1, since a mean latency varies.
 	backOff = 0.8
 	// probeShare is the fraction of reads that ask whether unknown replicas have room, only while the
 	// domain is short and nothing with room is known.
@@ -63,6 +63,8 @@
 	// Latency is the recent mean time from sending a statement to its answer, Floor the one without
 	// a queue at the endpoint. Zero: unknown.
 	Latency, Floor time.Duration
+	// RoundTrip is the least time in which the endpoint has answered anything; zero: unknown.
+	RoundTrip time.Duration
 	// Age is the time since the last answer.
 	Age time.Duration
 	// Free is the number of statements that the host may send in addition to those in progress.
@@ -119,10 +121,13 @@
 
 // Decider holds the decision of one host about one service. It is not safe for concurrent use.
 type Decider struct {
-	started  bool
 	fraction float64
-	weights  map[string]float64
-	gain     float64
+	// absent: the domain had no replica in the last step. away is the fraction then; fraction is kept
+	// for its return, so that a replica lost for an instant has no lasting effect.
+	absent  bool
+	away    float64
+	weights map[string]float64
+	gain    float64
 }
 
 // NewDecider returns a Decider. The speed of its rise depends on the names of the host and the
@@ -135,9 +140,6 @@
 	return &Decider{gain: 0.75 + 0.5*float64(h.Sum64()%1024)/1024}
 }
 
-// Fraction returns the fraction of the last step, without probes.
-func (d *Decider) Fraction() float64 { return d.fraction }
-
 // Step updates the fraction from the state of the service.
 func (d *Decider) Step(in Input) Plan {
 	in.Endpoints = in.floors()
@@ -146,15 +148,13 @@
 	if !ok {
 		return d.withoutReplica(in, out)
 	}
-	if !d.started {
-		d.started, d.fraction = true, 0
-	}
+	d.absent = false
 	pressure, level := stay.pressure(in.Target), in.level(stay, out)
 	switch {
 	case in.Target <= 0:
 		d.fraction = 0
 	case out.idle == 0: // no room, or none known
-		d.fraction *= backOff
+		d.fraction *= 1 - (1-backOff)*out.excess
 	case out.room == 0: // answers would come too late
 		d.fraction -= fallStep
 	case pressure > level:
@@ -162,10 +162,9 @@
 	case pressure < release*level:
 		d.fraction -= fallStep * (1 - pressure/(release*level))
 	}
-	d.fraction = min(d.fraction, most)
-	d.bound()
+	d.fraction = bound(min(d.fraction, most))
 	d.spread(out.rooms, out.unknown)
-	now := d.damped(pressure, level)
+	now := d.damped(pressure, level, out)
 	plan := Plan{
 		Fraction: now, Cause: CauseNone, Weights: d.weights,
 		Pressure: pressure, Level: level, Stay: stay.time(), Cross: out.time, Room: out.room,
@@ -179,12 +178,14 @@
 	return plan
 }
 
-// damped returns the fraction with what the present pressure adds or takes, if any leaves.
-func (d *Decider) damped(pressure, level float64) float64 {
-	if d.fraction == 0 {
-		return 0
+// damped returns the fraction with what the present pressure adds or takes, if any leaves. It adds
+// nothing while the other domains have no room.
+func (d *Decider) damped(pressure, level float64, out outside) float64 {
+	change := proportional * min(1, (pressure-level)/level)
+	if d.fraction == 0 || out.room == 0 && change > 0 {
+		return d.fraction
 	}
-	return min(most, max(0, d.fraction+proportional*min(1, (pressure-level)/level)))
+	return min(most, max(0, d.fraction+change))
 }
 
 // rise returns the step upwards, bounded by the room that the host sees at the endpoints.
@@ -197,34 +198,38 @@
 }
 
 // withoutReplica decides for a domain without a replica: all reads leave for the nearest ones, as
-// long as these have room or the domain does not have the primary either.
+// long as these have room or the domain does not have the primary either. If all are loaded, as many
+// leave as there are replicas among the endpoints.
 func (d *Decider) withoutReplica(in Input, out outside) Plan {
-	if !d.started {
-		d.started, d.fraction = true, 1
+	if !d.absent {
+		d.absent, d.away = true, 1
 	}
 	primary, hasPrimary := localPrimary(in)
-	switch {
+	switch even := float64(len(out.rooms)) / float64(len(out.rooms)+1); {
 	case !hasPrimary:
-		d.fraction = 1
+		d.away = 1
 	case out.full && primary.pressure(in.Target) < loaded:
-		d.fraction *= backOff
-	case !out.full:
-		d.fraction += riseStep * d.gain
+		d.away *= backOff
+	case out.full:
+		d.away = max(min(d.away, even), d.away*backOff)
+	default:
+		d.away += riseStep * d.gain
 	}
-	d.bound()
+	d.away = bound(d.away)
 	d.spread(nearest(in, out.rooms), nil)
-	plan := Plan{Fraction: d.fraction, Cause: CauseNoReplica, Weights: d.weights, Cross: out.time, Room: out.room}
+	plan := Plan{Fraction: d.away, Cause: CauseNoReplica, Weights: d.weights, Cross: out.time, Room: out.room}
 	if hasPrimary {
 		plan.Pressure, plan.Stay = primary.pressure(in.Target), primary.time()
 	}
 	return plan
 }
 
-func (d *Decider) bound() {
-	d.fraction = min(d.fraction, 1)
-	if d.fraction < least {
-		d.fraction = 0
+// bound returns the fraction between 0 and 1, and 0 for one below least.
+func bound(fraction float64) float64 {
+	if fraction < least {
+		return 0
 	}
+	return min(fraction, 1)
 }
 
 // spread moves the weights towards the room of the endpoints. Without room they stay, less the
--- a/internal/crossing/crossing_test.go
+++ b/internal/crossing/crossing_test.go
@@ -48,6 +48,10 @@
 			in.Endpoints[0].Primary, in.Endpoints[0].Wait = true, 0
 			in.Endpoints[1].Free, in.Endpoints[2].Free = 0, 0
 		}, CauseNoReplica, 0, 0},
+		{"only the primary, all loaded", func(in *Input) {
+			in.Endpoints[0].Primary = true
+			in.Endpoints[1].Free, in.Endpoints[2].Free = 0, 0
+		}, CauseNoReplica, 0.66, 0.67},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d, in := NewDecider("h", "s"), fleet()
@@ -69,11 +73,16 @@
 	}
 	loaded := fleet()
 	loaded.Endpoints[1].Free, loaded.Endpoints[2].Free = 0, 0
-	if p := steps(d, loaded, 8); d.Fraction() > 0.2 {
-		t.Errorf("the fraction is %.3f 2 s after the others became loaded, want at most 0.2: %+v", d.Fraction(), p)
+	if p := steps(d, loaded, 8); p.Fraction > 0.2 {
+		t.Errorf("the fraction is %.3f 2 s after the others became loaded, want at most 0.2", p.Fraction)
 	}
 	steps(d, in, 200)
 	in.Endpoints[0].Wait = 0
+	lost := fleet()
+	lost.Endpoints = lost.Endpoints[1:]
+	if p := d.Step(lost); p.Fraction != 1 {
+		t.Errorf("the fraction is %.3f without a replica, want 1", p.Fraction)
+	}
 	if p := steps(d, in, 400); p.Fraction != 0 {
 		t.Errorf("the fraction is %.3f 100 s after the local replica recovered, want 0", p.Fraction)
 	}
--- a/internal/crossing/latency.go
+++ b/internal/crossing/latency.go
@@ -8,12 +8,16 @@
 	// meanGain is the weight of one statement in the moving mean of the latency. If the latency of
 	// statements varies by 70%, the mean varies by 16%.
 	meanGain = 0.1
+	// meanTime is the time in which the mean follows statements that are rare, at most by half with
+	// each: a mean of seconds ago would keep a host from a replica that has room again.
+	meanTime    = 2 * time.Second
+	maxMeanGain = 0.5
 	// floorRise is the weight by which the floor follows a higher mean. With ten statements a second
-	// it takes 200 s: a queue that lasts must not become the usual latency.
-	floorRise = 0.0005
+	// it takes 100 s: a queue that lasts must not become the usual latency.
+	floorRise = 0.001
 	// floorFall is the weight by which the floor follows a lower mean. It is small, so that the floor
 	// is not the lowest of all means.
-	floorFall = 0.02
+	floorFall = 0.01
 )
 
 // Latency tracks the latency of statements at one endpoint as a host sees it, the round trip
@@ -33,7 +37,8 @@
 		l.floor, l.at = l.mean, now
 		return
 	}
-	l.mean += time.Duration(meanGain * float64(took-l.mean))
+	weight := max(meanGain, min(maxMeanGain, float64(now.Sub(l.at))/float64(meanTime)))
+	l.mean += time.Duration(weight * float64(took-l.mean))
 	gain := floorRise
 	if l.mean < l.floor {
 		gain = floorFall
--- a/internal/crossing/model/model.go
+++ b/internal/crossing/model/model.go
@@ -325,6 +325,10 @@
 	for _, w := range h.ways {
 		e := crossing.Endpoint{ID: id(w), Local: w.local, Free: hostLimit - w.inProgress}
 		w.latency.Into(&e, time.Unix(0, int64(s.now)))
+		e.RoundTrip = time.Millisecond
+		if !w.local {
+			e.RoundTrip += s.cfg.RoundTrip
+		}
 		e.Wait = time.Duration(len(w.waiting)) * e.Latency / hostLimit
 		in.Endpoints = append(in.Endpoints, e)
 	}
--- a/internal/crossing/model/model_test.go
+++ b/internal/crossing/model/model_test.go
@@ -1,15 +1,18 @@
 package model
 
 import (
+	"flag"
 	"testing"
 	"time"
 )
 
+var seed = flag.Uint64("seed", 1, "seed of the simulations")
+
 // base returns a fleet of 100 hosts over three domains, each with a replica that serves 240 reads a
 // second and is half loaded.
 func base() Config {
 	return Config{
-		Seed: 1, Hosts: 100, Slots: []int{24, 24, 24}, Load: []float64{120, 120, 120}, Work: 100 * time.Millisecond,
+		Seed: *seed, Hosts: 100, Slots: []int{24, 24, 24}, Load: []float64{120, 120, 120}, Work: 100 * time.Millisecond,
 		Target: time.Second, RoundTrip: 6 * time.Millisecond, Bytes: 960,
 	}
 }
--- a/internal/crossing/state.go
+++ b/internal/crossing/state.go
@@ -59,21 +59,31 @@
 	return max(enter, min(lateLevel, delay), float64(in.Price)/slack)
 }
 
-// floors returns the endpoints with the floor of those in the host's domain reduced to the least one
-// of the service, and to a quarter of the target. All replicas run the same reads, and those of
-// other domains add a round trip. It answers a host that starts while its domain is short: it sees no
-// latency without a queue there.
+// floorSpread is how much greater the latency without a queue of one replica may be than that of
+// another, in addition to the round trip. A greater one is taken for a queue. Replicas differ, and
+// a floor learned from 16 statements is too low or too high by a quarter.
+const floorSpread = 2
+
+// floors returns the endpoints with floors bounded by that of the fastest replica and by a quarter of the
+// target, both with the round trip to another domain. A host that begins to use a replica while it
+// is loaded sees no latency without a queue there.
 func (in Input) floors() []Endpoint {
-	least := in.Target / expectedTargetDivisor
-	for _, e := range in.Endpoints {
+	all := slices.Clone(in.Endpoints)
+	if in.Target <= 0 {
+		return all
+	}
+	bound := in.Target / expectedTargetDivisor
+	for _, e := range all {
 		if e.Floor > 0 {
-			least = min(least, e.Floor)
+			bound = min(bound, time.Duration(floorSpread*float64(e.Floor)))
 		}
 	}
-	all := slices.Clone(in.Endpoints)
 	for i, e := range all {
-		if e.Local && in.Target > 0 {
-			all[i].Floor = min(e.Floor, least)
+		switch {
+		case e.Local:
+			all[i].Floor = min(e.Floor, bound)
+		case e.RoundTrip > 0:
+			all[i].Floor = min(e.Floor, bound+e.RoundTrip)
 		}
 	}
 	return all
@@ -113,6 +123,9 @@
 	time time.Duration
 	// idle is the number of replicas that are known to be not loaded, whether or not they answer in time.
 	idle int
+	// excess is by how much the least loaded of the known replicas exceeds loaded, from 0 to 1; 1 if
+	// none is known.
+	excess float64
 	// full: the state of some replicas is known, and these are loaded.
 	full bool
 	// unknown lists the replicas that nothing recent is known about and that may be worth a probe.
@@ -122,7 +135,7 @@
 // leaving returns what the replicas of other domains can take. One whose answer would come after
 // the caller has given up has no room.
 func leaving(in Input) outside {
-	out := outside{rooms: map[string]float64{}}
+	out := outside{rooms: map[string]float64{}, excess: 1}
 	known, slack := 0, in.slack()
 	weighted := 0.0
 	for _, e := range in.Endpoints {
@@ -138,6 +151,9 @@
 		}
 		known++
 		p := float64(e.queue()) / slack
+		if e.Free > 0 {
+			out.excess = max(0, min(out.excess, (p-loaded)/loaded))
+		}
 		if p >= loaded || e.Free <= 0 {
 			continue
 		}
