--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -105,10 +105,12 @@
 	if len(commands) == 0 {
 		return nil, nil
 	}
+	begun := time.Now()
 	answers, _, err := co.conn.Exchange(deadline, commands...)
 	if err != nil {
 		return nil, err
 	}
+	co.endpoint.observeRoundTrip(time.Since(begun))
 	for _, a := range answers {
 		if a.Err != nil {
 			return result.New(result.EndpointLost, "restoring the session state at %s: %s", co.endpoint.record.ID, a.Err.Detail), nil
