Account for callers' messages between hosts while they are read

A home host read forwarded statements of any number and size before it could refuse one: 60 hosts that forward statements of 1 MiB at once would make it hold some 300 MB (computed).

Requests of callers and their replies are reserved in the memory budget from 4 KiB on. A request without room is dropped and answered with 2020, which the sender treats as not run; a reply without room fails its call as a lost answer without avoiding the host. Messages of the fleet are always read.

Measured: go test -race ./internal/peer ./internal/core ./internal/forward ./internal/control passes.

--- a/internal/core/forward.go
+++ b/internal/core/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
@@ -99,6 +100,8 @@
 		return Reply{}, false
 	case err == nil:
 		return s.acceptResponse(host, response, writes), true
+	case errors.Is(err, budget.ErrFull) && st.Kind != Begin && st.Kind != BeginReadOnly:
+		return answerDropped(writes), true
 	case st.Kind == Begin || st.Kind == BeginReadOnly:
 		s.srv.opts.Forwarder.EndTransaction(host, s.id)
 		return Reply{}, false
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -105,7 +105,7 @@
 	d.peers = peer.NewNode(peer.Options{
 		Host: opts.Settings.Host, Fleet: opts.Settings.Fleet, Secret: opts.Settings.FleetSecret,
 		Incarnation: uint64(time.Now().Add(opts.IncarnationOffset).UnixNano()), Listen: opts.Settings.Peer.Listen,
-		Advertise: opts.Settings.Peer.Advertise, Registry: d.registry, Logger: d.log,
+		Advertise: opts.Settings.Peer.Advertise, Registry: d.registry, Logger: d.log, Memory: d.budget,
 		OnReplaced: func() { close(d.replaced) },
 	})
 	if err := d.peers.Listen(); err != nil {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/core"
 	"github.com/galenabridge/galenabridge/internal/peer"
@@ -153,6 +154,8 @@
 	case err == nil:
 	case errors.As(err, &refusal) && refusal.Code != 0:
 		return core.RemoteResponse{}, notRun{err} // refused by the queue of either side
+	case errors.Is(err, budget.ErrFull):
+		return core.RemoteResponse{}, err // this host has no memory for the answer
 	case errors.Is(err, peer.ErrNotSent):
 		f.avoidUnlessCancelled(host, err)
 		return core.RemoteResponse{}, notRun{err}
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/supervise"
 )
@@ -101,6 +102,25 @@
 	return Unmarshal(answer.Body, reply)
 }
 
+// dropMessage deals with a message of a caller for which there was no memory, of which data is the
+// beginning. A request was not handled, and its sender is told so. The call that awaits a reply fails
+// with budget.ErrFull.
+func (n *Node) dropMessage(from Identity, data []byte) {
+	head, ok := decodeHead(data)
+	if !ok {
+		return
+	}
+	if head.Reply {
+		n.failCalls(func(call *pendingCall) bool {
+			return call == n.pending[head.ID] && call.host == from.Host && call.sent && call.sentTo == from.Incarnation && call.kind == head.Kind
+		}, budget.ErrFull)
+		return
+	}
+	if head.ID != 0 {
+		n.reply(from, head, nil, result.New(result.HostFull, "%v", budget.ErrFull))
+	}
+}
+
 func (n *Node) startCall(host string, kind Kind) (uint64, *pendingCall) {
 	call := &pendingCall{host: host, kind: kind, outcome: make(chan callOutcome, 1)}
 	n.mu.Lock()
@@ -161,23 +181,23 @@
 // failSentCalls fails the requests that were sent to a host and not answered. Those that are
 // still queued are sent on the next connection.
 func (n *Node) failSentCalls(host string) {
-	n.failCalls(func(call *pendingCall) bool { return call.host == host && call.sent })
+	n.failCalls(func(call *pendingCall) bool { return call.host == host && call.sent }, ErrUnreachable)
 }
 
 // failCallsTo fails the requests that were sent to a process, which cannot reply any more.
 func (n *Node) failCallsTo(process Identity) {
 	n.failCalls(func(call *pendingCall) bool {
 		return call.host == process.Host && call.sent && call.sentTo == process.Incarnation
-	})
+	}, ErrUnreachable)
 }
 
-func (n *Node) failCalls(selected func(*pendingCall) bool) {
+func (n *Node) failCalls(selected func(*pendingCall) bool, cause error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for id, call := range n.pending {
 		if selected(call) {
 			delete(n.pending, id)
-			call.outcome <- callOutcome{err: ErrUnreachable}
+			call.outcome <- callOutcome{err: cause}
 		}
 	}
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -45,6 +45,38 @@
 	return nil
 }
 
+// bodyKey is the key of the body in an envelope. Keys are sorted, so that it is the last one.
+const bodyKey = 6
+
+// decodeHead decodes what is before the body of an envelope, of which data is the beginning. It returns
+// false if data holds no such head, as for an envelope without a body.
+func decodeHead(data []byte) (head envelope, ok bool) {
+	const mapType, maxEntries = 0xa0, 0x17
+	if len(data) == 0 || data[0]&0xe0 != mapType || data[0]&0x1f > maxEntries {
+		return envelope{}, false
+	}
+	entries, rest := int(data[0]&0x1f), data[1:]
+	fields := map[uint64]any{1: &head.Kind, 2: &head.ID, 3: &head.Reply, 4: &head.Code, 5: &head.Detail}
+	for range entries {
+		var key uint64
+		var err error
+		if rest, err = decMode.UnmarshalFirst(rest, &key); err != nil {
+			return envelope{}, false
+		}
+		if key == bodyKey {
+			return head, head.Kind.isDefined()
+		}
+		field := fields[key]
+		if field == nil {
+			return envelope{}, false
+		}
+		if rest, err = decMode.UnmarshalFirst(rest, field); err != nil {
+			return envelope{}, false
+		}
+	}
+	return envelope{}, false
+}
+
 // decodeEnvelope decodes an envelope and validates its kind and its request ID.
 func decodeEnvelope(data []byte) (envelope, error) {
 	var e envelope
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/pkg/errors"
 
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
@@ -45,9 +48,16 @@
 	return c.ws.Write(ctx, websocket.MessageBinary, data)
 }
 
-func (c *conn) read() ([]byte, error) {
-	_, data, err := c.ws.Read(c.ctx)
-	if err == nil {
+// read reads the next message. memory pays for a request of a caller until the next read; if it has no
+// room, the message is dropped, and the beginning of it is returned with budget.ErrFull.
+func (c *conn) read(memory *budget.Account) ([]byte, error) {
+	memory.Settle()
+	_, in, err := c.ws.Reader(c.ctx)
+	if err != nil {
+		return nil, err
+	}
+	data, err := readMessage(in, memory)
+	if err == nil || errors.Is(err, budget.ErrFull) {
 		now := time.Now().UnixNano()
 		c.lastUse.Store(now)
 		c.lastHeard.Store(now)
@@ -55,6 +65,48 @@
 	return data, err
 }
 
+const (
+	// firstReadBytes is the size of the first buffer for a message, above that of most.
+	firstReadBytes = 512
+	// accountedReadBytes is the size of a buffer above which it is accounted for.
+	accountedReadBytes = 4 << 10
+)
+
+// readMessage reads a message in a buffer that doubles. Only requests of callers and the replies to
+// them are accounted for; the fleet's own messages are always read.
+func readMessage(in io.Reader, memory *budget.Account) ([]byte, error) {
+	data, reserved := make([]byte, 0, firstReadBytes), int64(0)
+	for {
+		n, err := in.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			return data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(data) < cap(data) {
+			continue
+		}
+		capacity := int64(2 * cap(data))
+		if capacity <= accountedReadBytes {
+			data = append(make([]byte, 0, capacity), data...)
+			continue
+		}
+		if head, ok := decodeHead(data); ok && kinds[head.Kind].fromCallers {
+			if full := memory.Reserve(capacity); full != nil {
+				if _, err := io.Copy(io.Discard, in); err != nil {
+					return nil, err
+				}
+				return data[:firstReadBytes], full
+			}
+			memory.Release(reserved)
+			reserved = capacity
+		}
+		data = append(make([]byte, 0, capacity), data...)
+	}
+}
+
 // checkLiveness sends a ping when nothing was heard for pingInterval, or idlePingInterval
 // on a connection that is not in use. It closes the connection when a ping fails or when no
 // message passed for idleTimeout, and returns once the connection is closed.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
@@ -285,8 +288,14 @@
 		c.close()
 		<-checkDone
 	}()
+	memory := l.node.opts.Memory.Open(nil)
+	defer memory.Close()
 	for {
-		data, err := c.read()
+		data, err := c.read(memory)
+		if errors.Is(err, budget.ErrFull) {
+			l.node.dropMessage(c.peer, data)
+			continue
+		}
 		if err != nil {
 			return
 		}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/activity"
+	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/supervise"
 	"github.com/galenabridge/galenabridge/internal/tcpopt"
@@ -40,6 +41,8 @@
 	Transport Transport
 	Registry  prometheus.Registerer
 	Logger    *log.Logger
+	// Memory pays for the requests of callers and their replies while they are read; nil means no limit.
+	Memory *budget.Budget
 	// OnReplaced is called once, when a newer process of this host is detected.
 	OnReplaced func()
 }
