Close each connection that is chosen to give memory back

A reservation that found room after it had chosen a connection to close did not close it, and the connection got no more memory for good; a release between the two steps could be missed. The limit of what a workspace keeps is checked by adding first, so that sessions that keep something at the same time cannot exceed it.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -215,27 +215,31 @@
 		return nil
 	}
 	if n < 0 {
-		a.addKept(n)
+		a.addToGroup(n)
+		a.kept.Add(n)
 		a.budget.give(-n)
 		return nil
 	}
-	if limit := a.budget.limit; limit > 0 && a.group != nil && a.group.kept.Load()+n > limit/workspaceShare {
+	if limit := a.budget.limit; a.addToGroup(n) > limit/workspaceShare && limit > 0 {
+		a.addToGroup(-n)
 		a.budget.Limited(WorkspaceRefused, "workspace", a.Workspace(), "bytes", n)
 		return ErrWorkspaceFull
 	}
 	if !a.take(n) && !a.awaitRoom(n) {
+		a.addToGroup(-n)
 		a.budget.Limited(MemoryRefused, "workspace", a.Workspace(), "bytes", n)
 		return ErrFull
 	}
-	a.addKept(n)
+	a.kept.Add(n)
 	return nil
 }
 
-func (a *Account) addKept(n int64) {
-	a.kept.Add(n)
-	if a.group != nil {
-		a.group.kept.Add(n)
+// addToGroup changes what the workspace keeps and returns the sum, zero without a workspace.
+func (a *Account) addToGroup(n int64) int64 {
+	if a.group == nil {
+		return 0
 	}
+	return a.group.kept.Add(n)
 }
 
 // Close returns all bytes. The account must not be used afterwards; further calls of Close have no
@@ -324,14 +328,16 @@
 		b.collect(a, n)
 		b.mu.Lock()
 		released := b.released
+		b.mu.Unlock()
+		if a.take(n) {
+			return true
+		}
+		b.mu.Lock()
 		victim, enough := b.nextVictim(a, n)
 		if victim != nil && victim != a {
 			victim.closing.Store(true)
 		}
 		b.mu.Unlock()
-		if a.take(n) {
-			return true
-		}
 		switch {
 		case victim == a, victim == nil && !enough:
 			return false
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -60,14 +61,16 @@
 	})
 }
 
-// TestConcurrentAccounts guards against lost updates when connections are shed while they reserve.
+// TestConcurrentAccounts guards against lost updates when connections are shed while they reserve, and
+// against connections that get no more memory but are not closed.
 func TestConcurrentAccounts(t *testing.T) {
 	b := New(1<<20, nil, nil)
 	var running sync.WaitGroup
+	var refused, closed atomic.Int64
 	for i := range 16 {
 		running.Go(func() {
 			for j := range 20 {
-				a := b.Open(func() {})
+				a := b.Open(func() { closed.Add(1) })
 				a.SetWorkspace(string(rune('a' + i%3)))
 				for k := range 8 {
 					if a.Reserve(int64(20<<10+k)) != nil {
@@ -76,10 +79,16 @@
 					_ = a.Keep(int64(j)) // may be refused
 				}
 				a.Close()
+				if a.closing.Load() {
+					refused.Add(1)
+				}
 			}
 		})
 	}
 	running.Wait()
+	if refused.Load() > closed.Load() {
+		t.Errorf("%d connections were to be shed, %d were closed", refused.Load(), closed.Load())
+	}
 	if b.Used() != 0 {
 		t.Errorf("%d bytes left", b.Used())
 	}
