Collect the garbage of large messages in larger parts

While the budget was spent, each large message that was returned started a collection. Garbage is now collected once it is a quarter of the budget, and less only at the end of a wait for room.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -34,6 +34,10 @@
 	// maxWaiting bounds the reservations that wait for room at once; each looks through all
 	// accounts when memory is released.
 	maxWaiting = 16
+	// collectShare: garbage is collected at once when it is this part of the budget, and less than
+	// that only at the end of a wait. Otherwise each large message of a crowd starts a collection
+	// while the budget is spent.
+	collectShare = 4
 	// quantumBytes is the least that an account takes from the budget at once, so that the several
 	// reservations of an ordinary statement share one update of the total.
 	quantumBytes = 2 << 10
@@ -274,12 +278,13 @@
 	return false
 }
 
-// collect collects garbage if there is room for n bytes of an account without it.
-func (b *Budget) collect(a *Account, n int64) {
+// collect collects at least least bytes of garbage if there is room for n bytes of an account without
+// it.
+func (b *Budget) collect(a *Account, n, least int64) {
 	b.collecting.Lock()
 	defer b.collecting.Unlock()
 	garbage, ceiling := b.garbage.Load(), b.ceiling(a.Used()+n)
-	if total := b.total.Load(); garbage == 0 || total+n <= ceiling || total+n-garbage > ceiling {
+	if total := b.total.Load(); garbage < least || total+n <= ceiling || total+n-garbage > ceiling {
 		return
 	}
 	b.runGC()
@@ -325,7 +330,7 @@
 	timeout := time.NewTimer(roomTimeout)
 	defer timeout.Stop()
 	for {
-		b.collect(a, n)
+		b.collect(a, n, max(b.limit/collectShare, 1))
 		b.mu.Lock()
 		released := b.released
 		b.mu.Unlock()
@@ -348,7 +353,8 @@
 		select {
 		case <-released:
 		case <-timeout.C:
-			return false
+			b.collect(a, n, 1)
+			return a.take(n)
 		}
 	}
 }
