Decide about crossing only where an operator has set its price

Most bytes that cross are forwarded statements and requests to primaries.

Change: the decision, its ticker, metrics and state need the setting limits.crossing_ms_per_kb; without it reads choose by the fixed cost as before. Measured: go test -race of core, crossing and platform passed.

--- a/internal/core/crossing.go
+++ b/internal/core/crossing.go
@@ -113,12 +113,12 @@
 	defer s.crossings.mu.Unlock()
 	for service, sc := range s.crossings.services {
 		g, ok := v.State.Groups[service]
-		if !ok || !s.spansDomains(v, g) {
+		if !ok || !s.decidesCrossing(v, g) {
 			delete(s.crossings.services, service)
 			s.metrics.crossingFraction.DeleteLabelValues(service)
 			continue
 		}
-		in := sc.input(now, s.opts.CrossingMSPerKB)
+		in := sc.input(now, *s.opts.CrossingMSPerKB)
 		for _, id := range g.Members {
 			if e, ok := s.usable(v, id); ok {
 				if state, healthy := s.crossingEndpoint(now, e, g); healthy {
@@ -167,6 +167,12 @@
 // round3 rounds to three decimals, for log lines.
 func round3(x float64) float64 { return math.Round(x*1000) / 1000 }
 
+// decidesCrossing reports whether package crossing decides which reads of a group leave the host's
+// failure domain: an operator has stated what crossing costs, and the group spans several domains.
+func (s *Server) decidesCrossing(v view.View, g agreed.Group) bool {
+	return s.opts.CrossingMSPerKB != nil && s.spansDomains(v, g)
+}
+
 // spansDomains reports whether the members of a group lie in more than one failure domain.
 func (s *Server) spansDomains(v view.View, g agreed.Group) bool {
 	first, found := "", false
--- a/internal/core/crossing_test.go
+++ b/internal/core/crossing_test.go
@@ -15,6 +15,7 @@
 
 // place puts endpoints into failure domains; the host is in "d".
 func (f *fixture) place(domains map[string]string) {
+	f.server.opts.CrossingMSPerKB = new(float64)
 	for id, domain := range domains {
 		e := f.state.Endpoints[id]
 		e.Domain = domain
@@ -76,6 +77,25 @@
 	}
 }
 
+// TestWithoutPriceChoosesAsBefore guards against a change of the choice, or any state about crossing,
+// in fleets whose operators have set no price of it: a remote replica costs as much as one and a half
+// statements in progress.
+func TestWithoutPriceChoosesAsBefore(t *testing.T) {
+	f := newFixture(t)
+	f.place(map[string]string{"p": "e", "r1": "d", "r2": "e"})
+	f.server.opts.CrossingMSPerKB = nil
+	for inflight, want := range []string{"r1", "r1", "r1", "r2", "r2"} { // 1.5 for the domain, 0.8 for the preferred replica
+		f.setLoad("r1", inflight, false)
+		if c := f.pickRead(); c.endpoint.record.ID != want || c.cause != "" {
+			t.Errorf("%d in progress: chose %s for cause %q, want %s", inflight, c.endpoint.record.ID, c.cause, want)
+		}
+	}
+	f.server.stepCrossings(clock.Now())
+	if n := len(f.server.crossings.services); n != 0 {
+		t.Errorf("%d decisions about crossing, want none", n)
+	}
+}
+
 // TestReadAcrossDomains guards the use of the decision: where reads go and for which cause.
 func TestReadAcrossDomains(t *testing.T) {
 	half := crossing.Plan{Fraction: 0.5, Cause: crossing.CauseShort, Weights: map[string]float64{"r2": 1}}
--- a/internal/core/pick.go
+++ b/internal/core/pick.go
@@ -14,6 +14,9 @@
 
 // Costs of choosing an endpoint for a read. The unit is one statement in progress there.
 const (
+	// remoteCost: traffic between failure domains is expensive, and the answer takes a
+	// longer round trip. It applies where no price of crossing is set.
+	remoteCost = 1.5
 	// primaryCost reserves the primary for the statements that only it can run.
 	primaryCost = 1.6
 	// dialCost: no connection of the workspace is idle. Opening one occupies a slot for
@@ -84,7 +87,7 @@
 		candidates = append(candidates, candidate{choice: c, cost: cost, local: e.record.Domain == s.opts.Domain})
 	}
 	var best candidate
-	if s.spansDomains(v, g) {
+	if s.decidesCrossing(v, g) {
 		best, ok = chooseAcrossDomains(candidates, s.crossings.read(s.opts.Host, n))
 	} else {
 		best, ok = cheapest(candidates, func(candidate) bool { return true })
@@ -132,7 +135,7 @@
 		return choice{}, result.New(result.NoPrimary, "the primary %s of service %q is not in use", g.Primary, n.service)
 	}
 	c := choice{endpoint: e, primary: true, term: g.Term}
-	if s.spansDomains(v, g) {
+	if s.decidesCrossing(v, g) {
 		c.cause = crossing.CauseNone
 		if e.record.Domain != s.opts.Domain {
 			c.cause = causePrimary
@@ -177,6 +180,9 @@
 func (s *Server) cost(now time.Time, c choice, n need) float64 {
 	l := c.endpoint.load(now)
 	cost := float64(l.inflight) + rand.Float64()/10
+	if s.opts.CrossingMSPerKB == nil && c.endpoint.record.Domain != s.opts.Domain {
+		cost += remoteCost
+	}
 	if c.primary {
 		cost += primaryCost
 	}
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -67,8 +67,9 @@
 	// Budget is the memory for callers; nil means no limit.
 	Budget *budget.Budget
 	// CrossingMSPerKB is what 1,000 bytes between failure domains cost, as the wait of a caller in
-	// milliseconds that is worth as much; zero if only the delay counts.
-	CrossingMSPerKB float64
+	// milliseconds that is worth as much; zero if only the delay counts. If it is nil, reads prefer
+	// the host's domain by a fixed cost, and nothing is decided or counted about crossing.
+	CrossingMSPerKB *float64
 	Log             *log.Logger
 	Registerer      prometheus.Registerer
 }
@@ -194,8 +195,12 @@
 func (s *Server) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	crossingTicker := time.NewTicker(crossing.Interval)
-	defer crossingTicker.Stop()
+	var crossingTick <-chan time.Time // nil if nothing is decided about crossing
+	if s.opts.CrossingMSPerKB != nil {
+		ticker := time.NewTicker(crossing.Interval)
+		defer ticker.Stop()
+		crossingTick = ticker.C
+	}
 	defer s.shutDown()
 	for {
 		changed := s.opts.View.Changed()
@@ -204,7 +209,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-		case <-crossingTicker.C:
+		case <-crossingTick:
 			s.stepCrossings(clock.Now())
 		case <-ticker.C:
 			s.sweep()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,7 +68,7 @@
 	// unknown or without limit.
 	LinkRate int64
 	// CrossingMSPerKB is core.Options.CrossingMSPerKB.
-	CrossingMSPerKB float64
+	CrossingMSPerKB *float64
 	// Traffic counts the bytes of the adapter's connections against LinkRate. The daemon adds
 	// those of connections to other hosts. It is nil if LinkRate is zero.
 	Traffic *linkuse.Meter
