--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -181,6 +181,12 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWith(t, nil)
+}
+
+// newFixtureWith is newFixture with a price of crossing failure domains.
+func newFixtureWith(t *testing.T, crossingMSPerKB *float64) *fixture {
 	t.Helper()
 	f := &fixture{t: t, endpoints: &fakeEndpoints{}, view: view.NewPublisher(), state: agreed.New()}
 	f.state.Revision = 1
@@ -202,6 +208,7 @@
 	f.server = NewServer(Options{
 		View: f.view, Host: "h", Domain: "d", Dialer: f.endpoints, Limiter: countingLimiter{&f.taken, &f.refunded},
 		Connections: func(string, string) int { return 4 }, Observe: f.observe, Log: log.New(io.Discard),
+		CrossingMSPerKB: crossingMSPerKB,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/core/crossing_test.go
+++ b/internal/core/crossing_test.go
@@ -15,7 +15,6 @@
 
 // place puts endpoints into failure domains; the host is in "d".
 func (f *fixture) place(domains map[string]string) {
-	f.server.opts.CrossingMSPerKB = new(float64)
 	for id, domain := range domains {
 		e := f.state.Endpoints[id]
 		e.Domain = domain
@@ -45,7 +44,7 @@
 // in fleets whose endpoints are in one failure domain: that of the host or another one.
 func TestSingleDomainChoosesAsBefore(t *testing.T) {
 	for _, domain := range []string{"d", "e"} {
-		f := newFixture(t)
+		f := newFixtureWith(t, new(float64))
 		f.place(map[string]string{"p": domain, "r1": domain, "r2": domain})
 		preferred := f.server.preferredReplica(f.view.Current(), f.state.Groups["logs"])
 		rng := rand.New(rand.NewPCG(1, 1))
@@ -83,7 +82,6 @@
 func TestWithoutPriceChoosesAsBefore(t *testing.T) {
 	f := newFixture(t)
 	f.place(map[string]string{"p": "e", "r1": "d", "r2": "e"})
-	f.server.opts.CrossingMSPerKB = nil
 	for inflight, want := range []string{"r1", "r1", "r1", "r2", "r2"} { // 1.5 for the domain, 0.8 for the preferred replica
 		f.setLoad("r1", inflight, false)
 		if c := f.pickRead(); c.endpoint.record.ID != want || c.cause != "" {
@@ -116,7 +114,7 @@
 		{"no endpoint", map[string]string{"p": "e", "r1": "e", "r2": "f"}, crossing.Plan{Cause: crossing.CauseNoReplica, Fraction: 1, Weights: map[string]float64{"r2": 1}}, "", "", map[string]float64{"r2": 1}, crossing.CauseNoReplica},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := newFixture(t)
+			f := newFixtureWith(t, new(float64))
 			f.place(c.domains)
 			f.pickRead()
 			f.server.crossings.mu.Lock()
@@ -154,7 +152,7 @@
 // TestCrossingFollowsLoad guards the inputs of the decision and the volume of its log: a local replica
 // that is slow for 20 s and fast for 20 s, in turn.
 func TestCrossingFollowsLoad(t *testing.T) {
-	f := newFixture(t)
+	f := newFixtureWith(t, new(float64))
 	f.place(map[string]string{"p": "e", "r2": "f"})
 	var lines bytes.Buffer
 	f.server.opts.Log = log.New(&lines)
