Core: tests of crossing independent of the server's own steps

Cause: the server's ticker replaces the plan that a test has set, and reads what the test writes. Change: the plan is set before each read, and state shared with the ticker is accessed under its lock. Result: go test -race -count=5 of these tests and go test -race ./internal/core pass.

--- a/internal/core/crossing_test.go
+++ b/internal/core/crossing_test.go
@@ -31,6 +31,13 @@
 	e.inflight, e.suspected = inflight, suspected
 }
 
+// setPlan replaces the plan for the service. The server makes a new one within crossing.Interval.
+func (f *fixture) setPlan(p crossing.Plan) {
+	f.server.crossings.mu.Lock()
+	defer f.server.crossings.mu.Unlock()
+	f.server.crossings.services["logs"].plan = p
+}
+
 func (f *fixture) pickRead() choice {
 	f.t.Helper()
 	c, err := f.server.pickEndpoint(clock.Now(), need{service: "logs", workspace: "crew", target: 200 * time.Millisecond, timeout: time.Second})
@@ -70,9 +77,11 @@
 			}
 		}
 		f.server.stepCrossings(clock.Now())
+		f.server.crossings.mu.Lock()
 		if n := len(f.server.crossings.services); n != 0 {
 			t.Errorf("%d decisions about crossing, want none", n)
 		}
+		f.server.crossings.mu.Unlock()
 	}
 }
 
@@ -99,9 +108,6 @@
 			f := newFixture(t)
 			f.place(c.domains)
 			f.pickRead()
-			f.server.crossings.mu.Lock()
-			f.server.crossings.services["logs"].plan = c.plan
-			f.server.crossings.mu.Unlock()
 			for _, id := range []string{"p", "r1", "r2"} {
 				inflight := 0
 				if id == c.busy {
@@ -112,6 +118,7 @@
 			const n = 2000
 			got := map[string]float64{}
 			for range n {
+				f.setPlan(c.plan)
 				choice := f.pickRead()
 				got[choice.endpoint.record.ID] += 1. / n
 				want := c.cause
@@ -135,12 +142,17 @@
 // that is slow for 20 s and fast for 20 s, in turn.
 func TestCrossingFollowsLoad(t *testing.T) {
 	f := newFixture(t)
-	f.place(map[string]string{"p": "e", "r2": "f"})
 	var lines bytes.Buffer
 	f.server.opts.Log = log.New(&lines)
+	f.place(map[string]string{"p": "e", "r2": "f"})
 	local, remote := f.server.endpoint(f.state.Endpoints["r1"]), f.server.endpoint(f.state.Endpoints["r2"])
 	begun := clock.Now()
 	now := begun
+	observe := func(e *endpoint, took time.Duration) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.latency.Observe(now, took)
+	}
 	const steps = 1600
 	highest := 0.0
 	for step := range steps {
@@ -149,14 +161,16 @@
 		for range 5 {
 			f.pickRead()
 			took := 20 * time.Millisecond
-			remote.latency.Observe(now, took)
+			observe(remote, took)
 			if slow {
 				took = time.Second
 			}
-			local.latency.Observe(now, took)
+			observe(local, took)
 		}
 		f.server.stepCrossings(now)
+		f.server.crossings.mu.Lock()
 		fraction := f.server.crossings.services["logs"].plan.Fraction
+		f.server.crossings.mu.Unlock()
 		if step < 80 && fraction != 0 {
 			t.Fatalf("step %d: %.3f of the reads leave while the target is met", step, fraction)
 		}
