--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -11,6 +11,7 @@
 	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/connpool"
+	"github.com/galenabridge/galenabridge/internal/crossing"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/pacing"
 	"github.com/galenabridge/galenabridge/internal/result"
@@ -58,6 +59,10 @@
 	closed      bool
 	// pace limits the statements in progress according to their latency.
 	pace *pacing.Limit
+	// latency is the latency of reads.
+	latency crossing.Latency
+	// roundTrip is the least time of a dial or of an exchange that takes no slot; zero: unknown.
+	roundTrip time.Duration
 }
 
 func newEndpoint(srv *Server, e agreed.Endpoint, limit int) *endpoint {
@@ -67,13 +72,14 @@
 }
 
 func (e *endpoint) dial(ctx context.Context, workspace string) (*conn, error) {
-	at, before := clock.Now(), e.srv.opts.View.Current()
+	at, before, begun := clock.Now(), e.srv.opts.View.Current(), time.Now()
 	link, err := e.srv.opts.Dialer.Dial(ctx, e.record, workspace)
 	if err != nil {
 		e.srv.metrics.dials.WithLabelValues("failed").Inc()
 		return nil, err
 	}
 	e.srv.metrics.dials.WithLabelValues("ok").Inc()
+	e.observeRoundTrip(time.Since(begun))
 	e.observePosition(link.StartPosition())
 	e.observePrimary(at, before, link.StartPosition())
 	return newConn(link), nil
@@ -129,6 +135,7 @@
 		return
 	}
 	e.observeLatency(at, s.latencyExcess(route, kind, took))
+	e.observeReadLatency(kind, took)
 }
 
 // observeLatency records by how much the latency of a statement exceeded the usual one.
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -105,10 +105,12 @@
 	if len(commands) == 0 {
 		return nil, nil
 	}
+	begun := time.Now()
 	answers, _, err := co.conn.Exchange(deadline, commands...)
 	if err != nil {
 		return nil, err
 	}
+	co.endpoint.observeRoundTrip(time.Since(begun))
 	for _, a := range answers {
 		if a.Err != nil {
 			return result.New(result.EndpointLost, "restoring the session state at %s: %s", co.endpoint.record.ID, a.Err.Detail), nil
@@ -197,6 +199,7 @@
 	if a.Err == nil && takesSlot(c.Kind) {
 		s.pace(co.endpoint, route, c.Kind, at, sentAt, took)
 	}
+	s.countCrossing(co, c, a)
 	co.endpoint.observePosition(a.Position)
 	if co.primary && s.stillValid(co.choice) && (a.Err == nil || a.Err.Code != result.EndpointReadOnly) {
 		s.primaryPositions.observe(route.Service, co.term, at, a.Position)
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -14,6 +14,7 @@
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/budget"
 	"github.com/galenabridge/galenabridge/internal/clock"
+	"github.com/galenabridge/galenabridge/internal/crossing"
 	"github.com/galenabridge/galenabridge/internal/gate"
 	"github.com/galenabridge/galenabridge/internal/limits"
 	"github.com/galenabridge/galenabridge/internal/linkuse"
@@ -64,9 +65,13 @@
 	// Traffic measures the use of the host's network link; nil if the link is unknown.
 	Traffic *linkuse.Meter
 	// Budget is the memory for callers; nil means no limit.
-	Budget     *budget.Budget
-	Log        *log.Logger
-	Registerer prometheus.Registerer
+	Budget *budget.Budget
+	// CrossingMSPerKB is what 1,000 bytes between failure domains cost, as the wait of a caller in
+	// milliseconds that is worth as much; zero if only the delay counts. If it is nil, reads prefer
+	// the host's domain by a fixed cost, and nothing is decided or counted about crossing.
+	CrossingMSPerKB *float64
+	Log             *log.Logger
+	Registerer      prometheus.Registerer
 }
 
 // Server serves client sessions. It is safe for concurrent use and implements
@@ -77,6 +82,7 @@
 	gate             *gate.Gate
 	primaryPositions *freshness
 	hedges           *hedges
+	crossings        *crossings
 
 	mu        sync.Mutex
 	baselines *pacing.Baseline
@@ -110,7 +116,7 @@
 // to stop it.
 func NewServer(opts Options) *Server {
 	s := &Server{
-		opts: opts, metrics: newMetrics(opts.Registerer, opts.Traffic), primaryPositions: newFreshness(), baselines: pacing.NewBaseline(),
+		opts: opts, metrics: newMetrics(opts.Registerer, opts.Traffic), primaryPositions: newFreshness(), crossings: newCrossings(), baselines: pacing.NewBaseline(),
 		hedges:    newHedges(),
 		endpoints: make(map[string]*endpoint), sessions: make(map[*Session]struct{}),
 		remoteTransactions: make(map[remoteKey]*Session), witnessed: make(map[string]bool),
@@ -189,6 +195,12 @@
 func (s *Server) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	var crossingTick <-chan time.Time // nil if nothing is decided about crossing
+	if s.opts.CrossingMSPerKB != nil {
+		ticker := time.NewTicker(crossing.Interval)
+		defer ticker.Stop()
+		crossingTick = ticker.C
+	}
 	defer s.shutDown()
 	for {
 		changed := s.opts.View.Changed()
@@ -197,6 +209,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
+		case <-crossingTick:
+			s.stepCrossings(clock.Now())
 		case <-ticker.C:
 			s.sweep()
 			s.opts.Traffic.Report(s.opts.Log)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,8 @@
 	// LinkRate is the capacity of the host's network link in bytes a second, zero if it is
 	// unknown or without limit.
 	LinkRate int64
+	// CrossingMSPerKB is core.Options.CrossingMSPerKB.
+	CrossingMSPerKB *float64
 	// Traffic counts the bytes of the adapter's connections against LinkRate. The daemon adds
 	// those of connections to other hosts. It is nil if LinkRate is zero.
 	Traffic *linkuse.Meter
@@ -121,7 +123,7 @@
 	d.peers = peer.NewNode(peer.Options{
 		Host: opts.Settings.Host, Fleet: opts.Settings.Fleet, Secret: opts.Settings.FleetSecret,
 		Incarnation: uint64(time.Now().Add(opts.IncarnationOffset).UnixNano()), Listen: opts.Settings.Peer.Listen,
-		Advertise: opts.Settings.Peer.Advertise, Registry: d.registry, Logger: d.log,
+		Advertise: opts.Settings.Peer.Advertise, Registry: d.registry, Logger: d.log, Memory: d.budget,
 		CountBytes: opts.Traffic.Count, OnReplaced: func() { close(d.replaced) },
 	})
 	if err := d.peers.Listen(); err != nil {
@@ -182,7 +184,7 @@
 	d.core = core.NewServer(core.Options{
 		View: d.view, Host: d.opts.Settings.Host, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
 		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Meter: d.buildMeter(), Traffic: d.opts.Traffic, Budget: d.budget,
-		Log: d.log, Registerer: d.registry,
+		CrossingMSPerKB: d.opts.CrossingMSPerKB, Log: d.log, Registerer: d.registry,
 	})
 	d.holder.SetPool(d.core)
 	forward.Serve(d.peers, d.core)
