--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -tags review -o target/review-2/standin ./review/second
+go build -tags review -o target/review-2/standin ./review/second/platform
