Consensus: voters that have left are removed also of an odd number

Cause: successors become voters beside hosts that still run; of the seven voters two then left. nextOpenRemoval removed a silent voter of an even number only, and a termination took no voter out of the group. A new leader also took the lost disk of a host for active and promoted the host's new disk beside it.

Change: a voter that is silent for 2 s, or whose process announces that it stops, is removed while more than 2 f + 1 voters are left (f from the settings), and exchanged for a caught-up host at 2 f + 1. A successor waits until the former disk of its host is known to be silent. A stopping control host waits up to 1 s for its release. The group is no longer shrunk from four to three voters where it must bear the loss of two disks.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -81,6 +81,9 @@
 	// Bootstrap creates a new fleet from the control hosts listed in Controls. It is
 	// ignored if DataDir already contains a log.
 	Bootstrap bool `json:"bootstrap,omitempty"`
+	// ToleratedLosses is the number of data folders of control hosts that may be lost at the same
+	// time; zero selects 2.
+	ToleratedLosses int `json:"tolerated_losses,omitempty" validate:"gte=0"`
 }
 
 // SeedHosts returns a voting control host for each seed, with its address as identity.
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -41,6 +41,10 @@
 	// CheckSnapshot returns an error if the application cannot use the data of a snapshot from a
 	// peer, which is then ignored; nil accepts all. It is called before anything of it is stored.
 	CheckSnapshot func(data []byte) error
+	// ToleratedLosses is the number of data folders that may be lost at the same time without the
+	// loss of a committed entry; zero selects DefaultToleratedLosses. With open membership the group
+	// is not shrunk below the 2*ToleratedLosses+1 voters that this needs.
+	ToleratedLosses int
 	// TrailingEntries is the number of applied entries kept after a snapshot, so that
 	// followers that lag by less need no snapshot.
 	TrailingEntries uint64
@@ -55,6 +59,7 @@
 	setDefault(&c.MaxAppendBytes, DefaultMaxAppendBytes)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
 	setDefault(&c.ChunkBytes, DefaultChunkBytes)
+	setDefault(&c.ToleratedLosses, DefaultToleratedLosses)
 	if c.TrailingEntries == 0 {
 		c.TrailingEntries = DefaultTrailingEntries
 	}
@@ -73,6 +78,8 @@
 		return errors.New("consensus: Config.Host is empty")
 	case c.Rand == nil:
 		return errors.New("consensus: Config.Rand is nil")
+	case c.ToleratedLosses < 0:
+		return errors.New("consensus: Config.ToleratedLosses is negative")
 	case c.HeartbeatTicks >= c.ElectionTicks:
 		return errors.New("consensus: heartbeat interval is not shorter than the election timeout")
 	}
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -39,6 +39,10 @@
 	// began to track the member.
 	lastResponse uint64
 	ackedRound   uint64
+	// leaving is the tick at which the process announced that it is about to stop, zero if it has
+	// not. leavingBoots is its start count.
+	leaving      uint64
+	leavingBoots uint64
 }
 
 func (n *Node) becomeLeader() {
@@ -171,10 +175,23 @@
 func (n *Node) afterCommit() {
 	n.completeConfirms()
 	if !n.isVoter() && n.changeCommitted() {
+		n.handOver()
 		n.becomeFollower(n.hard.Term, Member{})
 	}
 }
 
+// handOver requests a voter with a complete log to start an election, so that the others do not wait
+// for an election timeout.
+func (n *Node) handOver() {
+	for _, m := range n.members {
+		p := n.leaderState.progress[m.Disk]
+		if m.Voter && p.recentlyActive() && p.leaving == 0 && p.match == n.log.last() {
+			n.send(m, Message{Kind: KindTimeoutNow})
+			return
+		}
+	}
+}
+
 func (l *leaderState) status(self uint64) []FollowerStatus {
 	var all []FollowerStatus
 	for disk, p := range l.progress {
--- /dev/null
+++ b/internal/consensus/membership_orders_test.go
@@ -0,0 +1,216 @@
+package consensus
+
+import (
+	"slices"
+	"testing"
+)
+
+const (
+	// catchUpTicks is the time for which a host counts as lost after it has started or is back.
+	catchUpTicks = 200 // 4 s
+	// calmTicks is the time after the last event within which every running host votes: the
+	// time until a host without a leader asks to join, an election and replaceAfterTicks twice, as
+	// the leader may change once meanwhile.
+	calmTicks = 400 // 8 s
+	// stopTicks bounds the time that a stopping process waits for MayStop.
+	stopTicks = 25 // 0.5 s
+)
+
+// leave stops a host for good, as a process does that gets a termination signal.
+func (c *cluster) leave(host string) {
+	p := c.procs[host]
+	p.node.Leave()
+	for n := 0; n < stopTicks && p.node != nil && !p.node.MayStop(); n++ {
+		c.round()
+	}
+	c.removeHost(host)
+}
+
+// replaceDisk replaces the disk of a host, whose settings then name three hosts that serve now.
+func (c *cluster) replaceDisk(host string) {
+	p := c.procs[host]
+	p.disk = c.newDisk()
+	p.cfg.InitialVoters, p.cfg.Peers = nil, c.seeds()
+}
+
+// seeds returns three hosts.
+func (c *cluster) seeds() []string {
+	seeds := slices.Clone(c.hosts)
+	c.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	return seeds[:3]
+}
+
+func (c *cluster) rounds(count int) {
+	for range count {
+		c.round()
+	}
+}
+
+// requireTwoLossesTolerated lets all hosts lose power and two of them their disks, and requires that
+// the others go on with all that was committed.
+func (c *cluster) requireTwoLossesTolerated() {
+	c.t.Helper()
+	c.propose("acknowledged")
+	c.network = nil
+	for _, h := range c.hosts {
+		c.stop(h)
+	}
+	first := c.rng.IntN(len(c.hosts))
+	second := (first + 1 + c.rng.IntN(len(c.hosts)-1)) % len(c.hosts)
+	for i, h := range c.hosts {
+		if i == first || i == second {
+			c.replaceDisk(h)
+		}
+		c.start(h)
+	}
+	c.runUntil("the loss of two disks is borne", func() bool { return c.leader() != nil && c.allHostsVote() })
+	c.propose("after the loss")
+	for _, h := range c.hosts {
+		if !slices.Contains(c.procs[h].state.commands, "acknowledged") {
+			c.t.Fatalf("%s lacks the acknowledged command", h)
+		}
+	}
+}
+
+// Two planned replacements that overlap left seven voters, two of them gone for good: of an odd
+// number no silent voter was removed, and the loss of two more disks ended the group.
+func TestOverlappingReplacementsLeaveNoSilentVoter(t *testing.T) {
+	for _, gap := range []int{0, 25, 50, 150, 300} {
+		for seed := range uint64(5) {
+			c := newOpenCluster(t, seed, "d", "e")
+			c.runUntil("five voters", c.allHostsVote)
+			c.joinHost("f", []string{"a", "b", "c"})
+			c.rounds(gap)
+			c.joinHost("g", []string{"a", "b", "c"})
+			c.rounds(catchUpTicks - min(gap, catchUpTicks))
+			c.leave("a")
+			c.rounds(gap)
+			c.leave("b")
+			c.rounds(calmTicks)
+			if !c.allHostsVote() {
+				t.Fatalf("gap %d, seed %d: members %+v, hosts %v", gap, seed, c.leader().node.members, c.hosts)
+			}
+			c.requireTwoLossesTolerated()
+			c.requireNoViolation()
+		}
+	}
+}
+
+// Hosts that are removed without a signal are as many silent voters.
+func TestLostHostsWithSuccessorsLeaveNoSilentVoter(t *testing.T) {
+	for _, delay := range []int{10, 50, 100, 150} {
+		c := newOpenCluster(t, uint64(delay), "d", "e")
+		c.runUntil("five voters", c.allHostsVote)
+		c.removeHost("a")
+		c.removeHost("d")
+		c.rounds(delay)
+		c.joinHost("f", []string{"a", "b", "c"})
+		c.joinHost("g", []string{"a", "b", "c"})
+		c.rounds(calmTicks)
+		if !c.allHostsVote() {
+			t.Fatalf("delay %d: members %+v, hosts %v", delay, c.leader().node.members, c.hosts)
+		}
+		c.requireTwoLossesTolerated()
+		c.requireNoViolation()
+	}
+}
+
+// The loss of two disks right after a host has left was fatal while that host still counted as a
+// voter of six.
+func TestLossRightAfterDepartureIsTolerated(t *testing.T) {
+	for seed := range uint64(10) {
+		c := newOpenCluster(t, seed, "d", "e")
+		c.runUntil("five voters", c.allHostsVote)
+		c.joinHost("f", []string{"a", "b", "c"})
+		c.rounds(catchUpTicks)
+		leaving := c.hosts[int(seed)%5]
+		if seed >= 5 {
+			leaving = c.leader().cfg.Host
+		}
+		c.leave(leaving)
+		c.requireTwoLossesTolerated()
+		c.requireNoViolation()
+	}
+}
+
+// A voter of a group that has no more than it needs keeps its place while it restarts.
+func TestStoppingVoterIsKeptWhereItIsNeeded(t *testing.T) {
+	c := newOpenCluster(t, 31, "d", "e")
+	c.runUntil("five voters", c.allHostsVote)
+	disk := c.procs["d"].disk.Disk
+	c.procs["d"].node.Leave()
+	if !c.procs["d"].node.MayStop() {
+		t.Fatal("a voter that cannot be spared waits before it stops")
+	}
+	c.stop("d")
+	c.rounds(5 * replaceAfterTicks)
+	if m, ok := c.leader().node.member(disk); !ok || !m.Voter {
+		t.Fatal("the voter was removed")
+	}
+	c.start("d")
+	c.propose("x")
+	c.requireNoViolation()
+}
+
+// A leader of an earlier version ignores the announcement; the process then stops when its time is
+// over, and the group finds it silent.
+func TestDepartureIgnoredByLeaderEndsAsSilence(t *testing.T) {
+	c := newOpenCluster(t, 32, "d", "e", "f")
+	c.runUntil("six voters", c.allHostsVote)
+	leaving := "d"
+	if c.leader().cfg.Host == leaving {
+		leaving = "e"
+	}
+	p := c.procs[leaving]
+	p.node.Leave()
+	for range stopTicks {
+		c.network = slices.DeleteFunc(c.network, func(m Message) bool { return m.Kind == KindLeave })
+		c.round()
+	}
+	if p.node.MayStop() {
+		t.Fatal("the leader got the announcement")
+	}
+	c.removeHost(leaving)
+	c.rounds(calmTicks)
+	if !c.allHostsVote() {
+		t.Fatalf("members %+v, hosts %v", c.leader().node.members, c.hosts)
+	}
+}
+
+// A new leader took the former disk of a host for active, and promoted the host's new disk beside it.
+func TestLostDiskIsReplacedAfterChangeOfLeader(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newOpenCluster(t, seed, "d", "e")
+		c.runUntil("five voters", c.allHostsVote)
+		wiped := "d"
+		if c.leader().cfg.Host == wiped {
+			wiped = "e"
+		}
+		c.wipeDisk(wiped)
+		c.runUntil("the new disk is a learner", func() bool {
+			p := c.leader()
+			if p == nil {
+				return false
+			}
+			_, member := p.node.member(c.procs[wiped].disk.Disk)
+			return member && p.node.changeCommitted()
+		})
+		c.stop(c.leader().cfg.Host)
+		for n := 0; n < calmTicks; n++ {
+			c.round()
+			p := c.leader()
+			if p == nil {
+				continue
+			}
+			count := 0
+			for _, m := range p.node.membersOf(wiped) {
+				if m.Voter {
+					count++
+				}
+			}
+			if count > 1 {
+				t.Fatalf("seed %d: %s votes with two disks", seed, wiped)
+			}
+		}
+	}
+}
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -28,6 +28,10 @@
 	// KindRejoin reports to the receiver that its data folder is outdated or was
 	// removed from the group, and must be replaced by an empty one.
 	KindRejoin
+	// KindLeave reports to the leader that the sender is about to stop. KindLeft answers it once
+	// the sender is no member of the group.
+	KindLeave
+	KindLeft
 )
 
 // Message is a message between two nodes. Fields that a kind does not use are
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -33,6 +33,7 @@
 	leaderState *leaderState      // set while leader
 	incoming    *incomingSnapshot // snapshot being received
 	bootstrap   bootstrapState
+	departure   departure
 	peerRecords map[uint64]PeerRecord // by disk identity
 	// peerBootUnsaved is set while a newer start count of a peer is not synced.
 	peerBootUnsaved bool
@@ -79,6 +80,7 @@
 	if n.isOutsideGroup() {
 		n.tickOutsideGroup()
 	}
+	n.tickDeparture()
 	if n.role == Leader {
 		n.tickLeader()
 		return
@@ -121,7 +123,7 @@
 
 // validate checks that the message is well formed and meant for this node.
 func (n *Node) validate(m *Message) error {
-	if m.Kind < KindPreVote || m.Kind > KindRejoin || m.FromDisk == 0 {
+	if m.Kind < KindPreVote || m.Kind > KindLeft || m.FromDisk == 0 {
 		return result.New(result.PeerMalformed, "consensus message of kind %d from disk %x", m.Kind, m.FromDisk)
 	}
 	if m.Fleet != 0 && n.hard.Fleet != 0 && m.Fleet != n.hard.Fleet {
@@ -211,6 +213,10 @@
 			n.transferElection = true
 			n.campaign(Candidate)
 		}
+	case KindLeave:
+		n.handleLeave(m)
+	case KindLeft:
+		n.departure.left = true
 	case KindAppendResponse, KindHeartbeatResponse, KindSnapshotResponse:
 		if n.role == Leader {
 			n.handleFollowerResponse(m)
@@ -263,6 +269,9 @@
 	return n.members[i], true
 }
 
+// Voters returns the number of voters, including that of a change that is not committed yet.
+func (n *Node) Voters() int { return n.voterCount() }
+
 func (n *Node) voterCount() int {
 	count := 0
 	for _, m := range n.members {
@@ -273,4 +282,7 @@
 	return count
 }
 
-func (n *Node) quorum() int { return n.voterCount()/2 + 1 }
+func (n *Node) quorum() int { return quorumOf(n.voterCount()) }
+
+// quorumOf returns the number of votes that a group needs.
+func quorumOf(voters int) int { return voters/2 + 1 }
--- a/internal/consensus/open_membership.go
+++ b/internal/consensus/open_membership.go
@@ -12,14 +12,14 @@
 
 // NextOpenChange returns the next change of a group with open membership, which
 // every control host may join, to be passed to ProposeChange by the leader. It
-// keeps the number of live voters high without an operator. A member is silent when
-// it has not responded for replaceAfterTicks.
+// brings the group to the state in which every host that runs is a voter, and every
+// voter runs, without an operator. A member is silent when it has not responded for
+// replaceAfterTicks, and dispensable when it is silent or about to stop.
 //
 //   - a joining host becomes a learner, and a voter once it has caught up;
-//   - a caught-up learner replaces a silent voter, preferably a former data folder
-//     of its own host;
-//   - of an even number of voters a silent one is removed, since the group
-//     tolerates as many failures without it;
+//   - a caught-up learner replaces a former data folder of its own host, or else a
+//     dispensable voter if the group has at least minVoters;
+//   - of more than minVoters voters a dispensable one is removed;
 //   - a silent learner is removed.
 func (n *Node) NextOpenChange() (Change, bool) {
 	if n.checkLeader() != nil || n.log.commit < n.leaderState.termStartIndex || !n.changeCommitted() {
@@ -59,40 +59,83 @@
 	return slices.DeleteFunc(slices.Clone(n.members), func(m Member) bool { return m.Host != host })
 }
 
-// nextOpenPromotion promotes a caught-up learner, after the removal of the silent
-// voter that it replaces.
+// minVoters is the number of voters below which the group is not shrunk: with fewer, the loss of
+// ToleratedLosses data folders may lose a committed entry. A voter that is down keeps its place
+// there, since it returns with what it has stored.
+func (n *Node) minVoters() int { return 2*n.cfg.ToleratedLosses + 1 }
+
+// nextOpenPromotion promotes a caught-up learner, after the removal of the voter that
+// it replaces. The former data folder of a host is lost once the host has another, but
+// a new leader learns only after some time that it does not respond; until then its
+// successor waits, since both would count as voters.
 func (n *Node) nextOpenPromotion() (Change, bool) {
 	for _, m := range n.members {
 		if m.Voter || !n.caughtUp(m) {
 			continue
 		}
-		for _, former := range n.membersOf(m.Host) {
-			if former.Voter && !n.isActive(former) {
-				return Change{Kind: Remove, Member: former}, true
-			}
+		former, exists := n.formerVoter(m.Host)
+		switch {
+		case exists && n.isActive(former):
+			continue
+		case exists:
+			return Change{Kind: Remove, Member: former}, true
 		}
-		if silent, ok := n.longestSilentVoter(); ok {
-			return Change{Kind: Remove, Member: silent}, true
+		if voter, ok := n.dispensableVoter(); ok && n.voterCount() >= n.minVoters() {
+			return Change{Kind: Remove, Member: voter}, true
 		}
 		return Change{Kind: Promote, Member: m}, true
 	}
 	return Change{}, false
 }
 
-// nextOpenRemoval removes a silent learner, or a silent voter when the number of
-// voters is even and more than two.
+// formerVoter returns the voter with another data folder of a learner's host, if there is one.
+func (n *Node) formerVoter(host string) (Member, bool) {
+	for _, m := range n.membersOf(host) {
+		if m.Voter {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// nextOpenRemoval removes a silent learner, or a dispensable voter of more than
+// minVoters.
 func (n *Node) nextOpenRemoval() (Change, bool) {
 	for _, m := range n.members {
 		if !m.Voter && n.ticksSinceResponse(m) >= replaceAfterTicks {
 			return Change{Kind: Remove, Member: m}, true
 		}
 	}
-	if silent, ok := n.longestSilentVoter(); ok && n.voterCount()%2 == 0 && n.voterCount() > 2 {
-		return Change{Kind: Remove, Member: silent}, true
+	if voter, ok := n.dispensableVoter(); ok && n.voterCount() > n.minVoters() {
+		return Change{Kind: Remove, Member: voter}, true
 	}
 	return Change{}, false
 }
 
+// dispensableVoter returns the voter that has been silent for the longest time, or else
+// one that is about to stop and without which the active voters are a quorum.
+func (n *Node) dispensableVoter() (Member, bool) {
+	if silent, ok := n.longestSilentVoter(); ok {
+		return silent, true
+	}
+	for _, m := range n.members {
+		if m.Voter && n.isLeaving(m) && n.activeVotersWithout(m) >= quorumOf(n.voterCount()-1) {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func (n *Node) activeVotersWithout(without Member) int {
+	count := 0
+	for _, m := range n.members {
+		if m.Voter && m.Disk != without.Disk && n.isActive(m) {
+			count++
+		}
+	}
+	return count
+}
+
 // isActive reports whether the member responded in the present or the previous
 // quorum check interval.
 func (n *Node) isActive(m Member) bool {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -201,4 +201,5 @@
 	DefaultMaxInflight     = 32 // append messages per follower
 	DefaultChunkBytes      = 256 << 10
 	DefaultTrailingEntries = 1024 // entries
+	DefaultToleratedLosses = 2    // data folders
 )
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -38,6 +38,7 @@
 // leader.
 func (h *Host) tick(now time.Time) {
 	h.node.Tick()
+	h.finishDepartures()
 	h.expireProposals(now)
 	h.expireLeaseRound(now)
 	if h.pushes.due {
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -33,10 +33,12 @@
 	// OpenMembership admits every control host that requests to join. Controls are
 	// then the seeds, and the identity of a host is its peer address.
 	OpenMembership bool
-	Peer           *peer.Node
-	Lease          lease.Config
-	Logger         *log.Logger
-	Registry       prometheus.Registerer
+	// ToleratedLosses is consensus.Config.ToleratedLosses.
+	ToleratedLosses int
+	Peer            *peer.Node
+	Lease           lease.Config
+	Logger          *log.Logger
+	Registry        prometheus.Registerer
 	// EndpointManager probes and promotes endpoints; nil disables failover.
 	EndpointManager EndpointManager
 	// Fenced is set if promotion orders may be executed late and the platform rejects
@@ -92,11 +94,13 @@
 	// knownLeader is for proposers in other goroutines.
 	knownLeader atomic.Pointer[leaderInfo]
 
-	node   *consensus.Node
-	store  Store
-	state  *agreed.State
-	recent recentStates
-	broker *lease.Broker
+	node *consensus.Node
+	// departures are the calls of LeaveGroup that wait.
+	departures []chan struct{}
+	store      Store
+	state      *agreed.State
+	recent     recentStates
+	broker     *lease.Broker
 
 	subscribers  map[lease.ID]*subscription
 	pushes       pushState
@@ -315,7 +319,7 @@
 
 func (h *Host) consensusConfig() consensus.Config {
 	cfg := consensus.Config{
-		Host:          h.opts.Peer.Host(),
+		Host: h.opts.Peer.Host(), ToleratedLosses: h.opts.ToleratedLosses,
 		Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		CheckSnapshot: h.checkSnapshot,
 	}
--- a/internal/control/leader_tasks.go
+++ b/internal/control/leader_tasks.go
@@ -51,7 +51,7 @@
 		h.log.Warn("member_change_failed", "peer", change.Member.Host, "err", err.Error())
 		return
 	}
-	h.log.Info("member_change", "peer", change.Member.Host, "kind", change.Kind)
+	h.log.Info("member_change", "peer", change.Member.Host, "kind", change.Kind, "voters", h.node.Voters())
 }
 
 // nextMemberChange returns the next change of the members, if one is due. With open
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -12,6 +12,7 @@
 	settled          prometheus.Gauge
 	leading          prometheus.Gauge
 	subscribers      prometheus.Gauge
+	voters           prometheus.Gauge
 	skipped          prometheus.Counter
 	snapshotsRefused prometheus.Counter
 	usage            *usageMetrics
@@ -23,6 +24,7 @@
 		settled:     newGauge("galenabridge_control_settled_revision", "Revision known to be applied by every holder of a lease."),
 		leading:     newGauge("galenabridge_control_leading", "1 while this host leads the control hosts."),
 		subscribers: newGauge("galenabridge_control_subscribers", "Hosts that follow the agreed state through this one."),
+		voters:      newGauge("galenabridge_control_voters", "Voters of the control hosts as this one knows them; more than run means that some are gone."),
 		skipped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "galenabridge_control_skipped_entries_total",
 			Help: "Log entries that were skipped because they cannot be decoded or applied.",
@@ -33,7 +35,7 @@
 		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.revision, m.settled, m.leading, m.subscribers, m.skipped, m.snapshotsRefused)
+		reg.MustRegister(m.revision, m.settled, m.leading, m.subscribers, m.voters, m.skipped, m.snapshotsRefused)
 	}
 	return m
 }
@@ -44,6 +46,7 @@
 	m.settled.Set(float64(h.broker.Settled()))
 	m.leading.Set(boolValue(h.leading))
 	m.subscribers.Set(float64(len(h.subscribers)))
+	m.voters.Set(float64(h.node.Voters()))
 }
 
 // subscriberMetrics are the metrics of a Subscriber.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,9 @@
 	homeRateFloor = 0.5
 	// deregisterTimeout bounds the deregistration at shutdown.
 	deregisterTimeout = 300 * time.Millisecond
+	// leaveGroupTimeout bounds the wait of a stopping control host until the others go on without
+	// its vote: some intervals of the leader's periodic tasks.
+	leaveGroupTimeout = time.Second
 	// replyFlushTime is the time kept free between the last answers and the deregistration, in
 	// which replies still reach callers and other hosts. It is as long before the last answers
 	// that new statements are refused.
@@ -161,7 +164,8 @@
 	if c := d.opts.Settings.Control; c != nil {
 		d.control = control.New(control.Options{
 			Fleet: d.opts.Settings.Fleet, DataDir: c.DataDir, Bootstrap: c.Bootstrap, OpenMembership: true, Controls: seeds,
-			Peer: d.peers, Lease: leaseCfg, Logger: d.log, Registry: d.registry,
+			ToleratedLosses: c.ToleratedLosses,
+			Peer:            d.peers, Lease: leaseCfg, Logger: d.log, Registry: d.registry,
 			EndpointManager: d.opts.EndpointManager, Fenced: d.opts.Fenced,
 			Metering: d.opts.Metering, UsageReporter: d.opts.UsageReporter, UsageSource: d.opts.UsageSource, View: d.view,
 		})
@@ -310,12 +314,21 @@
 
 // shutdown makes the host unready, drains the sessions and deregisters the host.
 func (d *Daemon) shutdown(ctx context.Context) {
+	killed := time.Now().Add(d.opts.GracePeriod)
 	d.stopping.Store(true)
 	d.log.Info("stop", "grace_ms", d.opts.GracePeriod.Milliseconds())
 	if d.core != nil {
 		d.drain(ctx)
 		d.log.Info("drained", "sessions", d.core.Sessions())
 	}
+	d.deregister(ctx)
+	if d.control != nil {
+		d.leaveGroup(ctx, killed)
+	}
+}
+
+// deregister removes the host from the agreed state.
+func (d *Daemon) deregister(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
 	if d.usage != nil {
@@ -326,6 +339,19 @@
 	}
 }
 
+// leaveGroup waits until the control hosts go on without the vote of this one, if they have more
+// than they need. The time at which the process is killed limits the wait.
+func (d *Daemon) leaveGroup(ctx context.Context, killed time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, min(leaveGroupTimeout, time.Until(killed)/2))
+	defer cancel()
+	if err := d.control.LeaveGroup(ctx); err != nil {
+		d.log.Warn("leave_group_failed", "err", err.Error())
+	}
+	if err := d.peers.Flush(ctx); err != nil {
+		d.log.Debug("messages_unsent", "err", err.Error())
+	}
+}
+
 // drain accepts callers for the unreadyPeriod, then closes each session once it has no
 // transaction and no statement in progress. Transactions still open after transactionShare
 // of the grace period are aborted. All callers are answered before the process ends, since a
