Consensus: a voter that was replaced while it was down asks to join

Cause: a voter sent no join requests. The returned one asked the members of its old log for pre-votes, which they rejected without a word; only a leader answers a former member, and the leader had joined meanwhile, so that neither knew the other.

Change: a voter that has heard no leader for the longest election timeout sends join requests. Only a leader heard within that time is named in answers. A host that clears its folder keeps the control hosts that it knew.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -26,11 +26,16 @@
 	return bootstrapState{readyPeers: map[string]joinRequest{}}
 }
 
-// isOutsideGroup reports whether the node may be unknown to the group: it is no
-// voter and has no live leader. Its log may still list it in an entry that was
-// never committed.
+// isOutsideGroup reports whether the node may be unknown to the group, since it has
+// no live leader. Its log may list it in an entry that was never committed, or lack
+// the one that removed it: a voter that was replaced while it was down knows neither
+// its successor nor a leader that joined meanwhile. A voter waits longer than any
+// election timeout, so that an election alone makes none ask to join.
 func (n *Node) isOutsideGroup() bool {
-	return !n.isVoter() && (len(n.members) == 0 || n.electionElapsed >= n.electionTimeout)
+	if n.isVoter() {
+		return n.role != Leader && n.ticks-n.leaderContact >= uint64(2*n.cfg.ElectionTicks)
+	}
+	return len(n.members) == 0 || n.electionElapsed >= n.electionTimeout
 }
 
 // tickOutsideGroup sends join requests to the other control hosts. The initial
@@ -51,19 +56,22 @@
 }
 
 func (n *Node) sendJoinRequests() {
-	hosts := append(slices.Clone(n.cfg.Peers), n.cfg.InitialVoters...)
-	if n.bootstrap.leader != "" {
-		hosts = append(hosts, n.bootstrap.leader)
+	for _, host := range n.Contacts() {
+		n.send(Member{Host: host}, Message{Kind: KindJoinRequest})
 	}
+}
+
+// Contacts returns the other control hosts that the node knows: those of its settings, the members
+// and the last known leader. A node that starts anew after Ready.Rejoin needs them as peers, since
+// the hosts of its settings may all have been replaced.
+func (n *Node) Contacts() []string {
+	hosts := append(slices.Clone(n.cfg.Peers), n.cfg.InitialVoters...)
 	for _, m := range n.members {
 		hosts = append(hosts, m.Host)
 	}
+	hosts = append(hosts, n.bootstrap.leader, n.leader.Host)
 	slices.Sort(hosts)
-	for _, host := range slices.Compact(hosts) {
-		if host != n.cfg.Host {
-			n.send(Member{Host: host}, Message{Kind: KindJoinRequest})
-		}
-	}
+	return slices.DeleteFunc(slices.Compact(hosts), func(h string) bool { return h == "" || h == n.cfg.Host })
 }
 
 // initialVotersReady reports whether every other initial voter has sent a join
@@ -96,7 +104,9 @@
 
 // handleJoinRequest handles a join request. A node without a group records the
 // sender as ready; one with a group responds with its leader, and the leader also
-// passes the request of a non-member on to its driver.
+// passes the request of a non-member on to its driver. The request of a former
+// voter with its data folder is like any other: it has forgotten nothing, and is a
+// learner until it has caught up.
 func (n *Node) handleJoinRequest(m *Message) {
 	if len(n.members) == 0 {
 		if m.Fleet == 0 {
@@ -104,7 +114,7 @@
 		}
 		return
 	}
-	n.respond(m, Message{Kind: KindJoinResponse, Leader: n.leader.Host})
+	n.respond(m, Message{Kind: KindJoinResponse, Leader: n.liveLeader()})
 	if _, member := n.member(m.FromDisk); n.role != Leader || member {
 		return
 	}
@@ -112,9 +122,23 @@
 	n.joinRequests = append(n.joinRequests, Member{Host: m.From, Disk: m.FromDisk})
 }
 
+// liveLeader returns the host of the leader, empty if none was heard for the longest election
+// timeout. A host outside the group may remember a leader that is gone.
+func (n *Node) liveLeader() string {
+	if n.role != Leader && n.ticks-n.leaderContact >= uint64(2*n.cfg.ElectionTicks) {
+		return ""
+	}
+	return n.leader.Host
+}
+
+// handleJoinResponse records the leader that a peer knows. A peer that knows none may be outside
+// the group itself, and does not replace what another one has reported.
 func (n *Node) handleJoinResponse(m *Message) {
-	if m.ToDisk == n.disk {
-		n.bootstrap.groupExists = true
+	if m.ToDisk != n.disk {
+		return
+	}
+	n.bootstrap.groupExists = true
+	if m.Leader != "" {
 		n.bootstrap.leader = m.Leader
 	}
 }
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -144,6 +144,7 @@
 	for p.node != nil && p.node.HasReady() {
 		rd := p.node.Ready()
 		if rd.Rejoin {
+			p.cfg.Peers = p.node.Contacts()
 			c.wipeDisk(p.cfg.Host)
 			continue
 		}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -39,6 +39,7 @@
 		n.becomeFollower(m.Term, from)
 	}
 	n.electionElapsed = 0
+	n.leaderContact = n.ticks
 }
 
 // campaign starts a pre-vote (PreCandidate) or an election (Candidate). A
--- a/internal/consensus/membership_orders_test.go
+++ b/internal/consensus/membership_orders_test.go
@@ -214,3 +214,56 @@
 		}
 	}
 }
+
+// A voter that was replaced while it was down asked for votes and was rejected without a word: the
+// leader that had joined meanwhile and the returned voter did not know each other.
+func TestVoterReplacedWhileDownRejoinsUnderUnknownLeader(t *testing.T) {
+	for seed := range uint64(10) {
+		c := newOpenCluster(t, seed, "d", "e")
+		c.runUntil("five voters", c.allHostsVote)
+		down := "d"
+		if c.leader().cfg.Host == down {
+			down = "e"
+		}
+		c.stop(down)
+		c.rounds(replaceAfterTicks)
+		c.joinHost("f", []string{"a", "b", "c"})
+		c.rounds(catchUpTicks)
+		former := c.leader().cfg.Host
+		for c.leader() == nil || c.leader().cfg.Host != "f" {
+			if p := c.leader(); p != nil {
+				_ = p.node.TransferLeadership("f")
+				c.processReady(p)
+			}
+			c.round()
+		}
+		c.leave(former)
+		c.start(down)
+		c.rounds(calmTicks)
+		if !c.allHostsVote() {
+			t.Fatalf("seed %d: members %+v, hosts %v", seed, c.leader().node.members, c.hosts)
+		}
+		c.requireTwoLossesTolerated()
+		c.requireNoViolation()
+	}
+}
+
+// A voter without a leader asks hosts that may be outside the group as well. Their answers do not
+// hide the leader that another host knows.
+func TestOutsideHostsDoNotHideTheLeader(t *testing.T) {
+	c := newOpenCluster(t, 33, "d", "e")
+	c.runUntil("five voters", c.allHostsVote)
+	n := c.procs["a"].node
+	n.handleJoinResponse(&Message{ToDisk: n.disk, Leader: "f"})
+	n.handleJoinResponse(&Message{ToDisk: n.disk})
+	if n.bootstrap.leader != "f" {
+		t.Fatalf("leader %q, want f", n.bootstrap.leader)
+	}
+	outside := c.procs["b"].node
+	for range 2 * outside.cfg.ElectionTicks {
+		outside.Tick()
+	}
+	if leader := outside.liveLeader(); leader != "" {
+		t.Fatalf("a host without a leader names %q", leader)
+	}
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -25,6 +25,9 @@
 	rejoin bool
 	ticks  uint64
 
+	// leaderContact is the tick of the last message from a leader, or of the last one in which the
+	// node led.
+	leaderContact    uint64
 	electionElapsed  int
 	electionTimeout  int
 	votes            map[uint64]bool
@@ -82,6 +85,7 @@
 	}
 	n.tickDeparture()
 	if n.role == Leader {
+		n.leaderContact = n.ticks
 		n.tickLeader()
 		return
 	}
--- a/internal/consensus/stale_peer.go
+++ b/internal/consensus/stale_peer.go
@@ -77,6 +77,7 @@
 // earlier process with the same data folder, as its start count shows.
 func (n *Node) handleRejoin(m *Message) {
 	if m.Boots == n.boots {
+		n.bootstrap.leader = m.From // a member, which the log may not list
 		n.requireRejoin()
 	}
 }
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -245,9 +245,11 @@
 		return err
 	}
 	revision := h.state.Revision
+	h.formerContacts = h.node.Contacts()
 	if err := h.load(); err != nil {
 		return err
 	}
+	h.node.SetPeers(append(h.node.Contacts(), h.formerContacts...))
 	h.log.Info("joining", "former_revision", revision)
 	return nil
 }
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -95,6 +95,8 @@
 	knownLeader atomic.Pointer[leaderInfo]
 
 	node *consensus.Node
+	// formerContacts are the control hosts that the node knew when its data folder was last cleared.
+	formerContacts []string
 	// departures are the calls of LeaveGroup that wait.
 	departures []chan struct{}
 	store      Store
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
@@ -148,6 +149,6 @@
 
 func (e hostSeedsEvent) handle(h *Host, _ time.Time) {
 	if h.opts.OpenMembership {
-		h.node.SetPeers(e.hosts)
+		h.node.SetPeers(append(slices.Clone(e.hosts), h.formerContacts...))
 	}
 }
