Control: an order that is read after its sender has gone undoes no newer one

What callers saw: statements ran in a failure domain that had been evacuated, for good.

Cause: evacuation orders carry neither a number nor a time, and the log applied whichever came last. A leave without a body ended whichever process ran when it was read.

Change: a control host answers such an order by 307 with a position of the log (for a leave: the present process), which only a sender that is still there sends back. The leader refuses an order once another one about the domain has entered the log after that position, and acknowledges one that repeats the last.

--- a/internal/agreed/command.go
+++ b/internal/agreed/command.go
@@ -140,6 +140,8 @@
 	Problems []note.Problem `cbor:"5,keyasint,omitempty"`
 	// Repeated is set if the note or a document at least as new was accepted before.
 	Repeated bool `cbor:"6,keyasint,omitempty"`
+	// Position is the position in the log of the newer order, if Code is result.OrderOvertaken.
+	Position uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Err returns the outcome as a result.Error, or nil when the command succeeded.
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -12,7 +12,7 @@
 func (s *Subscriber) Propose(ctx context.Context, c agreed.Command) (agreed.Outcome, error) {
 	return retryProposal(ctx, func(ctx context.Context) (agreed.Outcome, error) {
 		up := s.currentUpstream.Load()
-		return callProposal(ctx, s.opts.Peer, up.Host, up.Addr, c, false)
+		return callProposal(ctx, s.opts.Peer, up.Host, up.Addr, c, nil, false)
 	})
 }
 
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -100,6 +100,7 @@
 			return err
 		}
 		h.node.Advance(rd)
+		h.position.Store(h.node.Status().Applied)
 		h.handleConfirmations(now, rd)
 	}
 	return nil
@@ -141,6 +142,7 @@
 	if err := h.checkFleet(state); err != nil {
 		return err
 	}
+	h.orders = newOrderGuard(snap.Index)
 	h.log.Info("snapshot_installed", "index", snap.Index, "revision", state.Revision)
 	h.setState(clock.Now(), state)
 	return nil
@@ -200,6 +202,9 @@
 		h.usageLogged += len(e.Data)
 	}
 	next, out = agreed.Apply(state, e.Index, c)
+	if c.SetDomain != nil {
+		h.orders.applied(c.SetDomain.Domain, e.Index)
+	}
 	return next, out, nil
 }
 
@@ -295,6 +300,7 @@
 // no read until a quorum has confirmed it; see confirmLeadership.
 func (h *Host) startLeading(now time.Time, term uint64) {
 	h.leading, h.confirmed, h.term = true, false, term
+	h.orders.dropAppended() // entries of an earlier term of this leader may have been replaced
 	h.broker.AbortRound()
 	h.broker.BecomeLeader(now)
 	h.hostWatch = newHostWatch(h.opts.Lease.Duration)
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -99,10 +99,13 @@
 	formerContacts []string
 	// departures are the calls of LeaveGroup that wait.
 	departures []chan struct{}
-	store      Store
-	state      *agreed.State
-	recent     recentStates
-	broker     *lease.Broker
+	// position is the position in the log up to which it is applied, for other goroutines.
+	position atomic.Uint64
+	orders   orderGuard
+	store    Store
+	state    *agreed.State
+	recent   recentStates
+	broker   *lease.Broker
 
 	subscribers  map[lease.ID]*subscription
 	pushes       pushState
@@ -280,6 +283,8 @@
 	h.announced = make(map[string]announcedEndpoint)
 	h.joinPositions = make(map[string]joinPosition)
 	h.hostWatch = newHostWatch(h.opts.Lease.Duration)
+	h.orders = newOrderGuard(stored.Snapshot.Index)
+	h.position.Store(stored.Snapshot.Index)
 	h.leading, h.confirmed = false, false
 	h.confirming, h.quorumAt = confirmation{}, time.Time{}
 	h.usageLogged = 0
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -16,6 +16,9 @@
 	// Forwarded marks a proposal that a control host has forwarded to the leader.
 	// It is not forwarded again.
 	Forwarded bool `cbor:"2,keyasint,omitempty"`
+	// After is the precondition of an order; see orderGuard. Hosts of earlier builds neither send
+	// nor check it.
+	After *uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // snapshotPush carries the whole agreed state, encoded by agreed.State.Encode and packed: a
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -44,10 +44,15 @@
 // not the leader.
 type proposeEvent struct {
 	command agreed.Command
+	after   *uint64             // precondition of an order, nil for none
 	reply   chan proposalResult // buffered
 }
 
 func (e proposeEvent) handle(h *Host, now time.Time) {
+	if out, err := h.checkOrder(e.command, e.after); err != nil || out.Code != 0 {
+		e.reply <- proposalResult{outcome: out, err: err}
+		return
+	}
 	index, err := h.appendCommand(e.command)
 	if err != nil {
 		e.reply <- proposalResult{err: err}
@@ -75,7 +80,11 @@
 	if err != nil {
 		return 0, err
 	}
-	return h.node.Propose(data)
+	index, err := h.node.Propose(data)
+	if err == nil && c.SetDomain != nil {
+		h.orders.appended(c.SetDomain.Domain, index)
+	}
+	return index, err
 }
 
 // finishProposal answers the proposer of an applied entry. An entry of another
@@ -128,6 +137,17 @@
 // NoQuorum the command may still be accepted later. A command with a value that may not enter the
 // log fails with MalformedMessage.
 func (h *Host) Propose(ctx context.Context, c agreed.Command) (agreed.Outcome, error) {
+	return h.propose(ctx, c, nil)
+}
+
+// ProposeOrder proposes an order as Propose does, if no other order about the same object has
+// entered the log after a position, which is one that Position returned to the sender. Otherwise
+// the outcome has code result.OrderOvertaken, and nothing is changed.
+func (h *Host) ProposeOrder(ctx context.Context, c agreed.Command, after uint64) (agreed.Outcome, error) {
+	return h.propose(ctx, c, &after)
+}
+
+func (h *Host) propose(ctx context.Context, c agreed.Command, after *uint64) (agreed.Outcome, error) {
 	if err := c.Check(); err != nil {
 		return agreed.Outcome{}, err
 	}
@@ -135,11 +155,11 @@
 		info := h.knownLeader.Load()
 		switch {
 		case info.leading:
-			return h.proposeLocal(ctx, c)
+			return h.proposeLocal(ctx, c, after)
 		case info.leader == "" || info.leader == h.opts.Peer.Host():
 			return agreed.Outcome{}, result.New(result.NotLeader, "no leader is known")
 		default:
-			return callProposal(ctx, h.opts.Peer, info.leader, h.controlAddr(info.leader), c, true)
+			return callProposal(ctx, h.opts.Peer, info.leader, h.controlAddr(info.leader), c, after, true)
 		}
 	})
 }
@@ -182,9 +202,9 @@
 }
 
 // proposeLocal proposes a command on this host without forwarding it.
-func (h *Host) proposeLocal(ctx context.Context, c agreed.Command) (agreed.Outcome, error) {
+func (h *Host) proposeLocal(ctx context.Context, c agreed.Command, after *uint64) (agreed.Outcome, error) {
 	reply := make(chan proposalResult, 1)
-	if !h.post(proposeEvent{command: c, reply: reply}) {
+	if !h.post(proposeEvent{command: c, after: after, reply: reply}) {
 		return agreed.Outcome{}, result.New(result.QueueFull, "%v", errQueueFull)
 	}
 	select {
@@ -211,13 +231,13 @@
 
 // callProposal sends a proposal to a control host and waits for the outcome. forwarded is set if
 // the sender is a control host that does not lead.
-func callProposal(ctx context.Context, node *peer.Node, host, addr string, c agreed.Command, forwarded bool) (agreed.Outcome, error) {
+func callProposal(ctx context.Context, node *peer.Node, host, addr string, c agreed.Command, after *uint64, forwarded bool) (agreed.Outcome, error) {
 	var out agreed.Outcome
 	data, err := c.EncodeReadable()
 	if err != nil {
 		return out, err
 	}
-	err = node.Call(ctx, host, addr, peer.KindProposal, proposal{Command: data, Forwarded: forwarded}, &out)
+	err = node.Call(ctx, host, addr, peer.KindProposal, proposal{Command: data, Forwarded: forwarded, After: after}, &out)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = errUnconfirmed()
 	}
@@ -237,7 +257,7 @@
 		if !h.knownLeader.Load().leading {
 			return agreed.Outcome{}, result.New(result.NotLeader, "this host is not the leader")
 		}
-		return h.proposeLocal(ctx, command)
+		return h.proposeLocal(ctx, command, p.After)
 	}
-	return h.Propose(ctx, command)
+	return h.propose(ctx, command, p.After)
 }
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/bounds"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -40,13 +41,35 @@
 	return out.Err()
 }
 
-// SetDomain takes a failure domain out of use or puts it back into use.
-func (r *Registry) SetDomain(ctx context.Context, d note.Domain) error {
-	out, err := r.host.Propose(ctx, agreed.Command{SetDomain: &agreed.SetDomain{Domain: d}})
+// Position returns the position in the log up to which this host has applied it. An order that was
+// sent after the sender learned this position is newer than all orders up to it.
+func (r *Registry) Position() uint64 { return r.host.position.Load() }
+
+// SetDomain takes a failure domain out of use or puts it back into use. after is a position that
+// the sender learned before it sent the order; see Position. If another order about the domain has
+// been accepted since, the order may be read long after its sender has gone: it changes nothing and
+// fails with OrderOvertaken, and overtakenAt is the position of the other one.
+func (r *Registry) SetDomain(ctx context.Context, d note.Domain, after uint64) (overtakenAt uint64, err error) {
+	out, err := r.host.ProposeOrder(ctx, agreed.Command{SetDomain: &agreed.SetDomain{Domain: d}}, after)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return out.Err()
+	return out.Position, out.Err()
+}
+
+// CurrentProcess returns the start time of the present process of an endpoint, and false if this
+// host knows no such endpoint. It fails if the host has no state, or with MalformedMessage if there
+// can be no such endpoint.
+func (r *Registry) CurrentProcess(id string) (startedMS uint64, known bool, err error) {
+	if err := bounds.Name("endpoint", id); err != nil {
+		return 0, false, err
+	}
+	state := r.view.Current().State
+	if state == nil {
+		return 0, false, result.New(result.NoQuorum, "the host has no state yet")
+	}
+	e, known := state.Endpoints[id]
+	return e.StartedMS, known, nil
 }
 
 // Announce proposes an endpoint's announcement. One that changes nothing, or that is
--- a/internal/control/remote.go
+++ b/internal/control/remote.go
@@ -42,6 +42,9 @@
 	})
 	peer.OnCall(node, peer.KindPromote, func(ctx context.Context, _ peer.Identity, r endpointRequest) (struct{}, error) {
 		state, e, err := findEndpoint(source, r.Endpoint)
+		if err == nil {
+			err = checkPromotion(source.Current(), e, r.Fence)
+		}
 		if err != nil {
 			return struct{}{}, err
 		}
@@ -52,6 +55,20 @@
 	})
 }
 
+// checkPromotion returns an error for an order that may have been read long after the leader has
+// gone on. A host whose lease has ended, for example since it was suspended, does not know what has
+// been decided meanwhile; with a lease it knows at least the terms, and refuses an order older than
+// the last change of the group.
+func checkPromotion(v view.View, e agreed.Endpoint, fence uint64) error {
+	if !v.Valid() {
+		return result.New(result.NoConfigLease, "the host may have missed what was decided after the order")
+	}
+	if g := v.State.Groups[e.Service]; g.Changed > fence {
+		return result.New(result.OrderOvertaken, "the group of service %q has changed at %d, after the order of %d", e.Service, g.Changed, fence)
+	}
+	return nil
+}
+
 // findEndpoint returns an endpoint and the state of this host's view.
 func findEndpoint(source view.Source, id string) (*agreed.State, agreed.Endpoint, error) {
 	state := source.Current().State
--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -257,7 +257,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 		defer cancel()
-		out, err := callProposal(ctx, s.opts.Peer, c.Host, c.Addr, command, false)
+		out, err := callProposal(ctx, s.opts.Peer, c.Host, c.Addr, command, nil, false)
 		switch {
 		case err != nil:
 			s.log.Debug("register_failed", "control", c.Host, "err", err.Error())
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -74,6 +74,7 @@
 	StoreCorrupt   Code = 4009
 	StoreVersion   Code = 4010
 	StoreInUse     Code = 4011
+	OrderOvertaken Code = 4012
 
 	PeerFleet       Code = 5001
 	PeerVersion     Code = 5002
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -54,6 +54,7 @@
 	{StoreCorrupt, "store_corrupt", "XX001", true, "The data folder of the control host is damaged or incomplete.", "Move the folder away and restart; the host joins the group anew."},
 	{StoreVersion, "store_version", "58000", true, "The data folder has a format that this program does not read.", "Run the version that wrote it, or start with an empty folder."},
 	{StoreInUse, "store_in_use", "55006", true, "Another process holds the data folder.", "Stop the other process."},
+	{OrderOvertaken, "order_overtaken", "55000", true, "A newer order about the same object was accepted after this one was sent.", "Send the order again if it still holds."},
 	{PeerFleet, "peer_fleet", "08004", true, "The peer belongs to another fleet.", "Check the fleet name in the settings."},
 	{PeerVersion, "peer_version", "08004", true, "The peer speaks another version of the protocol.", "Upgrade the older host."},
 	{PeerIncarnation, "peer_incarnation", "08004", true, "The peer has been replaced by a newer process of the same host.", "Stop the old process."},
