Core: a connection whose commit failed is discarded before its next use

Cause: a failed commit is a rollback, which may revert values that were set in the transaction, but commit left the record of the connection's values as it was.

Change: the record is unknown after a commit that was answered with an error, so that the next use discards the state first. The session keeps its values, which were acknowledged.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -496,3 +497,49 @@
 	f.expect(s, Statement{Kind: Write, Text: "x"}, 0, InTransaction)
 	f.expect(s, Statement{Kind: Commit}, 0, Idle)
 }
+
+// A commit that fails is a rollback, which reverts the values that were set in its transaction. The
+// connection's record was kept, and the connection served sessions whose values seemed to match.
+func TestFailedCommitLeavesNoValuesOnConnection(t *testing.T) {
+	for _, code := range []result.Code{result.StatementFailed, result.EndpointReadOnly} {
+		f := newFixture(t)
+		setter, other := f.open("launch"), f.open("launch")
+		f.expect(other, Statement{Kind: SetValue, Name: "mode", Text: "strict"}, 0, Idle)
+		f.expect(setter, Statement{Kind: Begin}, 0, InTransaction)
+		f.expect(setter, Statement{Kind: SetValue, Name: "mode", Text: "strict"}, 0, InTransaction)
+		f.expect(setter, Statement{Kind: Write, Text: "x"}, 0, InTransaction)
+		f.endpoints.plan(func(string, Command) (Answer, bool, error) {
+			return Answer{Err: result.New(code, "planned"), State: Idle}, true, nil
+		})
+		f.expect(setter, Statement{Kind: Commit}, code, Idle)
+		f.expect(other, Statement{Kind: Read, Text: "x"}, 0, Idle)
+		f.expect(setter, Statement{Kind: Read, Text: "x"}, 0, Idle)
+		f.endpoints.requireValues(t, map[string]string{"mode": "strict"})
+	}
+}
+
+// requireValues replays what the endpoints received, with a commit that was refused, and requires the
+// values with which each read ran on its connection.
+func (e *fakeEndpoints) requireValues(t *testing.T, want map[string]string) {
+	t.Helper()
+	values, before := map[int]map[string]string{}, map[int]map[string]string{}
+	for _, r := range e.received {
+		if values[r.link] == nil {
+			values[r.link] = map[string]string{}
+		}
+		switch r.command.Kind {
+		case SetValue:
+			values[r.link][r.command.Name] = r.command.Text
+		case Discard:
+			clear(values[r.link])
+		case Begin:
+			before[r.link] = maps.Clone(values[r.link])
+		case Commit:
+			values[r.link] = before[r.link]
+		case Read:
+			if !maps.Equal(values[r.link], want) {
+				t.Errorf("a read ran with the values %v, want %v", values[r.link], want)
+			}
+		}
+	}
+}
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -245,10 +245,14 @@
 		return s.lostCommitReply(tx, sent, err)
 	}
 	s.tx = nil
-	tx.checkout.release(a.State == Idle)
 	if a.Err != nil {
+		// The endpoint has rolled back, which may revert session values that were set in the
+		// transaction. Those of the session remain: it had them acknowledged.
+		tx.checkout.conn.stateUnknown = true
+		tx.checkout.release(a.State == Idle)
 		return refuse(a.Err)
 	}
+	tx.checkout.release(a.State == Idle)
 	if tx.wrote {
 		s.recordCommit(tx.checkout.term, a.Position)
 	}
