Entry: settings that a savepoint has undone are not recorded

Cause: the SET statements of a transaction were recorded for the session and for the connection when it committed, also those after the savepoint of a ROLLBACK TO. The stand-in kept them as well.

Change: the pending settings know the open savepoints, and drop what a rollback undoes. A connection on which settings were undone is reset before its next use. The stand-in undoes settings with a savepoint.

--- a/internal/entry/extended_test.go
+++ b/internal/entry/extended_test.go
@@ -245,6 +245,42 @@
 	}
 }
 
+// A setting that the endpoint had undone with a savepoint was recorded for the session and for the
+// connection, which then served sessions that had the same setting without it.
+func TestSettingsOfSavepointAreUndone(t *testing.T) {
+	f := newFixture(t, fixtureConfig{connections: 1})
+	setter, other := f.connect(""), f.connect("")
+	show := func(conn *pgx.Conn) string {
+		var value string
+		if err := conn.QueryRow(testContext(t), "show statement_timeout").Scan(&value); err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+	mustExec(t, other, "set statement_timeout = '4321'")
+	for _, c := range []struct {
+		statements []string
+		want       string
+	}{
+		{[]string{"savepoint a", "set statement_timeout = '4321'", "rollback to savepoint A"}, "0"},
+		{[]string{"savepoint a", "set statement_timeout = '4321'", "savepoint b", "set statement_timeout = '1'", "rollback to a", "release a"}, "0"},
+		{[]string{"set statement_timeout = '4321'", "savepoint a", "set statement_timeout = '1'", "rollback work to a"}, "4321"},
+		{[]string{"savepoint a", "set statement_timeout = '5'", "release savepoint a"}, "5"},
+	} {
+		mustExec(t, setter, "begin")
+		for _, sql := range c.statements {
+			mustExec(t, setter, sql)
+		}
+		mustExec(t, setter, "commit")
+		if got := show(other); got != "4321" {
+			t.Errorf("%v: another session's setting is %q, want 4321", c.statements, got)
+		}
+		if got := show(setter); got != c.want {
+			t.Errorf("%v: the setting is %q, want %q", c.statements, got, c.want)
+		}
+	}
+}
+
 func TestUnsupportedFeaturesRefused(t *testing.T) {
 	f := newFixture(t, fixtureConfig{})
 	conn := f.connect("")
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -328,25 +328,34 @@
 // recordSettings records SET statements in the session once their transaction has committed.
 func (r *relay) recordSettings(status byte) {
 	s := r.s
-	if r.class.kind == kindSet && !r.failed {
-		s.pendingSet = append(s.pendingSet, r.u.settingTexts()...)
+	if !r.failed {
+		for _, text := range r.u.statementTexts() {
+			s.pendingSet.apply(text, r.class.kind == kindSet)
+		}
 	}
-	if status != txIdle || len(s.pendingSet) == 0 {
+	if status != txIdle {
 		return
 	}
 	pending := s.pendingSet
-	s.pendingSet = nil
+	s.pendingSet = pendingSettings{}
+	if len(pending.statements) == 0 && !pending.undone {
+		return
+	}
+	if string(r.tag) == "ROLLBACK" || r.failed || pending.undone {
+		// The endpoint undoes settings with the transaction or to a savepoint.
+		r.co.conn.Session.Dirty = true
+	}
 	if string(r.tag) == "ROLLBACK" || r.failed {
 		return
 	}
-	for _, text := range pending {
+	for _, text := range pending.statements {
 		s.settings.record(text)
 	}
 	r.co.conn.Session.Settings = s.script()
 }
 
-// settingTexts returns the SET and RESET statements of the unit.
-func (u *unit) settingTexts() []string {
+// statementTexts returns the statements of the unit.
+func (u *unit) statementTexts() []string {
 	if u.simple {
 		return []string{u.text}
 	}
--- a/internal/entry/request_id.go
+++ b/internal/entry/request_id.go
@@ -149,7 +149,7 @@
 	co := s.checkout
 	beginSQL := "BEGIN"
 	if uc.kind == kindBegin {
-		beginSQL = u.settingTexts()[0]
+		beginSQL = u.statementTexts()[0]
 	}
 	timing.sent = time.Now()
 	switch err := m.begin(ctx, co, beginSQL); {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -38,7 +38,7 @@
 	settings     settings
 	// pendingSet holds the SET statements of the transaction in progress, which take effect
 	// when it commits.
-	pendingSet []string
+	pendingSet pendingSettings
 	// statements holds the prepared statements by the caller's names.
 	statements map[string]*statement
 
@@ -250,7 +250,7 @@
 func (s *session) discardConnection() {
 	co := s.checkout
 	s.checkout = nil
-	s.pendingSet = nil
+	s.pendingSet = pendingSettings{}
 	s.release(co, false)
 }
 
--- a/internal/standin/tx.go
+++ b/internal/standin/tx.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"github.com/galenabridge/galenabridge/internal/standin/sqltext"
 )
@@ -44,6 +45,9 @@
 	name string
 	// changeCount is the number of changes of the transaction before the savepoint.
 	changeCount int
+	// settings and commitSettings are the session's settings and those of txState before the
+	// savepoint.
+	settings, commitSettings map[string]string
 }
 
 // status returns the transaction status of ReadyForQuery.
@@ -226,7 +230,9 @@
 			return err
 		}
 	}
-	s.tx.savepoints = append(s.tx.savepoints, savepoint{name: name, changeCount: len(s.tx.changes)})
+	s.tx.savepoints = append(s.tx.savepoints, savepoint{
+		name: name, changeCount: len(s.tx.changes), settings: maps.Clone(s.settings), commitSettings: maps.Clone(s.tx.commitSettings),
+	})
 	return nil
 }
 
@@ -252,6 +258,8 @@
 	if rollback {
 		s.tx.changes = s.tx.changes[:s.tx.savepoints[i].changeCount]
 		s.tx.failed = false
+		s.settings = maps.Clone(s.tx.savepoints[i].settings)
+		s.tx.commitSettings = maps.Clone(s.tx.savepoints[i].commitSettings)
 		s.eng.invalidateColumns()
 	}
 	s.tx.savepoints = s.tx.savepoints[:remaining]
