Route: the model of reads has no ties of time

Cause: TestPickedEndpointQualifies failed each time. Trace: the primary's position was queried and a write made in the same instant of the model's clock, and a read with a bound of 636 ms came exactly 636 ms later: the replica's freshness and the write were both 636 ms old. The bound concerns what is older ("acknowledged more than max_staleness_ms before", rules, STALE), so the choice was right, and the check counted a write that is exactly as old as the bound.

Change: the model's time advances by a nanosecond more at each step, so that a query and a write never share an instant. The check itself is unchanged.

--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -220,7 +220,9 @@
 }
 
 func (w *groupModel) step() {
-	w.now = w.now.Add(time.Duration(w.rnd.IntN(100)) * time.Millisecond)
+	// Time always advances: a write in the instant of a query, after it, is exactly as old as the
+	// bound when the query's result is, and a read need hold only what is older.
+	w.now = w.now.Add(time.Duration(w.rnd.IntN(100))*time.Millisecond + time.Nanosecond)
 	switch w.rnd.IntN(8) {
 	case 0, 1:
 		w.lsn["p"] += uint64(w.rnd.IntN(50))
