Core: a host runs nothing under an older document than one it has seen

Cause: a host that follows a suspended control host keeps the older document, forwards some statements to hosts that have the newer one, and runs others itself. The answers to forwarded statements did not tell under which document they ran.

Change: requests and answers between hosts carry the number of the newest known document. What would run, or be refused, under an older one waits for at most 0.4 s and is then refused as not run; home hosts without it decline. A host that learns that it is behind asks its control host at once and turns to another one if it does not answer within 0.15 s.

--- a/internal/control/subscriber.go
+++ b/internal/control/subscriber.go
@@ -84,8 +84,10 @@
 	lastGrant    time.Time
 	lastRenew    time.Time
 	registration registration
-	refusals     refusalPacing
-	leaving      bool
+	// checkingSince is when the upstream was asked whether it answers, zero if it is not.
+	checkingSince time.Time
+	refusals      refusalPacing
+	leaving       bool
 	// leased is whether the view was valid at the last check; changes are logged.
 	leased bool
 }
@@ -186,6 +188,7 @@
 		s.switchUpstream(now, s.nextUpstream())
 		s.log.Info("control_host_silent", "next", s.upstream().Host)
 	}
+	s.endUpstreamCheck(now)
 	if now.Sub(s.lastRenew) >= renewInterval {
 		s.renew(now)
 	}
--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -64,6 +64,13 @@
 	if err := s.awaitLease(a.deadline); err != nil {
 		return nil, withRetryAfter(err)
 	}
+	if s.srv.isBehind(s.srv.opts.View.Current()) {
+		route, err := s.awaitDocument(a.deadline)
+		if err != nil {
+			return nil, withRetryAfter(err)
+		}
+		a.route = route
+	}
 	op := &operation{session: s, st: st, route: a.route, writes: writes, deadline: a.deadline}
 	ctx, cancel := context.WithTimeout(s.srv.answering, min(rateWait(a.route), time.Until(a.deadline)))
 	defer cancel()
--- a/internal/core/forward.go
+++ b/internal/core/forward.go
@@ -122,6 +122,7 @@
 	if v := s.srv.opts.View.Current(); v.State != nil {
 		r.Revision = v.State.Revision
 	}
+	r.Document = s.srv.knownDocument()
 	if st.Kind == Execute {
 		p := s.prepared[st.Name]
 		r.Prepared = &PreparedStatement{Text: p.text, Writes: p.writes}
@@ -154,6 +155,7 @@
 // acceptResponse takes over what another host reported about the session, and returns the
 // reply for the caller. Rows for which there is no memory are dropped.
 func (s *Session) acceptResponse(host string, r RemoteResponse, writes bool) Reply {
+	s.srv.observeDocument(r.Document)
 	s.lastCommit, s.lastCommitTerm = r.LastCommit, r.LastCommitTerm
 	s.timings.add(host, r.Timings)
 	size := int64(0)
--- a/internal/core/forward_test.go
+++ b/internal/core/forward_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,6 +83,13 @@
 	f.script = deliveries
 }
 
+// setRoute sets the hosts that should run the next statements.
+func (f *fakeForwarder) setRoute(hosts ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.route = hosts
+}
+
 // takeAsked returns the hosts that got a request since the last call.
 func (f *fakeForwarder) takeAsked() []string {
 	f.mu.Lock()
@@ -563,3 +571,57 @@
 	}
 	return n
 }
+
+// A host that had forwarded a statement to a host with a newer document went on to run others under
+// its older one. They wait for the newer one, or are refused, which promises that nothing ran.
+func TestStatementRunsUnderNoOlderDocumentThanSeen(t *testing.T) {
+	f := newForwardFixture(t)
+	var told atomic.Int32
+	f.server.opts.Behind = func() { told.Add(1) }
+	s := f.open("launch")
+	older := f.view.Current()
+	f.state.Catalog.Stamp.Number++
+	f.publish(time.Hour)
+	newer := f.view.Current()
+	f.view.Publish(older)
+
+	f.expect(s, Statement{Kind: Read, Text: "x"}, 0, Idle) // at home1, which has the newer document
+	if told.Load() == 0 {
+		t.Error("nobody was told that the host lacks a document")
+	}
+	f.forwarder.setRoute()
+	f.expect(s, Statement{Kind: Read, Text: "x"}, result.NoConfigLease, Idle)
+	f.expect(s, Statement{Kind: Begin}, result.NoConfigLease, Idle)
+	ran := f.endpoints.count(Read)
+
+	f.forwarder.setRoute("home1")
+	f.expect(s, Statement{Kind: Read, Text: "x"}, 0, Idle) // a host with the newer document still takes it
+	if got := f.endpoints.count(Read); got != ran+1 {
+		t.Errorf("%d reads ran, want %d", got, ran+1)
+	}
+	f.forwarder.setRoute()
+	go f.view.Publish(newer)
+	f.expect(s, Statement{Kind: Read, Text: "x"}, 0, Idle)
+}
+
+// A home host declines a statement whose sender knows a newer document, and a session is not refused
+// by a document that is known to be out of date.
+func TestOlderDocumentDecidesNothing(t *testing.T) {
+	f := newForwardFixture(t)
+	response := f.home1.RunRemote(Origin{Host: "h", Incarnation: 1}, RemoteRequest{
+		Database: "launch", Key: "k", Statement: Statement{Kind: Read, ID: "id", Text: "x"}, Remaining: time.Second,
+		Document: f.state.Catalog.Stamp.Number + 1,
+	})
+	if !response.Declined {
+		t.Fatalf("response %+v, want a refusal to run", response)
+	}
+	f.server.observeDocument(f.state.Catalog.Stamp.Number + 1)
+	f.state.Catalog.Stamp.Number++
+	f.state.Catalog.Keys["added"] = note.Key{ID: "added", Workspace: "crew"}
+	go f.publish(time.Hour)
+	s, err := f.server.Open("launch", "added", fakeCaller{})
+	if err != nil {
+		t.Fatalf("a session with a key of the newer document: %v", err)
+	}
+	s.Close()
+}
--- a/internal/core/remote.go
+++ b/internal/core/remote.go
@@ -21,7 +21,10 @@
 	Session uint64
 	// Revision is the revision under which the sender admitted the caller. The statement
 	// does not run under an earlier one.
-	Revision  uint64
+	Revision uint64
+	// Document is the highest number of a document that the sender knows to be in force. The
+	// statement does not run under a lower one. Hosts of earlier builds send zero.
+	Document  uint64
 	Database  string
 	Key       string
 	Statement Statement
@@ -60,6 +63,8 @@
 	LastCommit     Position
 	LastCommitTerm uint64
 	Timings        RemoteTimings
+	// Document is the number of the document under which the statement ran, or a higher one.
+	Document uint64
 }
 
 // RemoteTimings tells where the time of a forwarded statement went.
@@ -126,7 +131,8 @@
 		}
 		return session.runRemote(key, r)
 	}
-	if !s.awaitRevision(r.Revision, min(r.Remaining, revisionWait(s.opts.View.Current()))) {
+	s.observeDocument(r.Document)
+	if !s.awaitRevision(r.Revision, s.newestDocument.Load(), min(r.Remaining, revisionWait(s.opts.View.Current()))) {
 		return RemoteResponse{Declined: true, Unavailable: true}
 	}
 	session := &Session{
@@ -172,13 +178,13 @@
 	return maxRevisionWait
 }
 
-// awaitRevision waits until the host may act on a revision, for at most the timeout.
-func (s *Server) awaitRevision(revision uint64, timeout time.Duration) bool {
+// awaitRevision waits until the host may act on a revision and a document, for at most the timeout.
+func (s *Server) awaitRevision(revision, document uint64, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	for {
 		changed := s.opts.View.Changed()
-		if v := s.opts.View.Current(); v.Valid() && v.State.Revision >= revision {
+		if v := s.opts.View.Current(); v.Valid() && v.State.Revision >= revision && documentNumber(v) >= document {
 			return true
 		}
 		if pause(ctx, changed) != nil {
@@ -212,6 +218,7 @@
 	if r.Prepared != nil {
 		s.prepared[r.Statement.Name] = preparedStatement{text: r.Prepared.Text, writes: r.Prepared.Writes}
 	}
+	document := s.srv.knownDocument()
 	reply := s.serveRemote(r)
 	s.abortIfStopping()
 	s.lastReplyAt = clock.Now()
@@ -220,7 +227,7 @@
 	}
 	return RemoteResponse{
 		Rows: reply.Rows, Signature: reply.Signature, Err: reply.Err, State: s.state,
-		LastCommit: s.lastCommit, LastCommitTerm: s.lastCommitTerm, Timings: s.timings.remote(),
+		LastCommit: s.lastCommit, LastCommitTerm: s.lastCommitTerm, Timings: s.timings.remote(), Document: document,
 	}
 }
 
--- a/internal/core/server.go
+++ b/internal/core/server.go
@@ -58,6 +58,9 @@
 	Connections func(service, endpoint string) int
 	// Observe receives evidence about the health of endpoints. It must not block.
 	Observe func(Evidence)
+	// Behind is called when other hosts act on a newer document than this one has. It must not
+	// block; nil means that nobody is told.
+	Behind func()
 	// Forwarder runs statements at other hosts; nil means that all run on this one.
 	Forwarder Forwarder
 	// Meter is told of the statements that are sent to endpoints; nil means that none are counted.
@@ -97,8 +100,10 @@
 	witnessed map[string]bool
 
 	lastSessionID atomic.Uint64
-	draining      atomic.Bool
-	refusing      atomic.Bool // set with mu held
+	// newestDocument is the highest number of a document that another host has acted on.
+	newestDocument atomic.Uint64
+	draining       atomic.Bool
+	refusing       atomic.Bool // set with mu held
 	// aborting: no transaction goes on beyond its statement in progress.
 	aborting atomic.Bool
 	// answerBy is when all callers must have been answered, set once a shutdown has begun.
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -116,7 +116,7 @@
 		changed := s.srv.opts.View.Changed()
 		v := s.srv.opts.View.Current()
 		_, err := s.authorize(v)
-		if err == nil || v.Valid() {
+		if err == nil || v.Valid() && !s.srv.isBehind(v) {
 			return err
 		}
 		if lostLongAgo(v) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -187,7 +187,7 @@
 	d.forwarder = forward.New(d.peers, d.view, d.log, d.registry)
 	d.core = core.NewServer(core.Options{
 		View: d.view, Host: d.opts.Settings.Host, Domain: d.opts.Settings.Domain, Dialer: d.opts.Dialer, Limiter: d.holder,
-		Connections: d.holder.Connections, Observe: d.reportEvidence, Forwarder: d.forwarder, Meter: d.buildMeter(), Traffic: d.opts.Traffic, Budget: d.budget,
+		Connections: d.holder.Connections, Observe: d.reportEvidence, Behind: d.subscriber.CheckUpstream, Forwarder: d.forwarder, Meter: d.buildMeter(), Traffic: d.opts.Traffic, Budget: d.budget,
 		CrossingMSPerKB: d.opts.CrossingMSPerKB, Log: d.log, Registerer: d.registry,
 	})
 	d.holder.SetPool(d.core)
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -29,6 +29,7 @@
 	MayDecline     bool                                `cbor:"14,keyasint,omitempty"`
 	LastCommit     position                            `cbor:"15,keyasint,omitzero"`
 	LastCommitTerm uint64                              `cbor:"16,keyasint,omitempty"`
+	Document       uint64                              `cbor:"17,keyasint,omitempty"`
 }
 
 type preparedStatement struct {
@@ -60,6 +61,7 @@
 	EndpointMS   uint32          `cbor:"13,keyasint,omitempty"`
 	Attempts     int             `cbor:"14,keyasint,omitempty"`
 	Endpoint     cbor.ByteString `cbor:"15,keyasint,omitempty"`
+	Document     uint64          `cbor:"17,keyasint,omitempty"`
 }
 
 // transactionEnd asks a host to roll back the transaction of a session.
@@ -80,7 +82,7 @@
 		ID: cbor.ByteString(r.Statement.ID), Kind: int(r.Statement.Kind), Name: cbor.ByteString(r.Statement.Name),
 		Text: cbor.ByteString(r.Statement.Text), Writes: r.Statement.Writes, RemainingMS: milliseconds(r.Remaining),
 		InTransaction: r.InTransaction, MayDecline: r.MayDecline,
-		LastCommit: position(r.LastCommit), LastCommitTerm: r.LastCommitTerm,
+		LastCommit: position(r.LastCommit), LastCommitTerm: r.LastCommitTerm, Document: r.Document,
 	}
 	if len(r.Values) > 0 {
 		out.Values = make(map[cbor.ByteString]cbor.ByteString, len(r.Values))
@@ -99,7 +101,7 @@
 		Session: r.Session, Revision: r.Revision, Database: string(r.Database), Key: r.Key,
 		Statement: core.Statement{ID: string(r.ID), Kind: core.Kind(r.Kind), Name: string(r.Name), Text: string(r.Text), Writes: r.Writes},
 		Remaining: duration(r.RemainingMS), InTransaction: r.InTransaction, MayDecline: r.MayDecline,
-		LastCommit: core.Position(r.LastCommit), LastCommitTerm: r.LastCommitTerm,
+		LastCommit: core.Position(r.LastCommit), LastCommitTerm: r.LastCommitTerm, Document: r.Document,
 	}
 	if len(r.Values) > 0 {
 		out.Values = make(map[string]string, len(r.Values))
@@ -116,7 +118,7 @@
 func encodeResponse(r core.RemoteResponse) statementResponse {
 	out := statementResponse{
 		Declined: r.Declined, Unavailable: r.Unavailable, Signature: cbor.ByteString(r.Signature), State: int(r.State),
-		LastCommit: position(r.LastCommit), LastCommitTerm: r.LastCommitTerm,
+		LastCommit: position(r.LastCommit), LastCommitTerm: r.LastCommitTerm, Document: r.Document,
 		RateMS: milliseconds(r.Timings.Rate), SlotMS: milliseconds(r.Timings.Slot),
 		ConnectionMS: milliseconds(r.Timings.Connection), EndpointMS: milliseconds(r.Timings.Endpoint),
 		Attempts: r.Timings.Attempts, Endpoint: cbor.ByteString(r.Timings.EndpointID),
@@ -133,7 +135,7 @@
 func decodeResponse(r statementResponse) core.RemoteResponse {
 	out := core.RemoteResponse{
 		Declined: r.Declined, Unavailable: r.Unavailable, Signature: string(r.Signature), State: core.State(r.State),
-		LastCommit: core.Position(r.LastCommit), LastCommitTerm: r.LastCommitTerm,
+		LastCommit: core.Position(r.LastCommit), LastCommitTerm: r.LastCommitTerm, Document: r.Document,
 		Timings: core.RemoteTimings{
 			Rate: duration(r.RateMS), Slot: duration(r.SlotMS), Connection: duration(r.ConnectionMS), Endpoint: duration(r.EndpointMS),
 			Attempts: r.Attempts, EndpointID: string(r.Endpoint),
