Consensus: tolerate no more losses than the control hosts can bear

Cause: by its log the leader was a host that had been added with settings that name three losses, where five control hosts run (the case counts those that have left as well). Seven voters then seemed to be needed: two that had left stayed voters of seven, and two lost disks ended the control plane.

Change: the losses of the settings count at most as far as the registered control hosts can bear them ((n-1)/2), but two always. A stopping host removes its registration, one that is down keeps it, so that a group that does need seven voters keeps them.

Measured: TestMoreLossesThanHostsCanBearKeepNoSilentVoter and TestMembershipInCalmAfterAnyOrder, whose added hosts may now have such settings, fail without the change and pass with it; TestLargerGroupKeepsTheVotersThatItNeeds holds.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -193,6 +193,9 @@
 	if p.node == nil {
 		return
 	}
+	if c.openMembership {
+		p.node.SetControlHosts(len(c.hosts))
+	}
 	p.node.Tick()
 	c.processReady(p)
 	c.proposeNextChange(p)
--- a/internal/consensus/membership_orders_test.go
+++ b/internal/consensus/membership_orders_test.go
@@ -215,6 +215,44 @@
 	}
 }
 
+// A host whose settings name more losses than the fleet's hosts can bear led the group, and kept voters
+// that had left (review/7, where a host that is added counts those that have left as well).
+func TestMoreLossesThanHostsCanBearKeepNoSilentVoter(t *testing.T) {
+	for _, tolerated := range []int{3, 10} {
+		c := newOpenCluster(t, uint64(tolerated), "d", "e")
+		c.runUntil("five voters", c.allHostsVote)
+		for _, h := range c.hosts {
+			c.procs[h].cfg.ToleratedLosses = tolerated
+			c.start(h)
+		}
+		c.joinHost("f", []string{"a", "b", "c"})
+		c.rounds(catchUpTicks)
+		c.removeHost("a")
+		c.rounds(calmTicks)
+		if !c.allHostsVote() {
+			t.Fatalf("tolerated %d: members %+v, hosts %v", tolerated, c.leader().node.members, c.hosts)
+		}
+		c.requireTwoLossesTolerated()
+		c.requireNoViolation()
+	}
+}
+
+// A group of seven hosts that must bear three losses keeps seven voters.
+func TestLargerGroupKeepsTheVotersThatItNeeds(t *testing.T) {
+	c := newOpenCluster(t, 34, "d", "e", "f", "g")
+	for _, h := range c.hosts {
+		c.procs[h].cfg.ToleratedLosses = 3
+		c.start(h)
+	}
+	c.runUntil("seven voters", c.allHostsVote)
+	c.stop("f")
+	c.stop("g")
+	c.rounds(5 * replaceAfterTicks)
+	if n := c.leader().node.voterCount(); n != 7 {
+		t.Fatalf("%d voters, want 7", n)
+	}
+}
+
 // A voter that was replaced while it was down asked for votes and was rejected without a word: the
 // leader that had joined meanwhile and the returned voter did not know each other.
 func TestVoterReplacedWhileDownRejoinsUnderUnknownLeader(t *testing.T) {
--- a/internal/consensus/membership_schedule_test.go
+++ b/internal/consensus/membership_schedule_test.go
@@ -81,6 +81,8 @@
 	s.next++
 	host := fmt.Sprintf("n%02d", s.next)
 	s.joinHost(host, s.seeds())
+	s.procs[host].cfg.ToleratedLosses = maxLost + s.rng.IntN(2) // one more than the hosts can bear
+	s.start(host)
 	s.lostUntil[host] = s.now + catchUpTicks
 	return host
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -33,11 +33,12 @@
 	votes            map[uint64]bool
 	transferElection bool // the campaign is part of a leadership transfer
 
-	leaderState *leaderState      // set while leader
-	incoming    *incomingSnapshot // snapshot being received
-	bootstrap   bootstrapState
-	departure   departure
-	peerRecords map[uint64]PeerRecord // by disk identity
+	leaderState  *leaderState      // set while leader
+	incoming     *incomingSnapshot // snapshot being received
+	controlHosts int               // of the fleet, zero if unknown
+	bootstrap    bootstrapState
+	departure    departure
+	peerRecords  map[uint64]PeerRecord // by disk identity
 	// peerBootUnsaved is set while a newer start count of a peer is not synced.
 	peerBootUnsaved bool
 
--- a/internal/consensus/open_membership.go
+++ b/internal/consensus/open_membership.go
@@ -62,7 +62,18 @@
 // minVoters is the number of voters below which the group is not shrunk: with fewer, the loss of
 // ToleratedLosses data folders may lose a committed entry. A voter that is down keeps its place
 // there, since it returns with what it has stored.
-func (n *Node) minVoters() int { return 2*n.cfg.ToleratedLosses + 1 }
+func (n *Node) minVoters() int {
+	tolerated := n.cfg.ToleratedLosses
+	if n.controlHosts > 0 {
+		tolerated = min(tolerated, max(DefaultToleratedLosses, (n.controlHosts-1)/2))
+	}
+	return 2*tolerated + 1
+}
+
+// SetControlHosts sets the number of control hosts that the fleet has, zero if it is unknown. The
+// settings of a host may name more losses than so many hosts can bear; waiting for voters that the
+// fleet does not have would keep those that have left.
+func (n *Node) SetControlHosts(count int) { n.controlHosts = count }
 
 // nextOpenPromotion promotes a caught-up learner, after the removal of the voter that
 // it replaces. The former data folder of a host is lost once the host has another, but
--- a/internal/control/departure.go
+++ b/internal/control/departure.go
@@ -4,9 +4,22 @@
 	"context"
 	"time"
 
+	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
+// controlHosts returns the number of registered control hosts. One that stops for good removes its
+// registration, one that is down keeps it.
+func controlHosts(s *agreed.State) int {
+	count := 0
+	for _, h := range s.Hosts {
+		if h.Control {
+			count++
+		}
+	}
+	return count
+}
+
 // leaveGroupEvent announces to the leader that the process is about to stop.
 type leaveGroupEvent struct {
 	done chan struct{}
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -232,6 +232,7 @@
 	}
 	if hostsChanged {
 		h.registered = registeredProcesses(s)
+		h.node.SetControlHosts(controlHosts(s))
 		for _, id := range h.registered {
 			h.broker.Supersede(id)
 		}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -275,6 +275,7 @@
 	h.recent = recentStates{}
 	h.recent.add(state)
 	h.registered = registeredProcesses(state)
+	h.node.SetControlHosts(controlHosts(state))
 	h.broker.AbortRound()
 	h.subscribers = make(map[lease.ID]*subscription)
 	h.pushes = pushState{}
