--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -33,7 +33,7 @@
 // election timeout, so that an election alone makes none ask to join.
 func (n *Node) isOutsideGroup() bool {
 	if n.isVoter() {
-		return n.role != Leader && n.ticks-n.leaderContact >= uint64(2*n.cfg.ElectionTicks)
+		return n.leaderIsSilent()
 	}
 	return len(n.members) == 0 || n.electionElapsed >= n.electionTimeout
 }
@@ -125,12 +125,17 @@
 // liveLeader returns the host of the leader, empty if none was heard for the longest election
 // timeout. A host outside the group may remember a leader that is gone.
 func (n *Node) liveLeader() string {
-	if n.role != Leader && n.ticks-n.leaderContact >= uint64(2*n.cfg.ElectionTicks) {
+	if n.leaderIsSilent() {
 		return ""
 	}
 	return n.leader.Host
 }
 
+// leaderIsSilent reports whether no leader was heard for the longest election timeout.
+func (n *Node) leaderIsSilent() bool {
+	return n.role != Leader && n.ticks-n.leaderContact >= uint64(2*n.cfg.ElectionTicks)
+}
+
 // handleJoinResponse records the leader that a peer knows. A peer that knows none may be outside
 // the group itself, and does not replace what another one has reported.
 func (n *Node) handleJoinResponse(m *Message) {
--- a/internal/consensus/membership_orders_test.go
+++ b/internal/consensus/membership_orders_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 )
@@ -72,6 +73,18 @@
 	}
 }
 
+// requireRecoveredInCalm requires that after some calm the voters are the hosts that run, and that two
+// losses are then tolerated.
+func (c *cluster) requireRecoveredInCalm(play string) {
+	c.t.Helper()
+	c.rounds(calmTicks)
+	if !c.allHostsVote() {
+		c.t.Fatalf("%s: members %+v, hosts %v", play, c.leader().node.members, c.hosts)
+	}
+	c.requireTwoLossesTolerated()
+	c.requireNoViolation()
+}
+
 // Two planned replacements that overlap left seven voters, two of them gone for good: of an odd
 // number no silent voter was removed, and the loss of two more disks ended the group.
 func TestOverlappingReplacementsLeaveNoSilentVoter(t *testing.T) {
@@ -86,12 +99,7 @@
 			c.leave("a")
 			c.rounds(gap)
 			c.leave("b")
-			c.rounds(calmTicks)
-			if !c.allHostsVote() {
-				t.Fatalf("gap %d, seed %d: members %+v, hosts %v", gap, seed, c.leader().node.members, c.hosts)
-			}
-			c.requireTwoLossesTolerated()
-			c.requireNoViolation()
+			c.requireRecoveredInCalm(fmt.Sprintf("gap %d, seed %d", gap, seed))
 		}
 	}
 }
@@ -106,12 +114,7 @@
 		c.rounds(delay)
 		c.joinHost("f", []string{"a", "b", "c"})
 		c.joinHost("g", []string{"a", "b", "c"})
-		c.rounds(calmTicks)
-		if !c.allHostsVote() {
-			t.Fatalf("delay %d: members %+v, hosts %v", delay, c.leader().node.members, c.hosts)
-		}
-		c.requireTwoLossesTolerated()
-		c.requireNoViolation()
+		c.requireRecoveredInCalm(fmt.Sprintf("delay %d", delay))
 	}
 }
 
@@ -228,12 +231,7 @@
 		c.joinHost("f", []string{"a", "b", "c"})
 		c.rounds(catchUpTicks)
 		c.removeHost("a")
-		c.rounds(calmTicks)
-		if !c.allHostsVote() {
-			t.Fatalf("tolerated %d: members %+v, hosts %v", tolerated, c.leader().node.members, c.hosts)
-		}
-		c.requireTwoLossesTolerated()
-		c.requireNoViolation()
+		c.requireRecoveredInCalm(fmt.Sprintf("tolerated %d", tolerated))
 	}
 }
 
@@ -277,12 +275,7 @@
 		}
 		c.leave(former)
 		c.start(down)
-		c.rounds(calmTicks)
-		if !c.allHostsVote() {
-			t.Fatalf("seed %d: members %+v, hosts %v", seed, c.leader().node.members, c.hosts)
-		}
-		c.requireTwoLossesTolerated()
-		c.requireNoViolation()
+		c.requireRecoveredInCalm(fmt.Sprintf("seed %d", seed))
 	}
 }
 
