--- a/review/third/fleet.go
+++ b/review/third/fleet.go
@@ -68,6 +68,21 @@
 
 // startFleet starts the stand-ins and all processes.
 func startFleet(rec *record, controls, entries int, services ...string) (*fleet, error) {
+	f, err := newFleet(rec, controls, entries, services...)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range append(f.controls, f.entries...) {
+		if err := f.start(m); err != nil {
+			return f, err
+		}
+	}
+	f.heartbeats()
+	return f, nil
+}
+
+// newFleet starts the stand-ins.
+func newFleet(rec *record, controls, entries int, services ...string) (*fleet, error) {
 	f := &fleet{rec: rec, stop: make(chan struct{}), block: 20 + os.Getpid()%200}
 	for _, service := range services {
 		g, err := platformtest.NewGroup(service, domains...)
@@ -94,12 +109,6 @@
 	for i := range entries {
 		f.entries = append(f.entries, f.newMachine(fmt.Sprintf("127.%d.2.%d", f.block, i+1), i, false))
 	}
-	for _, m := range append(f.controls, f.entries...) {
-		if err := f.start(m); err != nil {
-			return f, err
-		}
-	}
-	f.heartbeats()
 	return f, nil
 }
 
@@ -254,6 +263,14 @@
 			e := g.Endpoint(i + 1)
 			f.tasks.Go(func() {
 				for seq := 1; ; seq++ {
+					if e.IsDown() { // one that has crashed sends nothing
+						select {
+						case <-f.stop:
+							return
+						case <-time.After(100 * time.Millisecond):
+						}
+						continue
+					}
 					role := "replica"
 					if g.Primary() == e {
 						role = "primary"
