--- a/review/third/firstack.go
+++ b/review/third/firstack.go
@@ -42,6 +42,9 @@
 	if !accepted {
 		return couldNot
 	}
+	if delay, err := time.ParseDuration(os.Getenv("DELAY")); err == nil {
+		time.Sleep(delay) // to find out how long the fault lasts; the case leaves it out
+	}
 	if trouble {
 		var killed sync.WaitGroup
 		for _, m := range f.controls[:2] {
