--- a/review/third/fleet.go
+++ b/review/third/fleet.go
@@ -84,6 +84,12 @@
 // newFleet starts the stand-ins.
 func newFleet(rec *record, controls, entries int, services ...string) (*fleet, error) {
 	f := &fleet{rec: rec, stop: make(chan struct{}), block: 20 + os.Getpid()%200}
+	for range 200 { // the port of the metrics is the same on all machines
+		if platformtest.IsPortFree(fmt.Sprintf("127.%d.1.1:9102", f.block)) && platformtest.IsPortFree(fmt.Sprintf("127.%d.2.1:9102", f.block)) {
+			break
+		}
+		f.block = 20 + (f.block-19)%200
+	}
 	for _, service := range services {
 		g, err := platformtest.NewGroup(service, domains...)
 		if err != nil {
