Core: keep each position with the log that it belongs to

Cause: a session kept the position and the term of its last commit without the service. After a move of its route to another service and back, the number of the other log was required of the replicas. Samples of a primary were kept by service and term, which begin again when a withdrawn service returns. Change: core.Log (service, life, term) and core.LogPosition, which is read only for its log; a session keeps its last commit in each service; agreed groups have a life; the forwarding protocol tells service, life and age beside the fields of earlier builds.

--- a/internal/agreed/apply_catalog.go
+++ b/internal/agreed/apply_catalog.go
@@ -67,10 +67,10 @@
 }
 
 // ForSubscriber returns the state as sent to subscribers: without the source of the
-// document and the usage reports, which only control hosts need.
+// document, the usage reports and the last withdrawal, which only control hosts need.
 func (s *State) ForSubscriber() *State {
 	next := copyOf(s)
 	next.Document.Source = nil
-	next.Usage = Usage{}
+	next.Usage, next.ServiceWithdrawn = Usage{}, 0
 	return next
 }
--- a/internal/agreed/apply_note.go
+++ b/internal/agreed/apply_note.go
@@ -77,14 +77,18 @@
 	groups := maps.Clone(s.Groups)
 	for name := range s.Catalog.Services {
 		if _, ok := groups[name]; !ok {
-			groups[name] = Group{Service: name, Phase: PhaseForming, Changed: index}
+			groups[name] = Group{Service: name, Phase: PhaseForming, Changed: index, Life: s.ServiceWithdrawn}
 		}
 	}
 	withdrawn := func(service string) bool {
 		_, ok := s.Catalog.Services[service]
 		return !ok
 	}
+	before := len(groups)
 	maps.DeleteFunc(groups, func(name string, _ Group) bool { return withdrawn(name) })
+	if len(groups) < before {
+		s.ServiceWithdrawn = index
+	}
 	s.Groups = groups
 	s.Endpoints = maps.Clone(s.Endpoints)
 	maps.DeleteFunc(s.Endpoints, func(_ string, e Endpoint) bool { return withdrawn(e.Service) })
--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -106,6 +106,10 @@
 	Attempt     uint64 `json:"attempt,omitempty" cbor:"11,keyasint,omitempty"`
 	// Reason is why the group is not active.
 	Reason string `json:"reason,omitempty" cbor:"8,keyasint,omitempty"`
+	// Life is the revision of the last withdrawal of any service before this one was added, zero
+	// if there was none. A service that is withdrawn and returns thus begins another life, with
+	// terms from 1 and logs of its own.
+	Life uint64 `json:"life,omitempty" cbor:"12,keyasint,omitempty"`
 }
 
 // State is the replicated state at one revision. It is immutable once published;
@@ -135,6 +139,9 @@
 	SilentOwners []string `json:"silent_owners,omitempty" cbor:"13,keyasint,omitempty"`
 	// Retired holds the tombstones of endpoints that left, by identity.
 	Retired map[string]Tombstone `json:"retired,omitempty" cbor:"12,keyasint,omitempty"`
+	// ServiceWithdrawn is the revision at which a service was last withdrawn, zero if none was.
+	// Subscribers do not receive it.
+	ServiceWithdrawn uint64 `json:"service_withdrawn,omitempty" cbor:"15,keyasint,omitempty"`
 	// Usage is the state of the usage reports. Subscribers do not receive it.
 	Usage Usage `json:"usage,omitzero" cbor:"14,keyasint,omitzero"`
 }
--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -95,7 +95,7 @@
 // awaitPosition waits for the position that another read asks the primary for, at most
 // inquiryWait. It reports false if there is no such read, so that this one should ask.
 func (s *Session) awaitPosition(n need, deadline time.Time) bool {
-	answered := s.srv.primaryPositions.inquire(n.service, n.term, clock.Now())
+	answered := s.srv.primaryPositions.inquire(n.log, clock.Now())
 	if answered == nil {
 		return false
 	}
--- a/internal/core/checkout.go
+++ b/internal/core/checkout.go
@@ -125,6 +125,13 @@
 func (op *operation) tryAcquire(ctx context.Context) (*checkout, *result.Error) {
 	s := op.session
 	c, err := s.srv.pickEndpoint(clock.Now(), op.need)
+	if err == nil && !op.need.admits(c) {
+		// The service has returned since the requirements were determined.
+		exclude := op.need.exclude
+		op.need = s.statementNeed(op.route, op.writes)
+		op.need.exclude = exclude
+		return nil, result.New(result.NoEndpoint, "the log of service %q has changed", op.route.Service)
+	}
 	if err != nil {
 		if len(op.need.exclude) > 0 {
 			op.need.exclude = nil // every endpoint was tried: start over
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -387,7 +387,7 @@
 		t.Errorf("the first read went to %s, although no position of the primary was known", got.endpoint)
 	}
 	f.expect(s, Statement{Kind: Write, Text: "x 1"}, 0, Idle)
-	lastCommit := s.lastCommit
+	lastCommit := s.commits.byService["logs"].Position
 	for range 10 { // makes the primary busy, so that a replica is cheaper
 		f.server.endpoint(f.state.Endpoints["p"]).beginStatement()
 	}
--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -55,7 +55,7 @@
 	// behindUntil is the time until which reads avoid the endpoint because it lacked a
 	// position.
 	behindUntil time.Time
-	position    Position
+	position    LogPosition
 	closed      bool
 	// pace limits the statements in progress according to their latency.
 	pace *pacing.Limit
@@ -80,7 +80,9 @@
 	}
 	e.srv.metrics.dials.WithLabelValues("ok").Inc()
 	e.observeRoundTrip(time.Since(begun))
-	e.observePosition(link.StartPosition())
+	if before.State != nil {
+		e.observePosition(logOf(before.State, e.record.Service), link.StartPosition())
+	}
 	e.observePrimary(at, before, link.StartPosition())
 	return newConn(link), nil
 }
@@ -92,8 +94,9 @@
 		return
 	}
 	g := v.State.Groups[e.record.Service]
-	if c := (choice{endpoint: e, primary: true, term: g.Term}); g.Primary == e.record.ID && e.srv.stillValid(c) {
-		e.srv.primaryPositions.observe(e.record.Service, g.Term, at, p)
+	log := logOf(v.State, e.record.Service)
+	if c := (choice{endpoint: e, primary: true, log: log}); g.Primary == e.record.ID && e.srv.stillValid(c) {
+		e.srv.primaryPositions.observe(log, at, p)
 	}
 }
 
@@ -119,11 +122,14 @@
 	e.inflight--
 }
 
-// observePosition records the position in an answer.
-func (e *endpoint) observePosition(p Position) {
+// observePosition records the position in an answer of the endpoint, which was chosen under a log.
+func (e *endpoint) observePosition(log Log, p Position) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.position = later(e.position, p)
+	if e.position.log != log {
+		e.position = LogPosition{log: log}
+	}
+	e.position = e.position.laterOf(p)
 }
 
 // pace has the latency of a statement that was sent at a time limit the statements in progress at
@@ -165,7 +171,14 @@
 	inflight  int
 	suspected bool
 	behind    bool
-	position  Position
+	position  LogPosition
+}
+
+// lacks reports whether the endpoint has lacked a position lately and is not known to have passed the
+// required one since.
+func (l load) lacks(required LogPosition) bool {
+	position, ok := required.in(l.position.log)
+	return l.behind && (!ok || l.position.position.Compare(position) < 0)
 }
 
 func (e *endpoint) load(now time.Time) load {
--- a/internal/core/forward.go
+++ b/internal/core/forward.go
@@ -92,14 +92,14 @@
 // forwardTo offers a statement to one host. It reports false if the host did not run it, or
 // if it only reads and got no answer while another host has time for it.
 func (s *Session) forwardTo(host string, st Statement, a admission, writes, mayDecline bool) (Reply, bool) {
-	request := s.remoteRequest(st, a.deadline)
+	request := s.remoteRequest(st, a.route, a.deadline)
 	request.MayDecline = mayDecline
 	response, err := s.callHost(host, request, a.route)
 	switch {
 	case err != nil && errors.Is(err, ErrNotRun), err == nil && response.Declined:
 		return Reply{}, false
 	case err == nil:
-		return s.acceptResponse(host, response, writes), true
+		return s.acceptResponse(host, a.route, response, writes), true
 	case errors.Is(err, budget.ErrFull) && st.Kind != Begin && st.Kind != BeginReadOnly:
 		return answerDropped(writes), true
 	case st.Kind == Begin || st.Kind == BeginReadOnly:
@@ -114,11 +114,13 @@
 }
 
 // remoteRequest returns the request that runs a statement of the session at another host.
-func (s *Session) remoteRequest(st Statement, deadline time.Time) RemoteRequest {
+func (s *Session) remoteRequest(st Statement, route note.Route, deadline time.Time) RemoteRequest {
 	r := RemoteRequest{
 		Session: s.id, Database: s.database, Key: s.key, Statement: st, Values: s.values,
-		Remaining: max(time.Until(deadline), time.Millisecond), LastCommit: s.lastCommit, LastCommitTerm: s.lastCommitTerm,
+		Remaining:        max(time.Until(deadline), time.Millisecond),
+		CommitsForgotten: s.commits.forgotten,
 	}
+	r.Commit, r.OtherCommits = s.commits.split(route.Service)
 	if v := s.srv.opts.View.Current(); v.State != nil {
 		r.Revision = v.State.Revision
 	}
@@ -154,9 +156,9 @@
 
 // acceptResponse takes over what another host reported about the session, and returns the
 // reply for the caller. Rows for which there is no memory are dropped.
-func (s *Session) acceptResponse(host string, r RemoteResponse, writes bool) Reply {
+func (s *Session) acceptResponse(host string, route note.Route, r RemoteResponse, writes bool) Reply {
 	s.srv.observeDocument(r.Document)
-	s.lastCommit, s.lastCommitTerm = r.LastCommit, r.LastCommitTerm
+	s.acceptCommit(route, r)
 	s.timings.add(host, r.Timings)
 	size := int64(0)
 	for _, row := range r.Rows {
@@ -167,3 +169,23 @@
 	}
 	return Reply{Rows: r.Rows, Signature: r.Signature, Err: r.Err, State: r.State}
 }
+
+// acceptCommit records the commit in the response of another host. A host of an earlier build does not
+// tell its service, which is then that of the route, and returns the commit that it was sent if there
+// is no other.
+func (s *Session) acceptCommit(route note.Route, r RemoteResponse) {
+	if r.Commit == nil {
+		return
+	}
+	commit := *r.Commit
+	if commit.Log.Service == "" {
+		commit.Log.Service = route.Service
+		if v := s.srv.opts.View.Current(); v.State != nil {
+			commit.Log.Life = v.State.Groups[route.Service].Life
+		}
+		if former := s.commits.byService[route.Service]; former.Log.Term == commit.Log.Term && former.Position == commit.Position {
+			return
+		}
+	}
+	s.commits.record(commit)
+}
--- a/internal/core/forward_test.go
+++ b/internal/core/forward_test.go
@@ -336,17 +336,18 @@
 	f.expect(s, Statement{Kind: Prepare, Name: "s1", Text: "shape", Writes: true}, 0, Idle)
 	f.expect(s, Statement{Kind: Execute, Name: "s1", Text: "x 1"}, 0, Idle)
 	written := f.endpoints.last()
-	if written.command.Kind != Execute || s.lastCommit == (Position{}) || s.lastCommitTerm != 1 {
-		t.Fatalf("ran %v, the last commit is %v of term %d; want that of the write", written.command, s.lastCommit, s.lastCommitTerm)
+	last := s.commits.byService["logs"]
+	if written.command.Kind != Execute || last.Position == (Position{}) || last.Log != (Log{Service: "logs", Term: 1}) {
+		t.Fatalf("ran %v, the last commit is %v of log %v; want that of the write", written.command, last.Position, last.Log)
 	}
 	f.forwarder.route = []string{"home2"}
-	f.home2.primaryPositions.observe("logs", 1, clock.Now(), Position{Term: 1, Number: 1})
+	f.home2.primaryPositions.observe(Log{Service: "logs", Term: 1}, clock.Now(), Position{Term: 1, Number: 1})
 	for range 10 { // makes the primary busy, so that a replica is cheaper
 		f.home2.endpoint(f.state.Endpoints["p"]).beginStatement()
 	}
 	f.expect(s, Statement{Kind: Read, Text: "x"}, 0, Idle)
-	if got := f.endpoints.last(); got.endpoint == "p" || got.command.MinPosition.Compare(s.lastCommit) < 0 {
-		t.Errorf("read at %s requires position %v, want at least the session's last commit %v", got.endpoint, got.command.MinPosition, s.lastCommit)
+	if got := f.endpoints.last(); got.endpoint == "p" || got.command.MinPosition.Compare(last.Position) < 0 {
+		t.Errorf("read at %s requires position %v, want at least the session's last commit %v", got.endpoint, got.command.MinPosition, last.Position)
 	}
 	f.endpoints.mu.Lock()
 	defer f.endpoints.mu.Unlock()
--- a/internal/core/forward_transaction.go
+++ b/internal/core/forward_transaction.go
@@ -33,7 +33,7 @@
 	case response.Declined:
 		return s.abortTransaction(result.New(result.EndpointLost, "host %s does not have the transaction any more", tx.host))
 	}
-	reply := s.acceptResponse(tx.host, response, s.writes(st))
+	reply := s.acceptResponse(tx.host, tx.route, response, s.writes(st))
 	if response.State != InTransaction {
 		s.remote = nil
 		s.state = Failed
@@ -49,7 +49,7 @@
 	switch {
 	case err == nil && !response.Declined:
 		s.remote = nil
-		return s.acceptResponse(tx.host, response, tx.wrote)
+		return s.acceptResponse(tx.host, tx.route, response, tx.wrote)
 	case err == nil, errors.Is(err, ErrNotRun), !tx.wrote:
 		s.endTransaction()
 		return refuse(result.New(result.TransactionAborted, "host %s was lost before it could commit any change", tx.host))
@@ -61,7 +61,7 @@
 // callTransactionHost runs a statement in the transaction at the other host.
 func (s *Session) callTransactionHost(st Statement) (RemoteResponse, error) {
 	route := s.remote.route
-	r := s.remoteRequest(st, time.Now().Add(time.Duration(route.Timeout)*time.Millisecond))
+	r := s.remoteRequest(st, route, time.Now().Add(time.Duration(route.Timeout)*time.Millisecond))
 	r.InTransaction = true
 	return s.callHost(s.remote.host, r, route)
 }
--- a/internal/core/freshness.go
+++ b/internal/core/freshness.go
@@ -42,16 +42,15 @@
 // inquiry is a read that goes to the primary of a service since no position is known, and
 // learns one for the reads that follow.
 type inquiry struct {
-	term  uint64
+	log   Log
 	begun time.Time
 	// answered is closed when a position has become known.
 	answered chan struct{}
 }
 
-// samples holds the samples of one service in one term of the group. A later term
-// replaces them.
+// samples holds the samples of one log. Those of another log of the service replace them.
 type samples struct {
-	term uint64
+	log  Log
 	list []sample // oldest first
 }
 
@@ -59,23 +58,23 @@
 	return &freshness{wait: inquiryWait, services: make(map[string]*samples), inquiries: make(map[string]inquiry)}
 }
 
-// observe records the position in an answer from the primary of a term. at is the time at
+// observe records the position in an answer from the primary of a log. at is the time at
 // which the statement was sent, so that the position covers all writes acknowledged
 // before. A zero position is ignored.
-func (f *freshness) observe(service string, term uint64, at time.Time, p Position) {
+func (f *freshness) observe(log Log, at time.Time, p Position) {
 	if p == (Position{}) {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.services[service]
-	if s == nil || s.term < term {
-		s = &samples{term: term}
-		f.services[service] = s
-	}
-	if s.term > term {
+	s := f.services[log.Service]
+	if s != nil && log.precedes(s.log) {
 		return // a late answer from a former term
 	}
+	if s == nil || s.log != log {
+		s = &samples{log: log}
+		f.services[log.Service] = s
+	}
 	if n := len(s.list); n > 0 && at.Sub(s.list[n-1].at) < sampleSpacing {
 		return
 	}
@@ -85,8 +84,8 @@
 		expired++
 	}
 	s.list = append(s.list[:0:0], s.list[expired:]...)
-	if q, ok := f.inquiries[service]; ok && q.term <= term {
-		delete(f.inquiries, service)
+	if q, ok := f.inquiries[log.Service]; ok && !log.precedes(q.log) {
+		delete(f.inquiries, log.Service)
 		close(q.answered)
 	}
 }
@@ -95,31 +94,35 @@
 // less than f.wait ago, it returns the channel that is closed with the answer. It answers
 // the load after a fleet was lost: the reads of all callers come together, no host knows a
 // position, and the primary alone cannot run them.
-func (f *freshness) inquire(service string, term uint64, now time.Time) <-chan struct{} {
+func (f *freshness) inquire(log Log, now time.Time) <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q, ok := f.inquiries[service]
-	if ok && q.term == term && now.Sub(q.begun) < f.wait {
+	q, ok := f.inquiries[log.Service]
+	if ok && q.log == log && now.Sub(q.begun) < f.wait {
 		return q.answered
 	}
-	f.inquiries[service] = inquiry{term: term, begun: now, answered: make(chan struct{})}
+	f.inquiries[log.Service] = inquiry{log: log, begun: now, answered: make(chan struct{})}
 	return nil
 }
 
 // bound returns the lowest recorded position that includes every write acknowledged more
-// than age ago. It reports false when no sample of the term is recent enough.
-func (f *freshness) bound(service string, term uint64, now time.Time, age time.Duration) (Position, bool) {
+// than age ago. It reports false when no sample of the log is recent enough.
+func (f *freshness) bound(log Log, now time.Time, age time.Duration) (LogPosition, bool) {
+	return f.since(log, now.Add(stalenessMargin-age))
+}
+
+// since returns the lowest recorded position of the log that was observed at a time or later.
+func (f *freshness) since(log Log, at time.Time) (LogPosition, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.services[service]
-	if s == nil || s.term != term {
-		return Position{}, false
+	s := f.services[log.Service]
+	if s == nil || s.log != log {
+		return LogPosition{}, false
 	}
-	since := now.Add(stalenessMargin - age)
 	for _, sample := range s.list {
-		if !sample.at.Before(since) {
-			return sample.position, true
+		if !sample.at.Before(at) {
+			return LogPosition{log: log, position: sample.position}, true
 		}
 	}
-	return Position{}, false
+	return LogPosition{}, false
 }
--- a/internal/core/freshness_test.go
+++ b/internal/core/freshness_test.go
@@ -26,13 +26,13 @@
 				number++
 				acked = append(acked, sample{at: now, position: Position{Term: 3, Number: number}})
 			case 1:
-				f.observe("s", 1, now, Position{Term: 3, Number: number})
+				f.observe(Log{Service: "s", Term: 1}, now, Position{Term: 3, Number: number})
 			default:
 				age := time.Duration(rapid.IntRange(100, 3000).Draw(t, "age")) * time.Millisecond
-				p, ok := f.bound("s", 1, now, age)
+				p, ok := f.bound(Log{Service: "s", Term: 1}, now, age)
 				for _, a := range acked {
-					if ok && a.at.Before(now.Add(-age)) && p.Compare(a.position) < 0 {
-						t.Fatalf("bound %v does not include %v, acknowledged %v before", p, a.position, now.Sub(a.at))
+					if ok && a.at.Before(now.Add(-age)) && p.position.Compare(a.position) < 0 {
+						t.Fatalf("bound %v does not include %v, acknowledged %v before", p.position, a.position, now.Sub(a.at))
 					}
 				}
 			}
@@ -43,13 +43,13 @@
 func TestFreshnessDropsSamplesOfFormerTerm(t *testing.T) {
 	f := newFreshness()
 	now := time.Unix(100, 0)
-	f.observe("s", 1, now, Position{Term: 3, Number: 9})
-	if _, ok := f.bound("s", 2, now, time.Second); ok {
+	f.observe(Log{Service: "s", Term: 1}, now, Position{Term: 3, Number: 9})
+	if _, ok := f.bound(Log{Service: "s", Term: 2}, now, time.Second); ok {
 		t.Error("a sample of the former term was used")
 	}
-	f.observe("s", 2, now, Position{Term: 4, Number: 7})
-	f.observe("s", 1, now.Add(time.Second), Position{Term: 3, Number: 12})
-	if p, ok := f.bound("s", 2, now, time.Second); !ok || p.Number != 7 {
+	f.observe(Log{Service: "s", Term: 2}, now, Position{Term: 4, Number: 7})
+	f.observe(Log{Service: "s", Term: 1}, now.Add(time.Second), Position{Term: 3, Number: 12})
+	if p, ok := f.bound(Log{Service: "s", Term: 2}, now, time.Second); !ok || p.position.Number != 7 {
 		t.Errorf("bound %v %v, want the position 7 of the current term", p, ok)
 	}
 }
@@ -58,23 +58,23 @@
 // that another one asks when it got no answer.
 func TestInquiryOneAtATime(t *testing.T) {
 	f, now := newFreshness(), time.Unix(1000, 0)
-	if f.inquire("s", 1, now) != nil {
+	if f.inquire(Log{Service: "s", Term: 1}, now) != nil {
 		t.Fatal("the first read does not ask")
 	}
-	answered := f.inquire("s", 1, now.Add(inquiryWait/2))
+	answered := f.inquire(Log{Service: "s", Term: 1}, now.Add(inquiryWait/2))
 	if answered == nil {
 		t.Fatal("a second read asks")
 	}
-	f.observe("s", 1, now, Position{Term: 1, Number: 1})
+	f.observe(Log{Service: "s", Term: 1}, now, Position{Term: 1, Number: 1})
 	select {
 	case <-answered:
 	default:
 		t.Error("the answer does not end the wait")
 	}
-	if f.inquire("s", 1, now.Add(inquiryWait)) != nil || f.inquire("s", 2, now.Add(inquiryWait)) != nil {
+	if f.inquire(Log{Service: "s", Term: 1}, now.Add(inquiryWait)) != nil || f.inquire(Log{Service: "s", Term: 2}, now.Add(inquiryWait)) != nil {
 		t.Error("no read asks again, or in the next term")
 	}
-	if f.inquire("s", 2, now.Add(2*inquiryWait)) != nil {
+	if f.inquire(Log{Service: "s", Term: 2}, now.Add(2*inquiryWait)) != nil {
 		t.Error("no read asks after one that got no answer")
 	}
 }
@@ -85,7 +85,7 @@
 	const reads = 20
 	f := newFixture(t)
 	f.server.primaryPositions.wait = time.Hour // on a busy machine the reads begin more than inquiryWait apart
-	if f.server.primaryPositions.inquire("logs", 1, clock.Now().Add(time.Minute)) != nil {
+	if f.server.primaryPositions.inquire(Log{Service: "logs", Term: 1}, clock.Now().Add(time.Minute)) != nil {
 		t.Fatal("another read asks already")
 	}
 	replies := make(chan Reply)
@@ -97,7 +97,7 @@
 	if n := f.endpoints.count(Read); n != 0 {
 		t.Errorf("%d reads ran before a position was known, want 0", n)
 	}
-	f.server.primaryPositions.observe("logs", 1, clock.Now(), Position{Term: 1, Number: 1})
+	f.server.primaryPositions.observe(Log{Service: "logs", Term: 1}, clock.Now(), Position{Term: 1, Number: 1})
 	for range reads {
 		if r := <-replies; r.Err != nil {
 			t.Error(r.Err)
@@ -127,7 +127,7 @@
 		if _, err := e.dial(context.Background(), "crew"); err != nil {
 			t.Fatal(err)
 		}
-		if p, ok := f.server.primaryPositions.bound("logs", 1, clock.Now(), time.Minute); ok != c.known || ok && p != f.endpoints.startPosition {
+		if p, ok := f.server.primaryPositions.bound(Log{Service: "logs", Term: 1}, clock.Now(), time.Minute); ok != c.known || ok && p.position != f.endpoints.startPosition {
 			t.Errorf("%s, lease %v: position %v, known %t; want known %t", c.endpoint, c.lease, p, ok, c.known)
 		}
 	}
--- a/internal/core/hedge.go
+++ b/internal/core/hedge.go
@@ -233,7 +233,7 @@
 func (h *hedgedRead) secondTask(ctx context.Context, cancel context.CancelFunc, co *checkout) func() attemptResult {
 	op, s := h.op, h.op.session
 	st, needed, values := op.st, s.neededPrepared(op.st), maps.Clone(s.values)
-	service, minPosition := op.route.Service, op.need.minPosition
+	service, after := op.route.Service, op.need.after
 	key := h.key
 	key.Endpoint = co.endpoint.record.ID
 	return func() attemptResult {
@@ -268,7 +268,7 @@
 		}
 		sent = true
 		s.srv.metrics.hedges.WithLabelValues(hedgeSent).Inc()
-		r := h.send(co, key, co.command(st, needed, minPosition))
+		r := h.send(co, key, co.command(st, needed, after))
 		// The time until the deadline of the first attempt proves nothing about the endpoint.
 		if r.err != nil && !isTimeout(r.err) {
 			co.endpoint.suspect(h.workspace, r.err)
--- a/internal/core/pick.go
+++ b/internal/core/pick.go
@@ -36,27 +36,33 @@
 	workspace string
 	// primary: only the primary qualifies.
 	primary bool
-	// minPosition is the position that a replica must have applied.
-	minPosition Position
-	// unpositioned: a replica would qualify if a position of the primary in the term were known.
+	// after is the position that a replica must have applied.
+	after LogPosition
+	// unpositioned: a replica would qualify if a position of the primary in the log were known.
 	unpositioned bool
-	term         uint64
+	log          Log
 	// target and timeout are those of the route.
 	target, timeout time.Duration
 	// exclude lists the endpoints at which this statement has failed.
 	exclude []string
 }
 
-// choice is an endpoint with the term of the group under which it was chosen.
+// choice is an endpoint with the log of the group under which it was chosen.
 type choice struct {
 	endpoint *endpoint
 	primary  bool
-	term     uint64
+	log      Log
 	// cause is why the endpoint is in another failure domain. It is empty if all members of the
 	// service are in one domain.
 	cause crossing.Cause
 }
 
+// admits reports whether the requirements hold for the log under which an endpoint was chosen.
+func (n need) admits(c choice) bool {
+	_, ok := n.after.requiredAt(c.log)
+	return c.primary || ok
+}
+
 // pickEndpoint chooses an endpoint under the current view: the primary, or the member
 // with the lowest cost for a read, within the failure domain that package crossing decides. It needs a
 // valid configuration lease.
@@ -79,7 +85,7 @@
 		if !ok || slices.Contains(n.exclude, id) {
 			continue
 		}
-		c := choice{endpoint: e, primary: g.Phase == agreed.PhaseActive && id == g.Primary, term: g.Term}
+		c := choice{endpoint: e, primary: g.Phase == agreed.PhaseActive && id == g.Primary, log: logOf(v.State, n.service)}
 		cost := s.cost(now, c, n)
 		if id != preferredReplica {
 			cost += nonPreferredCost
@@ -115,9 +121,9 @@
 		if !ok || id == first || slices.Contains(n.exclude, id) || !mayDial && !e.pool.HasIdle(n.workspace) {
 			continue
 		}
-		c := choice{endpoint: e, primary: g.Phase == agreed.PhaseActive && id == g.Primary, term: g.Term}
+		c := choice{endpoint: e, primary: g.Phase == agreed.PhaseActive && id == g.Primary, log: logOf(v.State, n.service)}
 		cost := s.cost(now, c, n)
-		if cost < unhealthyCost && (best.endpoint == nil || cost < lowest) {
+		if n.admits(c) && cost < unhealthyCost && (best.endpoint == nil || cost < lowest) {
 			best, lowest = c, cost
 		}
 	}
@@ -134,7 +140,7 @@
 	if !ok {
 		return choice{}, result.New(result.NoPrimary, "the primary %s of service %q is not in use", g.Primary, n.service)
 	}
-	c := choice{endpoint: e, primary: true, term: g.Term}
+	c := choice{endpoint: e, primary: true, log: logOf(v.State, n.service)}
 	if s.decidesCrossing(v, g) {
 		c.cause = crossing.CauseNone
 		if e.record.Domain != s.opts.Domain {
@@ -189,7 +195,7 @@
 	if !c.endpoint.pool.HasIdle(n.workspace) {
 		cost += dialCost
 	}
-	if l.suspected || !c.primary && l.behind && l.position.Compare(n.minPosition) < 0 {
+	if l.suspected || !c.primary && l.lacks(n.after) {
 		cost += unhealthyCost
 	}
 	return cost
@@ -206,5 +212,5 @@
 		return true
 	}
 	g := v.State.Groups[c.endpoint.record.Service]
-	return g.Phase == agreed.PhaseActive && g.Term == c.term && g.Primary == c.endpoint.record.ID
+	return g.Phase == agreed.PhaseActive && logOf(v.State, c.endpoint.record.Service) == c.log && g.Primary == c.endpoint.record.ID
 }
--- a/internal/core/remote.go
+++ b/internal/core/remote.go
@@ -37,10 +37,12 @@
 	InTransaction bool
 	// MayDecline: another host can be asked if this one cannot reach the endpoint.
 	MayDecline bool
-	// LastCommit is the position of the session's last commit, and LastCommitTerm the
-	// term of the group in which it was acknowledged.
-	LastCommit     Position
-	LastCommitTerm uint64
+	// Commit is the last commit of the session in the service of its route, nil if there is none.
+	// Hosts of earlier builds set no service.
+	Commit *SessionCommit
+	// OtherCommits are those in other services. CommitsForgotten: it has written to more than these.
+	OtherCommits     []SessionCommit
+	CommitsForgotten bool
 }
 
 // PreparedStatement is the content of a prepared statement.
@@ -55,14 +57,15 @@
 	// transaction that it belongs to does not exist here any more.
 	Declined bool
 	// Unavailable: the host declines all statements now.
-	Unavailable    bool
-	Rows           []string
-	Signature      string
-	Err            *result.Error
-	State          State
-	LastCommit     Position
-	LastCommitTerm uint64
-	Timings        RemoteTimings
+	Unavailable bool
+	Rows        []string
+	Signature   string
+	Err         *result.Error
+	State       State
+	// Commit is the last commit of the session in the service on which the statement ran, nil if it
+	// is the one in the request. Hosts of earlier builds set no service and always send one.
+	Commit  *SessionCommit
+	Timings RemoteTimings
 	// Document is the number of the document under which the statement ran, or a higher one.
 	Document uint64
 }
@@ -214,7 +217,7 @@
 		s.srv.registerRemote(key, s)
 	}
 	s.values, s.remaining, s.timings = r.Values, r.Remaining, timings{}
-	s.lastCommit, s.lastCommitTerm = r.LastCommit, r.LastCommitTerm
+	s.commits.receive(r)
 	if r.Prepared != nil {
 		s.prepared[r.Statement.Name] = preparedStatement{text: r.Prepared.Text, writes: r.Prepared.Writes}
 	}
@@ -227,7 +230,7 @@
 	}
 	return RemoteResponse{
 		Rows: reply.Rows, Signature: reply.Signature, Err: reply.Err, State: s.state,
-		LastCommit: s.lastCommit, LastCommitTerm: s.lastCommitTerm, Timings: s.timings.remote(), Document: document,
+		Commit: s.commits.changedBy(r), Timings: s.timings.remote(), Document: document,
 	}
 }
 
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -128,21 +128,23 @@
 
 // command returns the statement as it is sent to the endpoint of the checkout. A primary
 // holds every position, so none is required of it.
-func (s *Session) command(co *checkout, st Statement, after Position) Command {
+func (s *Session) command(co *checkout, st Statement, after LogPosition) Command {
 	c := co.command(st, s.neededPrepared(st), after)
 	c.Account = s.account
 	return c
 }
 
 // command is Session.command with the prepared statement that st executes, or nil.
-func (co *checkout) command(st Statement, needed *preparedStatement, after Position) Command {
+func (co *checkout) command(st Statement, needed *preparedStatement, after LogPosition) Command {
 	if needed != nil {
 		st.Name = co.conn.prepared[*needed]
 	}
-	if co.primary {
-		after = Position{}
+	c := Command{Statement: st}
+	if !co.primary {
+		// The endpoint was chosen for the position (need.admits).
+		c.MinPosition, _ = after.requiredAt(co.log)
 	}
-	return Command{Statement: st, MinPosition: after}
+	return c
 }
 
 // takesSlot reports whether a kind of statement occupies a slot of an endpoint while it
@@ -200,9 +202,9 @@
 		s.pace(co.endpoint, route, c.Kind, at, sentAt, took)
 	}
 	s.countCrossing(co, c, a)
-	co.endpoint.observePosition(a.Position)
+	co.endpoint.observePosition(co.log, a.Position)
 	if co.primary && s.stillValid(co.choice) && (a.Err == nil || a.Err.Code != result.EndpointReadOnly) {
-		s.primaryPositions.observe(route.Service, co.term, at, a.Position)
+		s.primaryPositions.observe(co.log, at, a.Position)
 	}
 	return exchanged{answer: a, sent: true, took: took}
 }
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -36,11 +36,8 @@
 	prepared map[string]preparedStatement
 	// valueBytes is the size of the values, keptBytes that of all the session keeps.
 	valueBytes, keptBytes int64
-	// lastCommit is the position of the session's last acknowledged write.
-	lastCommit Position
-	// lastCommitTerm is the term of the group in which it was acknowledged.
-	lastCommitTerm uint64
-	tx             *transaction
+	commits               sessionCommits
+	tx                    *transaction
 	// remote is the transaction if another host runs it; tx is nil then.
 	remote *remoteTransaction
 	// isRemote: the caller is connected to another host, which forwards its statements.
@@ -307,46 +304,25 @@
 	if v.State == nil {
 		return n
 	}
-	term := v.State.Groups[route.Service].Term
+	log := logOf(v.State, route.Service)
 	age := time.Duration(route.MaxStaleness) * time.Millisecond
-	after, ok := s.srv.primaryPositions.bound(route.Service, term, clock.Now(), age)
+	after, ok := s.srv.primaryPositions.bound(log, clock.Now(), age)
 	own := Position{}
 	if ok && route.Policy == note.ReadOwnWrites {
-		own, ok = s.lastCommitPosition(route.Service, term)
+		own, ok = s.commits.required(log, s.srv.primaryPositions)
 	}
 	if !ok {
-		n.unpositioned, n.term = true, term
+		n.unpositioned, n.log = true, log
 		return n
 	}
-	after = later(after, own)
-	n.primary, n.minPosition = false, after
+	n.primary, n.after = false, after.laterOf(own)
 	n.target, n.timeout = readTimes(route)
 	return n
 }
 
-// lastCommitPosition returns a position that covers the session's last commit. After a
-// change of the primary the commit may have been rolled back or have another number;
-// a position observed from the new primary then replaces it. It reports false while
-// there is no such position.
-func (s *Session) lastCommitPosition(service string, term uint64) (Position, bool) {
-	if s.lastCommit == (Position{}) {
-		return Position{}, true
-	}
-	if s.lastCommitTerm == term {
-		return s.lastCommit, true
-	}
-	p, ok := s.srv.primaryPositions.bound(service, term, clock.Now(), sampleRetention)
-	if ok {
-		s.lastCommit, s.lastCommitTerm = p, term
-	}
-	return p, ok
-}
-
 // recordCommit records the position of an acknowledged commit of the session.
-func (s *Session) recordCommit(term uint64, p Position) {
-	if p != (Position{}) {
-		s.lastCommit, s.lastCommitTerm = p, term
-	}
+func (s *Session) recordCommit(log Log, p Position) {
+	s.commits.record(SessionCommit{Log: log, Position: p, AckedAt: clock.Now()})
 }
 
 // State returns the transaction state of the session. It waits for a statement in
--- a/internal/core/single.go
+++ b/internal/core/single.go
@@ -39,7 +39,7 @@
 func (op *operation) attempt(co *checkout) (Reply, bool) {
 	s := op.session
 	op.dispatched = true
-	c := s.command(co, op.st, op.need.minPosition)
+	c := s.command(co, op.st, op.need.after)
 	if h, ok := op.planHedge(co); ok {
 		return h.run(c)
 	}
@@ -59,7 +59,7 @@
 		return op.afterRefusal(co, a)
 	}
 	if op.writes {
-		op.session.recordCommit(co.term, a.Position)
+		op.session.recordCommit(co.log, a.Position)
 	} else {
 		op.session.srv.metrics.reads.WithLabelValues(role(co.primary)).Inc()
 	}
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -73,7 +73,7 @@
 		}
 		op.dispatched = true
 		st := Statement{Kind: op.st.Kind}
-		a, _, sendErr := op.session.exchange(co, op.route, op.session.command(co, st, op.need.minPosition))
+		a, _, sendErr := op.session.exchange(co, op.route, op.session.command(co, st, op.need.after))
 		var reply Reply
 		switch {
 		case sendErr != nil:
@@ -116,7 +116,7 @@
 	if s.writes(st) {
 		tx.wrote = true
 	}
-	a, _, err := s.exchange(tx.checkout, tx.route, s.command(tx.checkout, st, Position{}))
+	a, _, err := s.exchange(tx.checkout, tx.route, s.command(tx.checkout, st, LogPosition{}))
 	tx.checkout.freeSlot()
 	switch {
 	case err != nil:
@@ -237,7 +237,7 @@
 		return reply
 	}
 	tx.checkout.startStatement()
-	a, sent, err := s.exchange(tx.checkout, tx.route, s.command(tx.checkout, st, Position{}))
+	a, sent, err := s.exchange(tx.checkout, tx.route, s.command(tx.checkout, st, LogPosition{}))
 	s.state = Idle
 	if err != nil {
 		tx.checkout.endpoint.suspect(s.workspace, err)
@@ -254,7 +254,7 @@
 	}
 	tx.checkout.release(a.State == Idle)
 	if tx.wrote {
-		s.recordCommit(tx.checkout.term, a.Position)
+		s.recordCommit(tx.checkout.log, a.Position)
 	}
 	return Reply{Rows: a.Rows, Signature: a.Signature}
 }
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/core"
 	"github.com/galenabridge/galenabridge/internal/result"
 )
@@ -13,23 +14,38 @@
 
 // statementRequest is the wire format of core.RemoteRequest.
 type statementRequest struct {
-	Session        uint64                              `cbor:"1,keyasint"`
-	Revision       uint64                              `cbor:"2,keyasint"`
-	Database       cbor.ByteString                     `cbor:"3,keyasint"`
-	Key            string                              `cbor:"4,keyasint,omitempty"`
-	ID             cbor.ByteString                     `cbor:"5,keyasint,omitempty"`
-	Kind           int                                 `cbor:"6,keyasint"`
-	Name           cbor.ByteString                     `cbor:"7,keyasint,omitempty"`
-	Text           cbor.ByteString                     `cbor:"8,keyasint,omitempty"`
-	Writes         bool                                `cbor:"9,keyasint,omitempty"`
-	Values         map[cbor.ByteString]cbor.ByteString `cbor:"10,keyasint,omitempty"`
-	Prepared       *preparedStatement                  `cbor:"11,keyasint,omitempty"`
-	RemainingMS    uint32                              `cbor:"12,keyasint"`
-	InTransaction  bool                                `cbor:"13,keyasint,omitempty"`
-	MayDecline     bool                                `cbor:"14,keyasint,omitempty"`
-	LastCommit     position                            `cbor:"15,keyasint,omitzero"`
-	LastCommitTerm uint64                              `cbor:"16,keyasint,omitempty"`
-	Document       uint64                              `cbor:"17,keyasint,omitempty"`
+	Session       uint64                              `cbor:"1,keyasint"`
+	Revision      uint64                              `cbor:"2,keyasint"`
+	Database      cbor.ByteString                     `cbor:"3,keyasint"`
+	Key           string                              `cbor:"4,keyasint,omitempty"`
+	ID            cbor.ByteString                     `cbor:"5,keyasint,omitempty"`
+	Kind          int                                 `cbor:"6,keyasint"`
+	Name          cbor.ByteString                     `cbor:"7,keyasint,omitempty"`
+	Text          cbor.ByteString                     `cbor:"8,keyasint,omitempty"`
+	Writes        bool                                `cbor:"9,keyasint,omitempty"`
+	Values        map[cbor.ByteString]cbor.ByteString `cbor:"10,keyasint,omitempty"`
+	Prepared      *preparedStatement                  `cbor:"11,keyasint,omitempty"`
+	RemainingMS   uint32                              `cbor:"12,keyasint"`
+	InTransaction bool                                `cbor:"13,keyasint,omitempty"`
+	MayDecline    bool                                `cbor:"14,keyasint,omitempty"`
+	// The commit in the service of the route. Earlier builds know only LastCommit and LastCommitTerm.
+	LastCommit       position        `cbor:"15,keyasint,omitzero"`
+	LastCommitTerm   uint64          `cbor:"16,keyasint,omitempty"`
+	Document         uint64          `cbor:"17,keyasint,omitempty"`
+	CommitService    cbor.ByteString `cbor:"18,keyasint,omitempty"`
+	LastCommitLife   uint64          `cbor:"19,keyasint,omitempty"`
+	LastCommitAgeMS  uint32          `cbor:"20,keyasint,omitempty"`
+	OtherCommits     []sessionCommit `cbor:"21,keyasint,omitempty"`
+	CommitsForgotten bool            `cbor:"22,keyasint,omitempty"`
+}
+
+// sessionCommit is the wire format of core.SessionCommit.
+type sessionCommit struct {
+	Service  cbor.ByteString `cbor:"1,keyasint"`
+	Life     uint64          `cbor:"2,keyasint,omitempty"`
+	Term     uint64          `cbor:"3,keyasint,omitempty"`
+	Position position        `cbor:"4,keyasint,omitzero"`
+	AgeMS    uint32          `cbor:"5,keyasint,omitempty"`
 }
 
 type preparedStatement struct {
@@ -54,6 +70,10 @@
 	State          int               `cbor:"7,keyasint,omitempty"`
 	LastCommit     position          `cbor:"8,keyasint,omitzero"`
 	LastCommitTerm uint64            `cbor:"9,keyasint,omitempty"`
+	// CommitService is empty in responses of earlier builds, and if there is no commit.
+	CommitService   cbor.ByteString `cbor:"18,keyasint,omitempty"`
+	LastCommitLife  uint64          `cbor:"19,keyasint,omitempty"`
+	LastCommitAgeMS uint32          `cbor:"20,keyasint,omitempty"`
 	// The times are in milliseconds.
 	RateMS       uint32          `cbor:"10,keyasint,omitempty"`
 	SlotMS       uint32          `cbor:"11,keyasint,omitempty"`
@@ -82,7 +102,14 @@
 		ID: cbor.ByteString(r.Statement.ID), Kind: int(r.Statement.Kind), Name: cbor.ByteString(r.Statement.Name),
 		Text: cbor.ByteString(r.Statement.Text), Writes: r.Statement.Writes, RemainingMS: milliseconds(r.Remaining),
 		InTransaction: r.InTransaction, MayDecline: r.MayDecline,
-		LastCommit: position(r.LastCommit), LastCommitTerm: r.LastCommitTerm, Document: r.Document,
+		Document: r.Document, CommitsForgotten: r.CommitsForgotten,
+	}
+	if r.Commit != nil {
+		c := encodeCommit(*r.Commit)
+		out.CommitService, out.LastCommit, out.LastCommitTerm, out.LastCommitLife, out.LastCommitAgeMS = c.Service, c.Position, c.Term, c.Life, c.AgeMS
+	}
+	for _, commit := range r.OtherCommits {
+		out.OtherCommits = append(out.OtherCommits, encodeCommit(commit))
 	}
 	if len(r.Values) > 0 {
 		out.Values = make(map[cbor.ByteString]cbor.ByteString, len(r.Values))
@@ -101,7 +128,14 @@
 		Session: r.Session, Revision: r.Revision, Database: string(r.Database), Key: r.Key,
 		Statement: core.Statement{ID: string(r.ID), Kind: core.Kind(r.Kind), Name: string(r.Name), Text: string(r.Text), Writes: r.Writes},
 		Remaining: duration(r.RemainingMS), InTransaction: r.InTransaction, MayDecline: r.MayDecline,
-		LastCommit: core.Position(r.LastCommit), LastCommitTerm: r.LastCommitTerm, Document: r.Document,
+		Document: r.Document, CommitsForgotten: r.CommitsForgotten,
+	}
+	if r.LastCommitTerm != 0 {
+		c := decodeCommit(sessionCommit{Service: r.CommitService, Life: r.LastCommitLife, Term: r.LastCommitTerm, Position: r.LastCommit, AgeMS: r.LastCommitAgeMS})
+		out.Commit = &c
+	}
+	for _, c := range r.OtherCommits {
+		out.OtherCommits = append(out.OtherCommits, decodeCommit(c))
 	}
 	if len(r.Values) > 0 {
 		out.Values = make(map[string]string, len(r.Values))
@@ -118,11 +152,15 @@
 func encodeResponse(r core.RemoteResponse) statementResponse {
 	out := statementResponse{
 		Declined: r.Declined, Unavailable: r.Unavailable, Signature: cbor.ByteString(r.Signature), State: int(r.State),
-		LastCommit: position(r.LastCommit), LastCommitTerm: r.LastCommitTerm, Document: r.Document,
-		RateMS: milliseconds(r.Timings.Rate), SlotMS: milliseconds(r.Timings.Slot),
+		Document: r.Document,
+		RateMS:   milliseconds(r.Timings.Rate), SlotMS: milliseconds(r.Timings.Slot),
 		ConnectionMS: milliseconds(r.Timings.Connection), EndpointMS: milliseconds(r.Timings.Endpoint),
 		Attempts: r.Timings.Attempts, Endpoint: cbor.ByteString(r.Timings.EndpointID),
 	}
+	if r.Commit != nil {
+		c := encodeCommit(*r.Commit)
+		out.CommitService, out.LastCommit, out.LastCommitTerm, out.LastCommitLife, out.LastCommitAgeMS = c.Service, c.Position, c.Term, c.Life, c.AgeMS
+	}
 	for _, row := range r.Rows {
 		out.Rows = append(out.Rows, cbor.ByteString(row))
 	}
@@ -135,12 +173,16 @@
 func decodeResponse(r statementResponse) core.RemoteResponse {
 	out := core.RemoteResponse{
 		Declined: r.Declined, Unavailable: r.Unavailable, Signature: string(r.Signature), State: core.State(r.State),
-		LastCommit: core.Position(r.LastCommit), LastCommitTerm: r.LastCommitTerm, Document: r.Document,
+		Document: r.Document,
 		Timings: core.RemoteTimings{
 			Rate: duration(r.RateMS), Slot: duration(r.SlotMS), Connection: duration(r.ConnectionMS), Endpoint: duration(r.EndpointMS),
 			Attempts: r.Attempts, EndpointID: string(r.Endpoint),
 		},
 	}
+	if r.LastCommitTerm != 0 {
+		c := decodeCommit(sessionCommit{Service: r.CommitService, Life: r.LastCommitLife, Term: r.LastCommitTerm, Position: r.LastCommit, AgeMS: r.LastCommitAgeMS})
+		out.Commit = &c
+	}
 	for _, row := range r.Rows {
 		out.Rows = append(out.Rows, string(row))
 	}
@@ -150,6 +192,22 @@
 	return out
 }
 
+// encodeCommit tells the age of the acknowledgement, since the clocks of hosts differ.
+func encodeCommit(c core.SessionCommit) sessionCommit {
+	return sessionCommit{
+		Service: cbor.ByteString(c.Log.Service), Life: c.Log.Life, Term: c.Log.Term,
+		Position: position(c.Position), AgeMS: milliseconds(clock.Since(c.AckedAt)),
+	}
+}
+
+// decodeCommit returns a commit whose acknowledgement is as late as the age allows.
+func decodeCommit(c sessionCommit) core.SessionCommit {
+	return core.SessionCommit{
+		Log:      core.Log{Service: string(c.Service), Life: c.Life, Term: c.Term},
+		Position: core.Position(c.Position), AckedAt: clock.Now().Add(-duration(c.AgeMS)),
+	}
+}
+
 func milliseconds(d time.Duration) uint32 { return uint32(max(d, 0).Milliseconds()) }
 
 func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
