Control: push a new catalog to subscribers at once

Change: pushChanges does not wait when the number of the catalog has changed. A host that has not answered the last push gets none, as before.

--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -146,8 +146,8 @@
 type pushState struct {
 	next time.Time // when the next push is due at the earliest
 	due  bool      // the state has changed since the last push
-	// pushed is the revision of the last push.
-	pushed uint64
+	// pushed is the revision of the last push, catalog the number of its note or document.
+	pushed, catalog uint64
 	// encoded are the messages that lead to the revision encodedFor, by the revision at
 	// which they start.
 	encoded    map[uint64]cbor.RawMessage
@@ -159,9 +159,11 @@
 }
 
 // pushChanges pushes the state to all subscribers, or leaves it to the tick that follows
-// pushInterval after the last push.
+// pushInterval after the last push. A new catalog is pushed at once: an operator who withdraws a
+// change right after it was acknowledged would have it in force for that long. Catalogs are rare
+// beside registrations, and a host that has not answered the last push gets none.
 func (h *Host) pushChanges(now time.Time) {
-	if now.Before(h.pushes.next) {
+	if now.Before(h.pushes.next) && h.state.Catalog.Stamp.Number == h.pushes.catalog {
 		h.pushes.due = true
 		return
 	}
@@ -173,7 +175,7 @@
 // drops expired subscriptions.
 func (h *Host) pushAll(now time.Time) {
 	h.recent.add(h.state)
-	h.pushes.pushed = h.state.Revision
+	h.pushes.pushed, h.pushes.catalog = h.state.Revision, h.state.Catalog.Stamp.Number
 	for id, sub := range h.subscribers {
 		if now.Sub(sub.lastSeen) > subscriptionTimeout {
 			delete(h.subscribers, id)
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -264,3 +264,27 @@
 		}
 	}
 }
+
+// TestNewCatalogPushedAtOnce guards against a change of the catalog that stays in force for most of a
+// pushInterval after its withdrawal was acknowledged, with registrations before it.
+func TestNewCatalogPushedAtOnce(t *testing.T) {
+	h := newPushHost(t, 2)
+	now := time.Unix(100, 0)
+	h.register("new")
+	h.pushChanges(now)
+	for number := range uint64(3) {
+		now = now.Add(time.Millisecond)
+		h.answerPushes(now)
+		next, _ := agreed.Apply(h.state, h.state.Revision+1, agreed.Command{PutCatalog: &agreed.PutCatalog{Document: agreed.Document{Number: number + 1}}})
+		h.state = next
+		h.pushChanges(now)
+		if h.pushes.pushed != next.Revision {
+			t.Fatalf("catalog %d waits for the next push", number+1)
+		}
+		h.register(fmt.Sprint("other", number))
+		h.pushChanges(now)
+		if h.pushes.pushed != next.Revision {
+			t.Fatal("a registration was pushed before pushInterval was over")
+		}
+	}
+}
