PostgreSQL entry and failover: nothing of a former life of a service counts

Terms begin from 1 again when a withdrawn service returns, and positions of a workspace's writes, the floor, reported positions of replicas and reports of a lost primary were kept by term. Callers saw reads refused, since they required a position in a term that was yet to come. Change: positions carry the life; a floor in a new life holds once every host acts on that life; routing tables and failover machines begin anew. Tables of hosts of earlier builds, without a life, count in the current one.

--- a/internal/entry/checkout.go
+++ b/internal/entry/checkout.go
@@ -16,7 +16,7 @@
 	endpoint    string
 	domain      string // failure domain of the endpoint
 	service     string
-	term        uint64
+	life, term  uint64
 	primary     bool
 	conn        *pgback.Conn
 	backend     *backend
@@ -129,7 +129,7 @@
 	state := s.srv.opts.View.Current().State
 	group := state.Groups[co.service]
 	co.domain = state.Endpoints[co.endpoint].Domain
-	co.term = group.Term
+	co.life, co.term = group.Life, group.Term
 	co.primary = group.Primary == co.endpoint
 	if !need.ReadOnly && (!co.primary || group.Phase != agreed.PhaseActive) {
 		return result.New(result.NoPrimary, "endpoint %s is no longer the primary", co.endpoint)
@@ -180,13 +180,13 @@
 }
 
 // termHolds reports whether the host may act now on the term of the checkout: the
-// configuration lease is valid, the group is active, and its term and primary are the same.
+// configuration lease is valid, the group is active, and its life, term and primary are the same.
 func termHolds(v view.View, co *checkout) bool {
 	if !v.Valid() {
 		return false
 	}
 	group := v.State.Groups[co.service]
-	return group.Term == co.term && group.Phase == agreed.PhaseActive && group.Primary == co.endpoint
+	return group.Life == co.life && group.Term == co.term && group.Phase == agreed.PhaseActive && group.Primary == co.endpoint
 }
 
 // isPrimary reports whether the endpoint is the primary of its group.
--- a/internal/entry/durability.go
+++ b/internal/entry/durability.go
@@ -22,7 +22,7 @@
 }
 
 // Wait implements Durability.
-func (d *majorityDurability) Wait(ctx context.Context, service string, term uint64) (Position, error) {
+func (d *majorityDurability) Wait(ctx context.Context, service string, life, term uint64) (Position, error) {
 	var target uint64
 	for first := true; ; first = false {
 		state := d.view.Current().State
@@ -30,7 +30,7 @@
 			return Position{}, errors.New("no agreed state")
 		}
 		group := state.Groups[service]
-		if group.Term != term || group.Phase != agreed.PhaseActive {
+		if group.Life != life || group.Term != term || group.Phase != agreed.PhaseActive {
 			return Position{}, errors.Errorf("term %d of service %s has ended", term, service)
 		}
 		status, err := d.read(ctx, group.Primary)
@@ -41,7 +41,7 @@
 			target = status.LSN
 		}
 		if hasQuorum(group, state.Quorum(service), status, target) {
-			return Position{Term: term, LSN: target}, nil
+			return Position{Life: life, Term: term, LSN: target}, nil
 		}
 		if err := pause(ctx, quorumPollInterval); err != nil {
 			return Position{}, err
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -28,8 +28,8 @@
 // Durability waits until the writes of a group's primary are durable.
 type Durability interface {
 	// Wait returns the primary's log position, read after the call began, once a majority
-	// of the group's endpoints has flushed it to disk.
-	Wait(ctx context.Context, service string, term uint64) (Position, error)
+	// of the group's endpoints has flushed it to disk. It fails in another life or term of the service.
+	Wait(ctx context.Context, service string, life, term uint64) (Position, error)
 }
 
 // CancelForwarder passes a cancel request to the host that serves the session.
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -17,6 +17,8 @@
 	Term uint64
 	// LSN is the log position in bytes.
 	LSN uint64
+	// Life is agreed.Group.Life of the service.
+	Life uint64
 }
 
 // Limiter enforces the rate and burst of workspaces across the fleet.
--- a/internal/entry/position_task.go
+++ b/internal/entry/position_task.go
@@ -63,8 +63,10 @@
 	statuses map[string]pgback.Status
 	// lastView identifies the last view passed to the tracker.
 	lastView struct{ revision, settled uint64 }
-	// lastActiveTerm is the last term in which the group was active.
-	lastActiveTerm uint64
+	// lastActive is the life and term in which the group was last active, as a position in it, and
+	// lifeRevision a revision in that life.
+	lastActive   pos.Position
+	lifeRevision uint64
 	// lastReplayed is the last position reported to the tracker as replayed by all replicas.
 	lastReplayed pos.Position
 }
@@ -161,9 +163,16 @@
 func (t *positionTask) sessionView(v view.View) pos.View {
 	group := v.State.Groups[t.service]
 	if group.Phase == agreed.PhaseActive {
-		t.lastActiveTerm = group.Term
+		if group.Life != t.lastActive.Life {
+			clear(t.statuses) // those of the endpoints before the service was withdrawn
+			t.lifeRevision = v.State.Revision
+		}
+		t.lastActive = pos.Position{Life: group.Life, Term: group.Term}
+	}
+	out := pos.View{
+		LastRemovalRevision: v.State.EntryRemoved, Settled: v.Settled,
+		Life: t.lastActive.Life, Term: t.lastActive.Term, LifeRevision: t.lifeRevision,
 	}
-	out := pos.View{LastRemovalRevision: v.State.EntryRemoved, Settled: v.Settled, Term: t.lastActiveTerm}
 	for id, host := range v.State.Hosts {
 		if host.Entry && id != t.positions.host {
 			out.Peers = append(out.Peers, pos.Peer{Host: id, Incarnation: host.Incarnation})
@@ -227,11 +236,11 @@
 	answer := pos.PrimaryPosition{Round: round}
 	if state := t.positions.view.Current().State; state != nil {
 		group := state.Groups[t.service]
-		co := &checkout{service: t.service, endpoint: group.Primary, term: group.Term}
+		co := &checkout{service: t.service, endpoint: group.Primary, life: group.Life, term: group.Term}
 		status, err := t.positions.primaryStatus(ctx, group.Primary)
 		if err == nil && termHolds(t.positions.view.Current(), co) {
 			answer.OK = true
-			answer.Position = pos.Position{Term: group.Term, LSN: status.LSN}
+			answer.Position = pos.Position{Life: group.Life, Term: group.Term, LSN: status.LSN}
 		}
 	}
 	_ = t.post(ctx, eventMessage{answer})
@@ -247,7 +256,7 @@
 		return
 	}
 	group := v.State.Groups[t.service]
-	replayed := pos.Position{Term: group.Term}
+	replayed := pos.Position{Life: group.Life, Term: group.Term}
 	count := 0
 	for _, id := range group.Members {
 		if id == group.Primary {
--- a/internal/entry/replica_test.go
+++ b/internal/entry/replica_test.go
@@ -184,3 +184,49 @@
 		}
 	}
 }
+
+// TestReturnedServiceReadsOwnWrites guards against reads that are refused, or lack the workspace's own
+// writes, after a service was withdrawn in a later term than that in which it has returned.
+func TestReturnedServiceReadsOwnWrites(t *testing.T) {
+	f := newFixture(t, fixtureConfig{standin: func(o *standin.Options) { o.ReplayLag = 50 * time.Millisecond }})
+	f.publish(func(s *agreed.State) {
+		g := s.Groups[testService]
+		g.Term = 3
+		s.Groups[testService] = g
+	})
+	conn := f.connect("")
+	mustExec(t, conn, "create table entries (id int primary key)")
+	mustExec(t, conn, "insert into entries values (0)")
+	f.waitReplicas(conn)
+	f.withdrawAndReturn()
+	for i := range 10 {
+		mustExec(t, conn, "insert into entries values ($1)", i+1)
+		for _, reader := range []*pgx.Conn{conn, f.connect("")} {
+			if n := queryInt(t, reader, "select count(*) from entries"); n != i+2 {
+				t.Fatalf("read %d entries after %d were acknowledged", n, i+2)
+			}
+		}
+	}
+	before := f.reads("replica")
+	eventually(t, "a replica serves reads", func() bool {
+		queryInt(t, conn, "select count(*) from entries")
+		return f.reads("replica") > before
+	})
+}
+
+// withdrawAndReturn withdraws the service and puts it back, with the same endpoints, before the host
+// has seen any of it.
+func (f *fixture) withdrawAndReturn() {
+	f.publish(func(s *agreed.State) {
+		former, endpoints, services := s.Groups[testService], s.Endpoints, s.Catalog.Services
+		for _, next := range []map[string]note.Service{nil, services} {
+			c := agreed.PutCatalog{Document: agreed.Document{Number: s.Catalog.Stamp.Number + 1}, Catalog: s.Catalog}
+			c.Catalog.Services = next
+			applied, _ := agreed.Apply(s, s.Revision+1, agreed.Command{PutCatalog: &c})
+			*s = *applied
+		}
+		g := s.Groups[testService]
+		g.Members, g.Primary, g.Timeline, g.Term, g.Phase = former.Members, former.Primary, former.Timeline, 1, agreed.PhaseActive
+		s.Groups[testService], s.Endpoints = g, endpoints
+	})
+}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -115,7 +115,7 @@
 	group := state.Groups[service]
 	svc := state.Catalog.Services[service]
 	v := route.View{
-		Service: service, Term: group.Term, Timeline: group.Timeline, Primary: group.Primary,
+		Service: service, Life: group.Life, Term: group.Term, Timeline: group.Timeline, Primary: group.Primary,
 		Active: group.Phase == agreed.PhaseActive, Leaving: svc.Leaving, Reason: group.Reason,
 	}
 	for _, id := range group.Members {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -169,7 +169,7 @@
 	s := r.s
 	ctx, cancel := context.WithTimeout(s.srv.answering, s.deadline())
 	defer cancel()
-	position, err := s.srv.durability.Wait(ctx, r.co.service, r.co.term)
+	position, err := s.srv.durability.Wait(ctx, r.co.service, r.co.life, r.co.term)
 	if err != nil {
 		return result.New(result.OutcomeUnknown, "waiting for a majority of the group: %v", errors.Cause(err))
 	}
--- a/internal/failover/machineset.go
+++ b/internal/failover/machineset.go
@@ -14,6 +14,8 @@
 type MachineSet struct {
 	cfg      Config
 	machines map[string]*Machine
+	// lives holds the life of the service of each machine.
+	lives    map[string]uint64
 	state    *agreed.State
 	services []string // sorted, so that effects have a fixed order
 	leaving  map[string]bool
@@ -23,19 +25,20 @@
 // NewMachineSet returns a MachineSet without groups. A new control leader starts
 // with a new MachineSet.
 func NewMachineSet(cfg Config) *MachineSet {
-	return &MachineSet{cfg: cfg, machines: make(map[string]*Machine)}
+	return &MachineSet{cfg: cfg, machines: make(map[string]*Machine), lives: make(map[string]uint64)}
 }
 
 // SetState sends the agreed state to all machines, starts those of new groups and
-// drops those of removed ones. The leaving set holds the endpoints that requested to
+// drops those of removed ones, also of those that have returned since. The leaving set holds the endpoints that requested to
 // be taken out of use.
 func (ms *MachineSet) SetState(now time.Time, s *agreed.State, leaving map[string]bool) []Effect {
 	ms.state, ms.leaving = s, leaving
 	ms.services = slices.Sorted(maps.Keys(s.Groups))
 	electorate := NewElectorate(EntryHosts(s))
 	for service := range ms.machines {
-		if _, ok := s.Groups[service]; !ok {
+		if g, ok := s.Groups[service]; !ok || g.Life != ms.lives[service] {
 			delete(ms.machines, service)
+			delete(ms.lives, service)
 		}
 	}
 	var effects []Effect
@@ -43,7 +46,7 @@
 		m := ms.machines[service]
 		if m == nil {
 			m = New(ms.cfg)
-			ms.machines[service] = m
+			ms.machines[service], ms.lives[service] = m, s.Groups[service].Life
 			m.Step(now, Settled{Revision: ms.settled})
 		}
 		effects = append(effects, m.Step(now, ms.view(service, electorate))...)
--- a/internal/failover/witness_test.go
+++ b/internal/failover/witness_test.go
@@ -129,3 +129,49 @@
 		t.Error("the term was not sealed although no host that may act reaches the primary")
 	}
 }
+
+// TestMachineOfFormerLife guards against reports about the primary of a service before it was withdrawn
+// that count after it has returned, where the leader has not seen it gone.
+func TestMachineOfFormerLife(t *testing.T) {
+	state := agreed.New()
+	for i, domain := range []string{"d1", "d2", "d3"} {
+		id := fmt.Sprint("h", i)
+		state.Hosts[id] = agreed.Host{ID: id, Domain: domain, Incarnation: 1, Entry: true}
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		state.Endpoints[id] = agreed.Endpoint{ID: id, Service: "s", Domain: "d1"}
+	}
+	group := agreed.Group{Service: "s", Members: []string{"a", "b", "c"}, Term: 1, Primary: "a", Phase: agreed.PhaseActive}
+	state.Groups["s"] = group
+	// report has all hosts report the loss once more and returns whether the term is sealed.
+	report := func(ms *MachineSet, now time.Time) bool {
+		var effects []Effect
+		for host := range state.Hosts {
+			effects = append(effects, ms.Step(now, "s", Observation{Watcher: host, Domain: state.Hosts[host].Domain, Endpoint: "a"})...)
+		}
+		effects = append(effects, ms.StepAll(now, Tick{})...)
+		return slices.ContainsFunc(effects, func(e Effect) bool { _, seal := e.(Seal); return seal })
+	}
+	start := time.Unix(100, 0)
+	ms, needed := NewMachineSet(DefaultConfig()), 1
+	ms.SetState(start, state, nil)
+	for ; !report(ms, start.Add(time.Duration(needed)*200*time.Millisecond)); needed++ {
+		if needed == 100 {
+			t.Fatal("the term was not sealed")
+		}
+	}
+	ms = NewMachineSet(DefaultConfig())
+	ms.SetState(start, state, nil)
+	now := start
+	for range needed - 1 {
+		now = now.Add(200 * time.Millisecond)
+		report(ms, now)
+	}
+	returned := *state
+	group.Life = 9
+	returned.Groups = map[string]agreed.Group{"s": group}
+	ms.SetState(now, &returned, nil)
+	if report(ms, now.Add(200*time.Millisecond)) {
+		t.Error("the term was sealed by reports about the former life")
+	}
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -25,10 +25,13 @@
 }
 
 // SetView replaces the agreed state of the group. It keeps the measurements of endpoints
-// that remain members, and clears the history of positions when the term, the primary
-// or its activity changes.
+// that remain members in the same life of the service, and clears the history of positions when the
+// term, the primary or its activity changes.
 func (t *Table) SetView(now time.Time, v View) {
-	if v.Term != t.view.Term || v.Primary != t.view.Primary || v.Active != t.view.Active {
+	if v.Life != t.view.Life {
+		clear(t.endpoints)
+	}
+	if v.Life != t.view.Life || v.Term != t.view.Term || v.Primary != t.view.Primary || v.Active != t.view.Active {
 		t.history.clear()
 	}
 	first := !t.hasView
@@ -111,8 +114,8 @@
 	if t.view.Leaving {
 		return "", result.New(unavailableCode(need), "service %s is leaving and gets no new work", t.view.Service)
 	}
-	if need.MinPosition.Term > t.view.Term {
-		return "", result.New(unavailableCode(need), "service %s: term %d is not known on this host yet", t.view.Service, need.MinPosition.Term)
+	if p := need.MinPosition; p.Life > t.view.Life || p.Life == t.view.Life && p.Term > t.view.Term {
+		return "", result.New(unavailableCode(need), "service %s: term %d of life %d is not known on this host yet", t.view.Service, p.Term, p.Life)
 	}
 	if !need.ReadOnly {
 		return t.primary(need)
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -315,3 +315,24 @@
 	table.Observe(start, Status{Endpoint: "r1", QueriedAt: start, Timeline: 2, InRecovery: true, LSN: 60})
 	expectPick(t, table, start, Need{ReadOnly: true, MaxStaleness: time.Minute}, "p")
 }
+
+// TestStatusOfFormerLife guards against a read on a replica whose position was reported before the
+// service was withdrawn and returned with new endpoints under the same names.
+func TestStatusOfFormerLife(t *testing.T) {
+	view := View{
+		Service: "s", Term: 1, Timeline: 1, Primary: "p", Active: true,
+		Members: []Member{{Endpoint: "p", Domain: "d", Slots: 5}, {Endpoint: "r", Domain: "d", Slots: 5}},
+	}
+	table := NewTable(DefaultConfig("d"), rand.New(rand.NewPCG(1, 1)))
+	table.SetView(start, view)
+	table.Observe(start, Status{Endpoint: "r", QueriedAt: start, InRecovery: true, Timeline: 1, LSN: 900})
+	view.Life = 6
+	table.SetView(start, view)
+	id, err := table.Pick(start, Need{ReadOnly: true, MinPosition: Position{Life: 6, Term: 1, LSN: 50}})
+	if err != nil || id != "p" {
+		t.Errorf("picked %q, error %v; want the primary", id, err)
+	}
+	if _, err := table.Pick(start, Need{ReadOnly: true, MinPosition: Position{Life: 5, Term: 7, LSN: 50}}); err != nil {
+		t.Errorf("a position of a former life is refused: %v", err)
+	}
+}
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -6,11 +6,13 @@
 
 import "time"
 
-// Position is a log position in a term of the group.
+// Position is a log position in a term of a life of the group.
 type Position struct {
 	Term uint64
 	// LSN is the log position in bytes.
 	LSN uint64
+	// Life is agreed.Group.Life.
+	Life uint64
 }
 
 // Rand is a source of random numbers, such as *rand.Rand.
@@ -60,7 +62,8 @@
 // View is the agreed state of the group of one service.
 type View struct {
 	Service string
-	Term    uint64
+	// Life and Term are agreed.Group.Life and agreed.Group.Term.
+	Life, Term uint64
 	// Timeline is the database timeline of the term.
 	Timeline uint32
 	Primary  string
--- a/internal/session/table.go
+++ b/internal/session/table.go
@@ -35,10 +35,17 @@
 	}
 }
 
-// merge adds the positions of another host's table.
-func (t *Table) merge(other Table) {
-	t.Base = later(t.Base, other.Base)
+// merge adds the positions of another host's table. Where this host or the other one does not know
+// the life, they count as positions in the current one.
+func (t *Table) merge(other Table, life uint64) {
+	inLife := func(p Position) Position {
+		if p != (Position{}) && (p.Life == 0 || life == 0) {
+			p.Life = life
+		}
+		return p
+	}
+	t.Base = later(t.Base, inLife(other.Base))
 	for workspace, p := range other.Acked {
-		t.recordAcked(workspace, p)
+		t.recordAcked(workspace, inLife(p))
 	}
 }
--- a/internal/session/tracker.go
+++ b/internal/session/tracker.go
@@ -53,11 +53,14 @@
 	// new floor became necessary, so that an answer for an earlier one is ignored.
 	floorRevision uint64
 	floorChanges  uint64
-	pending       []Read
-	round         *round
-	rounds        uint64
-	lastRoundAt   time.Time // start of the last round
-	effects       []Effect
+	// lifeRevision is the revision that must be settled before a floor holds for the current life:
+	// until then other hosts may acknowledge writes in the former one.
+	lifeRevision uint64
+	pending      []Read
+	round        *round
+	rounds       uint64
+	lastRoundAt  time.Time // start of the last round
+	effects      []Effect
 }
 
 // NewPositionTracker returns a tracker that resolves no read before its first View. It
@@ -111,11 +114,14 @@
 	return time.Time{}, false
 }
 
-// setView applies a new view. A removed process or a new term makes a new floor
+// setView applies a new view. A removed process, a new term or a new life makes a new floor
 // necessary. A round that awaits a lost peer falls back to the primary.
 func (s *PositionTracker) setView(now time.Time, v View) {
-	if !s.hasView || v.Term != s.view.Term || v.LastRemovalRevision != s.view.LastRemovalRevision {
-		s.floorRevision = max(v.LastRemovalRevision, 1)
+	if !s.hasView || v.Life != s.view.Life || v.Term != s.view.Term || v.LastRemovalRevision != s.view.LastRemovalRevision {
+		if s.hasView && v.Life != s.view.Life {
+			s.lifeRevision = v.LifeRevision
+		}
+		s.floorRevision = max(v.LastRemovalRevision, s.lifeRevision, 1)
 		s.floorChanges++
 	}
 	s.hasView, s.view = true, v
@@ -213,7 +219,7 @@
 	if r == nil || r.id != reply.Round || !r.awaited[reply.Host] {
 		return
 	}
-	r.tables.merge(reply.Table)
+	r.tables.merge(reply.Table, s.view.Life)
 	delete(r.awaited, reply.Host)
 	if len(r.awaited) == 0 && r.gathering {
 		s.finishGather()
--- a/internal/session/types.go
+++ b/internal/session/types.go
@@ -12,16 +12,21 @@
 	"github.com/galenabridge/galenabridge/internal/result"
 )
 
-// Position is a log position in a term of the group.
+// Position is a log position in a term of a life of the group.
 type Position struct {
 	Term uint64 `cbor:"1,keyasint"`
 	// LSN is the log position in bytes.
 	LSN uint64 `cbor:"2,keyasint"`
+	// Life is agreed.Group.Life. Hosts of earlier builds send zero.
+	Life uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Before reports whether p lies before q. A later term holds every write that
-// was acknowledged in an earlier one.
+// was acknowledged in an earlier one, and a later life those that its endpoints kept.
 func (p Position) Before(q Position) bool {
+	if p.Life != q.Life {
+		return p.Life < q.Life
+	}
 	if p.Term != q.Term {
 		return p.Term < q.Term
 	}
@@ -73,8 +78,9 @@
 	// Settled is a revision that every holder of a configuration lease has
 	// applied.
 	Settled uint64
-	// Term is the group's last active term.
-	Term uint64
+	// Life and Term are those in which the group was last active. LifeRevision is a revision in
+	// that life.
+	Life, Term, LifeRevision uint64
 	// Peers are the other registered entry hosts that may acknowledge writes
 	// of the service.
 	Peers []Peer
