Limits: a restart and a return grant no rate twice

Cause: an owner that started under catalog 1 took its rates for never granted; a host gave a workspace that returned a new bucket with the whole reserve. Change: the owner relies on what it has seen itself; buckets of withdrawn workspaces are kept until they are full.

--- a/internal/limits/floor.go
+++ b/internal/limits/floor.go
@@ -45,7 +45,7 @@
 // takeIfFull spends a token only if the bucket is full and would lose the tokens that
 // accrue next.
 func (f *floorBucket) takeIfFull(now time.Time) bool {
-	return f != nil && f.bucket.TokensAt(now) >= float64(f.bucket.Burst()) && f.take(now)
+	return f != nil && f.isFull(now) && f.take(now)
 }
 
 // maxWait returns an upper bound of the time until the next token.
@@ -56,22 +56,48 @@
 	return time.Duration(float64(time.Second) / float64(f.bucket.Limit()))
 }
 
-// updateRateFloors adjusts the floor buckets to the agreed state. The caller holds
-// h.mu.
+// isFull reports whether nothing has been spent of late.
+func (f *floorBucket) isFull(now time.Time) bool {
+	return f.bucket.TokensAt(now) >= float64(f.bucket.Burst())
+}
+
+// updateRateFloors adjusts the floor buckets to the agreed state. The bucket of a workspace that is
+// withdrawn, or has no floor here any more, is kept until it is full: a rate is a promise over time,
+// also to a workspace that returns. The caller holds h.mu.
 func (h *Holder) updateRateFloors(now time.Time, state *agreed.State, size fleetSize) {
 	for name, w := range state.Catalog.Workspaces {
-		switch f := h.rateFloors[name]; {
-		case !size.hasRateFloor(h.peers.Host(), w):
-			delete(h.rateFloors, name)
-		case f == nil:
+		if !size.hasRateFloor(h.peers.Host(), w) {
+			h.retireRateFloor(name)
+			continue
+		}
+		f := h.rateFloors[name]
+		if f == nil {
+			f = h.retiredFloors[name]
+			delete(h.retiredFloors, name)
+		}
+		if f == nil {
 			h.rateFloors[name] = newFloorBucket(now, w, size)
-		default:
-			f.resize(now, w, size)
+			continue
 		}
+		f.resize(now, w, size)
+		h.rateFloors[name] = f
 	}
 	for name := range h.rateFloors {
 		if _, ok := state.Catalog.Workspaces[name]; !ok {
-			delete(h.rateFloors, name)
+			h.retireRateFloor(name)
 		}
 	}
+	for name, f := range h.retiredFloors {
+		if f.isFull(now) {
+			delete(h.retiredFloors, name)
+		}
+	}
+}
+
+// retireRateFloor takes the bucket of a workspace out of use. The caller holds h.mu.
+func (h *Holder) retireRateFloor(name string) {
+	if f := h.rateFloors[name]; f != nil {
+		h.retiredFloors[name] = f
+		delete(h.rateFloors, name)
+	}
 }
--- a/internal/limits/floor_test.go
+++ b/internal/limits/floor_test.go
@@ -235,3 +235,40 @@
 		t.Errorf("%d tokens at the start, want 4", taken)
 	}
 }
+
+// TestFloorOfReturningWorkspace guards against a workspace that is withdrawn and returns and gets its
+// reserve each time, beyond its rate.
+func TestFloorOfReturningWorkspace(t *testing.T) {
+	cfg := floorConfig()
+	cfg.Tolerance = Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	state := agreed.New()
+	w := note.Workspace{Name: "w", Rate: 4, Burst: 8}
+	state.Hosts["entry-0"] = agreed.Host{ID: "entry-0", Entry: true}
+	f := newFleet(t, 0, 1)
+	h := f.hosts["entry-0"].holder
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	taken := 0
+	begin := time.Unix(1000, 0)
+	// follow applies the state with or without the workspace and spends what its floor gives.
+	follow := func(now time.Time, present bool) {
+		if delete(state.Catalog.Workspaces, "w"); present {
+			state.Catalog.Workspaces["w"] = w
+		}
+		h.updateRateFloors(now, state, sizeOf(cfg, state, &route.HomeTable{}))
+		taken += takeAll(h.rateFloors["w"], now)
+	}
+	for i := range 10 {
+		now := begin.Add(time.Duration(i) * 500 * time.Millisecond)
+		follow(now, true)
+		follow(now.Add(250*time.Millisecond), false)
+	}
+	size := sizeOf(cfg, state, &route.HomeTable{})
+	if limit := size.tokenReserve(w) + 5*w.Rate + w.Burst; float64(taken) > limit {
+		t.Errorf("%d tokens in 5 s, want at most the reserve, the rate and the burst, %.1f", taken, limit)
+	}
+	follow(begin.Add(time.Hour), false)
+	if len(h.retiredFloors) != 0 {
+		t.Error("a full bucket of a workspace that was withdrawn is kept")
+	}
+}
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -61,6 +61,8 @@
 	homes            route.HomeTable
 	// rateFloors are the parts of rates that need no lease, by workspace.
 	rateFloors map[string]*floorBucket
+	// retiredFloors are those of workspaces that were withdrawn and may return.
+	retiredFloors map[string]*floorBucket
 	// reserves are the tokens that may be spent while the owner of a rate is unknown, by
 	// workspace.
 	reserves map[string]*reserve
@@ -83,9 +85,9 @@
 		peers: peers, view: src, log: logger, cfg: cfg,
 		quota:      quota.NewHolder(quotaConfig(cfg.Lease), peers.Host(), peers.Incarnation(), startedAt),
 		queues:     make(map[string]*queue),
-		rateFloors: make(map[string]*floorBucket),
-		reserves:   make(map[string]*reserve),
-		wake:       make(chan struct{}, 1),
+		rateFloors: make(map[string]*floorBucket), retiredFloors: make(map[string]*floorBucket),
+		reserves: make(map[string]*reserve),
+		wake:     make(chan struct{}, 1),
 	}
 	peer.On(peers, peer.KindQuotaOK, func(from peer.Identity, r quota.Reply) {
 		r.Owner = from.Host
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -17,6 +17,7 @@
 	"github.com/galenabridge/galenabridge/internal/clock"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/peer"
+	"github.com/galenabridge/galenabridge/internal/quota"
 	"github.com/galenabridge/galenabridge/internal/rendezvous"
 	"github.com/galenabridge/galenabridge/internal/result"
 	"github.com/galenabridge/galenabridge/internal/view"
@@ -303,3 +304,32 @@
 		t.Errorf("idle for %d ms, new %t; want at least 1000 ms of a new process", r.IdleMS, r.New)
 	}
 }
+
+// TestRestartedOwnerUnderFirstCatalog guards against an owner that starts again under the first catalog
+// and grants a rate that the holders still have of its former process.
+func TestRestartedOwnerUnderFirstCatalog(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	fresh := func() *Owner {
+		cfg := DefaultConfig()
+		return &Owner{
+			view: f.hosts["control-0"].view, cfg: cfg, limits: map[string]quota.Limit{}, startedAt: clock.Now(),
+			quota: quota.NewOwner(quotaConfig(cfg.Lease), "control-0", 2, clock.Now()),
+		}
+	}
+	tokens := func(o *Owner) float64 {
+		now, key := clock.Now(), rateKey(testWorkspace)
+		o.applyState(now)
+		o.quota.SetOwnerLease(now.Add(time.Minute))
+		o.quota.Handle(now, quota.Request{Host: "entry-0", Incarnation: 1, Epoch: 1, OwnerIncarnation: 2, Seq: 1, Keys: []quota.KeyRequest{{Key: key, Demand: 1}}})
+		s, _ := o.quota.Status(key)
+		return s.Pool + s.Leased
+	}
+	if n := tokens(fresh()); n > 0 {
+		t.Errorf("an owner that starts under the first catalog grants %.0f tokens", n)
+	}
+	first := fresh()
+	first.state = agreed.New() // it has seen the fleet without a catalog
+	if n := tokens(first); n < testBurst/2 {
+		t.Errorf("an owner that has seen the fleet without a catalog grants %.0f tokens, want most of %d", n, testBurst)
+	}
+}
--- a/internal/limits/owner.go
+++ b/internal/limits/owner.go
@@ -157,7 +157,7 @@
 // setLimits passes added, changed and removed limits to the quota owner.
 func (o *Owner) setLimits(now time.Time, state *agreed.State) {
 	next := limitsOf(o.cfg, state, &o.homes)
-	newNeverLeased := o.newKeysNeverLeased(now, state)
+	newNeverLeased := o.newKeysNeverLeased(now)
 	for key, limit := range next {
 		old, known := o.limits[key]
 		if !known || old != limit {
@@ -174,10 +174,11 @@
 }
 
 // newKeysNeverLeased reports whether no lease can exist of a key that is added now:
-// either the fleet has its first catalog, or this process has followed the state for
-// longer than any lease lasts.
-func (o *Owner) newKeysNeverLeased(now time.Time, state *agreed.State) bool {
-	if state.Catalog.Stamp.Number <= 1 || o.state != nil && o.state.Catalog.Stamp.Number == 0 {
+// either this process has seen the fleet without a catalog, or it has followed the state for
+// longer than any lease lasts. The number of the catalog alone proves nothing: a process that starts
+// under the first one may follow one that has granted its keys.
+func (o *Owner) newKeysNeverLeased(now time.Time) bool {
+	if o.state != nil && o.state.Catalog.Stamp.Number == 0 {
 		return true
 	}
 	return o.state != nil && now.Sub(o.startedAt) > 2*(o.cfg.Lease.Duration+quota.DefaultShareLease)
