Failover: promote a replica where a forming group has no primary

Cause: a forming group could only be activated with an endpoint that answers as primary. If that one was lost before, the service was refused for good. Change: after FormingGrace without a primary the group is sealed, and the usual choice and promotion follow; for services whose endpoints decide acknowledgement only.

--- a/internal/agreed/apply_group.go
+++ b/internal/agreed/apply_group.go
@@ -58,13 +58,15 @@
 }
 
 // sealGroup ends the term of an active group, which must be the expected one. The
-// group can become active again only through its candidate.
+// group can become active again only through its candidate. Under note.AckReplicas a forming group can be
+// sealed as well: if its primary was lost, it becomes active only through a promotion.
 func sealGroup(s *State, index uint64, c *SealGroup) (*State, Outcome) {
 	g, ok := s.Groups[c.Service]
 	if !ok {
 		return nil, refuse(result.UnknownService, "no service %q", c.Service)
 	}
-	if g.Phase != PhaseActive || g.Term != c.Term {
+	forming := g.Phase == PhaseForming && s.Catalog.Services[c.Service].Ack == note.AckReplicas
+	if g.Phase != PhaseActive && !forming || g.Term != c.Term {
 		return nil, termConflict(g, c.Term)
 	}
 	return s.withGroup(sealedGroup(g, c.Reason), index), Outcome{}
--- a/internal/agreed/apply_test.go
+++ b/internal/agreed/apply_test.go
@@ -254,3 +254,16 @@
 	}
 	return data
 }
+
+// TestSealFormingGroup guards against a group whose primary was lost before it was first active, and
+// that no command can make active.
+func TestSealFormingGroup(t *testing.T) {
+	s := run(t, New(), step{putDocument(1, "log"), 0}, step{put("a"), 0}, step{put("b"), 0}, step{put("c"), 0}, step{seal(0), 0})
+	if g := s.Groups["log"]; g.Phase != PhaseSealed || g.Term != 1 {
+		t.Fatalf("group %+v, want it sealed in term 1", g)
+	}
+	s = run(t, s, step{seal(0), result.TermConflict}, step{choose(1, "b"), 0}, step{activate(1, "c"), result.TermConflict}, step{activate(1, "b"), 0})
+	if g := s.Groups["log"]; g.Phase != PhaseActive || g.Term != 1 || g.Primary != "b" {
+		t.Errorf("group %+v, want b as the primary of term 1", g)
+	}
+}
--- a/internal/agreed/types.go
+++ b/internal/agreed/types.go
@@ -72,7 +72,8 @@
 
 // Phases of a group.
 const (
-	// PhaseForming: the group has had no primary yet. It needs a quorum of members.
+	// PhaseForming: the group has had no primary yet. It needs a quorum of members, or is sealed if
+	// none of them is a primary.
 	PhaseForming Phase = "forming"
 	// PhaseActive: the primary accepts writes under the group's term.
 	PhaseActive Phase = "active"
@@ -81,12 +82,13 @@
 )
 
 // Group is the agreed state of a service's database group. Its phase goes from
-// forming to active, then alternates between sealed and active. Each term has at
+// forming to active or sealed, then alternates between sealed and active. Each term has at
 // most one primary.
 type Group struct {
 	Service string   `json:"service" cbor:"1,keyasint"`
 	Members []string `json:"members" cbor:"2,keyasint"`
-	// Term is 1 when the group first becomes active, and is incremented by each seal.
+	// Term is 1 when the group first becomes active, or is sealed before, and is incremented by each
+	// seal after that.
 	Term    uint64 `json:"term" cbor:"3,keyasint"`
 	Primary string `json:"primary" cbor:"4,keyasint"`
 	Phase   Phase  `json:"phase" cbor:"5,keyasint"`
--- a/internal/failover/active.go
+++ b/internal/failover/active.go
@@ -103,21 +103,28 @@
 }
 
 // advanceForming activates a new group once a majority of its endpoints answers and
-// exactly one is out of recovery on the highest timeline.
+// exactly one is out of recovery on the highest timeline. If none is for FormingGrace, the primary
+// was lost before the group was active: the group is sealed, so that a replica is promoted. That
+// needs note.AckReplicas, under which a former primary that returns is rolled back.
 func (m *Machine) advanceForming(now time.Time) {
 	m.queryPositions(now)
 	answered, primary, ambiguous := m.formingMembers(now)
 	if answered < m.majority() {
-		m.majorityAt = time.Time{}
+		m.majorityAt, m.noPrimaryAt = time.Time{}, time.Time{}
 		m.setStatus(fmt.Sprintf("forming: %d of %d endpoints answer", answered, m.view.Size))
 		return
 	}
 	if m.majorityAt.IsZero() {
 		m.majorityAt = now
 	}
+	if primary != "" || m.noPrimaryAt.IsZero() {
+		m.noPrimaryAt = now
+	}
 	switch {
 	case ambiguous:
 		m.setStatus("forming: more than one endpoint is out of recovery on the highest timeline")
+	case primary == "" && m.view.Ack == note.AckReplicas && now.Sub(m.noPrimaryAt) >= m.cfg.FormingGrace:
+		m.seal(now, "no endpoint of the new group is out of recovery")
 	case primary == "":
 		m.setStatus("forming: no endpoint is out of recovery")
 	case answered < m.view.Size && now.Sub(m.majorityAt) < m.cfg.FormingGrace:
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -35,6 +35,8 @@
 	queriedAt    time.Time
 	// majorityAt is when a majority began to answer, zero while none does.
 	majorityAt time.Time
+	// noPrimaryAt is since when a majority of a forming group answers and none is out of recovery.
+	noPrimaryAt time.Time
 	// candidateAt is when this machine first saw the recorded candidate, or last chose
 	// it again after a failure. CandidateTimeout and PromoteTimeout run from then.
 	candidateAt time.Time
@@ -126,7 +128,7 @@
 	clear(m.failedCandidates)
 	m.pendingUntil = time.Time{}
 	m.queriedAt = time.Time{}
-	m.majorityAt = time.Time{}
+	m.majorityAt, m.noPrimaryAt = time.Time{}, time.Time{}
 	m.switchoverDueAt = time.Time{}
 	if m.view.Group.Phase == agreed.PhaseActive {
 		clear(m.reports)
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/note"
 )
 
 // harness drives one Machine with single events and collects its effects.
@@ -433,3 +434,51 @@
 		t.Errorf("report of a former member was kept: %+v", key)
 	}
 }
+
+// TestFormingGroupWithoutPrimary guards against a service that is never served, since its primary was lost
+// before its group was first active (review/14).
+func TestFormingGroupWithoutPrimary(t *testing.T) {
+	for name, c := range map[string]struct {
+		ack     note.AckPolicy
+		primary bool // one answers out of recovery halfway
+		sealed  bool
+	}{
+		"lost":                            {note.AckReplicas, false, true},
+		"late":                            {note.AckReplicas, true, false},
+		"endpoints that do not roll back": {"", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, threeDomains)
+			h.view.Group = agreed.Group{Service: "s", Members: []string{"a", "b", "c"}, Phase: agreed.PhaseForming, Changed: 10}
+			h.view.Ack = c.ack
+			h.send(h.view)
+			h.effects = nil
+			sealed, activated := false, false
+			for elapsed := time.Duration(0); elapsed < 2*h.m.cfg.FormingGrace && !sealed && !activated; elapsed += 200 * time.Millisecond {
+				if elapsed < h.m.cfg.FormingGrace && sealed {
+					t.Error("sealed before FormingGrace")
+				}
+				h.answer("b", Condition{Reachable: true, InRecovery: true, Timeline: 3, Position: 7})
+				h.answer("c", Condition{Reachable: true, InRecovery: true, Timeline: 3, Position: 9})
+				if c.primary && elapsed > h.m.cfg.FormingGrace/2 {
+					h.answer("a", Condition{Reachable: true, Timeline: 3, Position: 9})
+				}
+				h.advance(200 * time.Millisecond)
+				for _, e := range h.effects {
+					switch e := e.(type) {
+					case Seal:
+						sealed = true
+						if e.Term != 0 {
+							t.Errorf("sealed in term %d", e.Term)
+						}
+					case Activate:
+						activated = true
+					}
+				}
+			}
+			if sealed != c.sealed || activated != c.primary {
+				t.Errorf("sealed %t, activated %t; want sealed %t, activated %t", sealed, activated, c.sealed, c.primary)
+			}
+		})
+	}
+}
--- a/internal/failover/types.go
+++ b/internal/failover/types.go
@@ -85,7 +85,7 @@
 	// SwitchoverInterval is the minimum time between two planned switchovers of a group.
 	SwitchoverInterval time.Duration
 	// FormingGrace is how long a new group waits for its missing members once a
-	// majority has answered.
+	// majority has answered, and for one of them to be a primary.
 	FormingGrace time.Duration
 	// PositionGrace is how long the choice waits for further members of a group
 	// whose endpoints decide acknowledgement (note.AckReplicas): each may hold a
