Control: bound what is kept by bytes

With 9,100 routes and 150 changes all control processes passed their 280 MB three times in 92 s. TestRecentStatesBoundedBySize failed before and passes.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -48,6 +48,8 @@
 	// TrailingEntries is the number of applied entries kept after a snapshot, so that
 	// followers that lag by less need no snapshot.
 	TrailingEntries uint64
+	// TrailingBytes bounds the size of their data.
+	TrailingBytes int
 }
 
 func (c Config) withDefaults() Config {
@@ -59,6 +61,7 @@
 	setDefault(&c.MaxAppendBytes, DefaultMaxAppendBytes)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
 	setDefault(&c.ChunkBytes, DefaultChunkBytes)
+	setDefault(&c.TrailingBytes, DefaultTrailingBytes)
 	setDefault(&c.ToleratedLosses, DefaultToleratedLosses)
 	if c.TrailingEntries == 0 {
 		c.TrailingEntries = DefaultTrailingEntries
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -175,14 +175,20 @@
 }
 
 // compact records a snapshot and drops the entries before it, except for the last
-// trailing ones.
-func (l *raftLog) compact(snap Snapshot, trailing uint64) {
+// trailing ones whose data has at most the given bytes.
+func (l *raftLog) compact(snap Snapshot, trailing uint64, bytes int) {
 	l.snap = snap
 	l.snapshotUnsaved = true
-	if snap.Index < trailing || snap.Index-trailing <= l.prevIndex {
+	cut := snap.Index
+	for cut > l.prevIndex && snap.Index-cut < trailing {
+		if bytes -= len(l.entries[cut-l.prevIndex-1].Data); bytes < 0 {
+			break
+		}
+		cut--
+	}
+	if cut <= l.prevIndex {
 		return
 	}
-	cut := snap.Index - trailing
 	term, _ := l.term(cut)
 	l.entries = slices.Clone(l.slice(cut+1, l.last()))
 	l.prevIndex, l.prevTerm = cut, term
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -21,7 +21,7 @@
 }
 
 // Compact replaces the entries up to an applied index, except for the last
-// Config.TrailingEntries of them, by the application state at that index. The next
+// Config.TrailingEntries of them and Config.TrailingBytes, by the application state at that index. The next
 // Ready contains the snapshot to save.
 func (n *Node) Compact(index uint64, data []byte) error {
 	if index > n.log.applied {
@@ -33,7 +33,7 @@
 	term, _ := n.log.term(index)
 	n.log.compact(Snapshot{
 		Index: index, Term: term, Members: n.log.membersAt(index), Data: data,
-	}, n.cfg.TrailingEntries)
+	}, n.cfg.TrailingEntries, n.cfg.TrailingBytes)
 	return nil
 }
 
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -201,5 +201,6 @@
 	DefaultMaxInflight     = 32 // append messages per follower
 	DefaultChunkBytes      = 256 << 10
 	DefaultTrailingEntries = 1024 // entries
-	DefaultToleratedLosses = 2    // data folders
+	DefaultTrailingBytes   = 4 << 20
+	DefaultToleratedLosses = 2 // data folders
 )
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -198,9 +198,7 @@
 			next, out, err = state, h.skipEntry(e, fmt.Sprintf("panic: %v", v)), nil
 		}
 	}()
-	if c.DecideUsage != nil {
-		h.usageLogged += len(e.Data)
-	}
+	h.loggedBytes += len(e.Data)
 	next, out = agreed.Apply(state, e.Index, c)
 	if c.SetDomain != nil {
 		h.orders.applied(c.SetDomain.Domain, e.Index)
@@ -260,22 +258,27 @@
 	return nil
 }
 
-// maxUsageLogged is the size of the decided windows, in bytes, after which a snapshot is taken: one
-// of 1,000 workspaces has some KB, and CompactEvery of them would take a tenth of the memory.
-const maxUsageLogged = 4 << 20
+// maxLoggedBytes is the size of the entries, in bytes, after which a snapshot is taken, and snapshotShare
+// the least part of the size of the last snapshot. Windows of 1,000 workspaces have some KB each, a catalog
+// of 10,000 routes some MB: CompactEvery of them would take a great part of the memory, or more than all.
+const (
+	maxLoggedBytes = 4 << 20
+	snapshotShare  = 2
+)
 
-// compact takes a snapshot once CompactEvery entries, or maxUsageLogged of windows, were applied
-// since the last.
+// compact takes a snapshot once CompactEvery entries, or enough bytes of them, were applied since the
+// last.
 func (h *Host) compact() error {
 	st := h.node.Status()
-	if st.Applied < st.Snapshot+h.opts.CompactEvery && (h.usageLogged < maxUsageLogged || st.Applied == st.Snapshot) {
+	full := h.loggedBytes >= max(maxLoggedBytes, snapshotShare*h.snapshotBytes) && st.Applied > st.Snapshot
+	if st.Applied < st.Snapshot+h.opts.CompactEvery && !full {
 		return nil
 	}
-	h.usageLogged = 0
 	data, err := h.state.Encode()
 	if err != nil {
 		return err
 	}
+	h.loggedBytes, h.snapshotBytes = 0, len(data)
 	return h.node.Compact(st.Applied, data)
 }
 
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -131,8 +131,9 @@
 	term        uint64
 	failover    *failoverDriver
 	usage       *usageDriver
-	// usageLogged is the size of the windows applied since the last snapshot, in bytes.
-	usageLogged int
+	// loggedBytes is the size of the entries applied since the last snapshot, snapshotBytes that of the
+	// snapshot.
+	loggedBytes, snapshotBytes int
 	// usageRefused is the highest fence under which a report of this process was refused.
 	usageRefused atomic.Uint64
 	// confirming is the last confirmation that was requested, and quorumAt when the last one that
@@ -288,7 +289,7 @@
 	h.position.Store(stored.Snapshot.Index)
 	h.leading, h.confirmed = false, false
 	h.confirming, h.quorumAt = confirmation{}, time.Time{}
-	h.usageLogged = 0
+	h.loggedBytes, h.snapshotBytes = 0, len(stored.Snapshot.Data)
 	return nil
 }
 
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -14,9 +14,11 @@
 // Limits of the distribution of states to subscribers.
 const (
 	// maxRecentStates is the number of pushed revisions kept as the base of deltas: those of
-	// 2.5 s of changes. A subscriber further behind gets a snapshot. Each may hold a copy of
-	// every map of the state.
+	// 2.5 s of changes. A subscriber further behind gets a snapshot.
 	maxRecentStates = 64
+	// maxRecentBytes bounds what they hold beside the last one, in bytes: a tenth of the memory of a
+	// control host (280 MB).
+	maxRecentBytes = 28 << 20
 	// resendDelay is how long a subscriber may lag behind the pushed revision before
 	// the pushes are considered lost and repeated. It is many round trips between
 	// failure domains (3 ms).
@@ -61,20 +63,32 @@
 	return resendDelay + time.Duration(s.inFlight)*time.Second/assumedRate
 }
 
-// recentStates holds the last maxRecentStates states that were pushed, in ascending order of
-// revision.
+// recentStates holds the last states that were pushed, as subscribers have them, in ascending order of
+// revision: at most maxRecentStates, and of maxRecentBytes beside the last one.
 type recentStates struct {
 	states []*agreed.State
+	// sizes holds for each state the memory that the one after it does not share, in bytes, and zero
+	// for the last one. total is their sum.
+	sizes []int
+	total int
 }
 
 func (r *recentStates) add(s *agreed.State) {
-	if n := len(r.states); n > 0 && r.states[n-1].Revision >= s.Revision {
+	n := len(r.states)
+	if n > 0 && r.states[n-1].Revision >= s.Revision {
 		return
 	}
-	r.states = append(r.states, s)
-	if len(r.states) > maxRecentStates {
-		r.states = slices.Delete(r.states, 0, len(r.states)-maxRecentStates)
+	if n > 0 {
+		r.sizes[n-1] = r.states[n-1].UnsharedSize(s)
+		r.total += r.sizes[n-1]
 	}
+	r.states, r.sizes = append(r.states, s.ForSubscriber()), append(r.sizes, 0)
+	drop := 0
+	for len(r.states)-drop > maxRecentStates || r.total > maxRecentBytes {
+		r.total -= r.sizes[drop]
+		drop++
+	}
+	r.states, r.sizes = slices.Delete(r.states, 0, drop), slices.Delete(r.sizes, 0, drop)
 }
 
 // last returns the latest state, or nil if none is held.
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
 	"github.com/galenabridge/galenabridge/internal/lease"
+	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/peer"
 )
 
@@ -288,3 +289,31 @@
 		}
 	}
 }
+
+// TestRecentStatesBoundedBySize plays 80 changes of a catalog with 10,000 routes. It guards against control
+// hosts that keep a copy of it for each and pass their memory.
+func TestRecentStatesBoundedBySize(t *testing.T) {
+	const routes, routeBytes = 10_000, 320
+	h := newPushHost(t, 1)
+	now := time.Unix(100, 0)
+	for number := range uint64(80) {
+		c := note.Catalog{Routes: make(map[string]note.Route, routes)}
+		for i := range routes {
+			name := fmt.Sprint("r", i)
+			c.Routes[name] = note.Route{Name: name, Database: name, Service: "logs", Timeout: int64(number + 1)}
+		}
+		document := agreed.Document{Number: number + 1, Source: []byte("text")}
+		h.state, _ = agreed.Apply(h.state, h.state.Revision+1, agreed.Command{PutCatalog: &agreed.PutCatalog{Document: document, Catalog: c}})
+		now = now.Add(pushInterval)
+		h.pushChanges(now)
+		h.answerPushes(now)
+	}
+	if kept := len(h.recent.states); kept > maxRecentBytes/(routes*routeBytes)+1 || kept < 2 {
+		t.Errorf("%d states of some %d MB are kept, want at most %d MB beside the last", kept, routes*routeBytes>>20, maxRecentBytes>>20)
+	}
+	for _, s := range h.recent.states {
+		if s.Document.Source != nil {
+			t.Fatal("a kept state has the source of its document")
+		}
+	}
+}
