Control: acknowledge orders once the losses of the settings are borne

Cause: the group begins with the three seeds, and acknowledged changes while the loss of two disks, which the settings allow, could take most of them. The other hosts became voters within the next second. Change: orders of operators are acknowledged once there are enough voters, or 3 s after the start of the host; the leader admits hosts in each tick until then.

--- a/internal/consensus/open_membership.go
+++ b/internal/consensus/open_membership.go
@@ -70,6 +70,11 @@
 	return 2*tolerated + 1
 }
 
+// BearsLosses reports whether every committed entry survives the loss of ToleratedLosses data folders:
+// the committed members have minVoters voters. A group that has just been formed has fewer until the
+// other control hosts have joined.
+func (n *Node) BearsLosses() bool { return n.voterCount() >= n.minVoters() && n.changeCommitted() }
+
 // SetControlHosts sets the number of control hosts that the fleet has, zero if it is unknown. The
 // settings of a host may name more losses than so many hosts can bear; waiting for voters that the
 // fleet does not have would keep those that have left.
--- a/internal/consensus/open_membership_test.go
+++ b/internal/consensus/open_membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -185,3 +186,40 @@
 	s.tickRates = append(s.tickRates, 1)
 	s.diskLost = true
 }
+
+// TestFirstCommandsSurviveLostDisks guards against a command that is acknowledged right after the first start
+// of a fleet and lost, with the group, by the loss of as many disks as it has to bear (review/11).
+func TestFirstCommandsSurviveLostDisks(t *testing.T) {
+	for seed := range uint64(200) {
+		c := newOpenCluster(t, seed, "d", "e")
+		c.runUntil("a leader", func() bool { return c.leader() != nil })
+		p := c.leader()
+		if _, err := p.node.Propose([]byte("first")); err != nil {
+			t.Fatal(err)
+		}
+		c.processReady(p)
+		rounds := 0
+		for acknowledged := false; !acknowledged; rounds++ {
+			c.round()
+			p := c.leader()
+			acknowledged = p != nil && slices.Contains(p.state.commands, "first") && p.node.BearsLosses()
+			if rounds > 50 {
+				t.Fatalf("seed %d: not acknowledged after %d rounds", seed, rounds)
+			}
+		}
+		c.network = nil
+		for _, lost := range c.rng.Perm(len(c.hosts))[:2] {
+			p := c.procs[c.hosts[lost]]
+			p.cfg.InitialVoters, p.cfg.Peers = nil, slices.Clone(c.hosts) // as settings have it after the first start
+			c.wipeDisk(p.cfg.Host)
+		}
+		c.runUntil("five voters by their disks", c.allHostsVote)
+		c.propose("second")
+		for _, p := range c.procs {
+			if !slices.Contains(p.state.commands, "first") {
+				t.Fatalf("seed %d: %s lacks the command that was acknowledged", seed, p.cfg.Host)
+			}
+		}
+		c.requireNoViolation()
+	}
+}
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -40,6 +40,9 @@
 	h.node.Tick()
 	h.finishDepartures()
 	h.expireProposals(now)
+	if h.leading && h.confirmed && h.opts.OpenMembership && !h.node.BearsLosses() {
+		h.changeMembers() // without waiting for the interval of the leader's tasks
+	}
 	h.expireLeaseRound(now)
 	if h.pushes.due {
 		h.pushChanges(now)
@@ -72,6 +75,7 @@
 		h.failover.applyPending(now)
 		h.usage.applyPending(now)
 		if h.saveErr != nil || !h.node.HasReady() {
+			h.answerHeld(now)
 			return h.compact()
 		}
 	}
@@ -162,7 +166,7 @@
 	state := h.state
 	for _, e := range entries {
 		if e.Kind != consensus.EntryCommand {
-			h.finishProposal(e, agreed.Outcome{})
+			h.finishProposal(now, e, agreed.Outcome{})
 			continue
 		}
 		next, out, err := h.applyEntry(state, e)
@@ -170,7 +174,7 @@
 			return err
 		}
 		state = next
-		h.finishProposal(e, out)
+		h.finishProposal(now, e, out)
 	}
 	if state == h.state {
 		return nil
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -131,6 +131,10 @@
 	term        uint64
 	failover    *failoverDriver
 	usage       *usageDriver
+	// openedAt is when this run of the host began; held counts the proposals whose acknowledgement is
+	// held back.
+	openedAt time.Time
+	held     int
 	// loggedBytes is the size of the entries applied since the last snapshot, snapshotBytes that of the
 	// snapshot.
 	loggedBytes, snapshotBytes int
@@ -205,6 +209,7 @@
 		return err
 	}
 	defer h.close()
+	h.openedAt = clock.Now()
 	ticker := time.NewTicker(consensus.DefaultTickInterval)
 	defer ticker.Stop()
 	for {
@@ -280,7 +285,7 @@
 	h.broker.AbortRound()
 	h.subscribers = make(map[lease.ID]*subscription)
 	h.pushes = pushState{}
-	h.proposals = make(map[uint64]pendingProposal)
+	h.proposals, h.held = make(map[uint64]pendingProposal), 0
 	h.pendingReads = newPendingReads()
 	h.announced = make(map[string]announcedEndpoint)
 	h.joinPositions = make(map[string]joinPosition)
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -38,6 +38,39 @@
 	service string
 	// usage is set instead of reply if this usage driver proposed the command.
 	usage *usageDriver
+	// order: an operator proposed the command. outcome is set once it is applied and its
+	// acknowledgement is held back.
+	order   bool
+	outcome *agreed.Outcome
+}
+
+// firstVotersGrace bounds the time in which a control host that has started holds back
+// acknowledgements for voters that have yet to join. It is below the 5 s after which an order counts
+// as unacknowledged. A fleet with fewer control hosts than the settings need gets no others.
+const firstVotersGrace = 3 * time.Second
+
+// mayAcknowledge reports whether what operators have ordered survives the losses that the settings
+// name, as far as it ever will. Right after the first start of a fleet the group has the seeds alone
+// as voters, of which these losses may be most.
+func (h *Host) mayAcknowledge(now time.Time) bool {
+	return !h.opts.OpenMembership || h.node.BearsLosses() || now.Sub(h.openedAt) >= firstVotersGrace
+}
+
+// answerHeld answers the operators whose orders were applied, once they may be acknowledged. A host
+// that does not lead any more cannot tell; the sender asks the leader again.
+func (h *Host) answerHeld(now time.Time) {
+	if h.held == 0 || h.leading && !h.mayAcknowledge(now) {
+		return
+	}
+	for index, p := range h.proposals {
+		switch {
+		case p.outcome == nil:
+		case h.leading:
+			h.answerProposal(index, *p.outcome, nil)
+		default:
+			h.answerProposal(index, agreed.Outcome{}, errUnconfirmed())
+		}
+	}
 }
 
 // proposeEvent requests to append a command to the log. It fails if this host is
@@ -58,7 +91,8 @@
 		e.reply <- proposalResult{err: err}
 		return
 	}
-	h.proposals[index] = pendingProposal{term: h.term, deadline: now.Add(proposalTimeout), reply: e.reply}
+	order := e.command.PutCatalog != nil || e.command.SetDomain != nil
+	h.proposals[index] = pendingProposal{term: h.term, deadline: now.Add(proposalTimeout), reply: e.reply, order: order}
 }
 
 // appendCommand appends a command to the leader's log and returns its index. A note
@@ -89,11 +123,17 @@
 
 // finishProposal answers the proposer of an applied entry. An entry of another
 // term at the same index means that the proposal was overwritten by a new leader.
-func (h *Host) finishProposal(e consensus.Entry, out agreed.Outcome) {
+func (h *Host) finishProposal(now time.Time, e consensus.Entry, out agreed.Outcome) {
 	p, ok := h.proposals[e.Index]
 	if !ok {
 		return
 	}
+	if e.Term == p.term && p.order && out.Code == 0 && !h.mayAcknowledge(now) {
+		p.outcome = &out
+		h.proposals[e.Index] = p
+		h.held++
+		return
+	}
 	if e.Term != p.term {
 		h.answerProposal(e.Index, agreed.Outcome{}, result.New(result.NotLeader, "the leader changed; the command was not accepted"))
 		return
@@ -107,6 +147,9 @@
 		return
 	}
 	delete(h.proposals, index)
+	if p.outcome != nil {
+		h.held--
+	}
 	if p.service != "" {
 		h.failover.commandDone(p.service, err == nil && out.Code == 0)
 		return
