Consensus: form the group although an initial voter is lost

Cause: only the initial voter with the lowest name formed the group, and only with all others. One that was lost or started again before kept the fleet from ever starting. Change: after 2 s the initial voters that remain form it in turn, if their quorum is one of all; hosts leave groups that cannot come to be.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -8,6 +8,9 @@
 // bootstrapState is the state of a node that belongs to no group.
 type bootstrapState struct {
 	readyPeers map[string]joinRequest // other hosts without a group, by host
+	// fleetAt is the tick at which the node learned the identity of its group, zero if it knew it from its
+	// data folder.
+	fleetAt uint64
 	// groupExists is set once a peer has responded that it belongs to a group.
 	groupExists bool
 	// leader is the leader of that group, empty when unknown. Only the leader
@@ -15,13 +18,18 @@
 	leader string
 }
 
-// joinRequest is the last join request of a host: its disk identity and the tick
-// of its arrival.
+// joinRequest is the last join request of a host: its disk identity, the tick of its arrival, and
+// whether it came from an initial voter at its first start.
 type joinRequest struct {
-	disk uint64
-	tick uint64
+	disk    uint64
+	tick    uint64
+	initial bool
 }
 
+// formingPatience is the time in ticks that the initial voters have to form the group together. Then each
+// of them in turn, with as long for the next, may form it of a majority of them.
+const formingPatience = 100
+
 func newBootstrapState() bootstrapState {
 	return bootstrapState{readyPeers: map[string]joinRequest{}}
 }
@@ -40,24 +48,80 @@
 
 // tickOutsideGroup sends join requests to the other control hosts. The initial
 // voter with the lowest host name forms a group once every other initial voter has
-// reported that it belongs to none. If that host loses its disk and forms a second
-// group, each of the other data folders can belong to only one of the two, so at
-// most one has a quorum.
+// reported that it belongs to none. If one of them is lost before that, another one forms it after
+// formingPatience, of those that remain at their first start (Config.FormWithoutLost).
+//
+// Two groups may be formed, if hosts do not hear each other. The quorum of each is a majority of the initial
+// voters, a data folder belongs to one group only, and a host that has lost its own is not at its first
+// start any more, so that at most one group has a quorum. The members of the other one leave it
+// (leavesFormedGroup).
 func (n *Node) tickOutsideGroup() {
 	if n.ticks%joinRequestInterval == 0 {
 		n.sendJoinRequests()
 	}
+	if n.awaitsLostFounder() {
+		n.requireRejoin()
+		return
+	}
 	if n.hard.Fleet != 0 || n.bootstrap.groupExists || len(n.cfg.InitialVoters) == 0 {
 		return
 	}
 	if slices.Min(n.cfg.InitialVoters) == n.cfg.Host && n.initialVotersReady() {
-		n.bootstrapGroup()
+		n.bootstrapGroup(n.cfg.InitialVoters)
+		return
+	}
+	if !n.cfg.FormWithoutLost || n.ticks < n.formingTurn() {
+		return
+	}
+	if remaining := n.remainingInitialVoters(); quorumOf(len(remaining)) == quorumOf(len(n.cfg.InitialVoters)) {
+		n.bootstrapGroup(remaining)
+	}
+}
+
+// leavesFormedGroup reports whether the node should leave its group for another one that has committed
+// entries: nothing was committed in its own, as far as it knows, and no leader of it is heard. The quorum of
+// the other group proves that nothing was, and that nothing ever can be.
+func (n *Node) leavesFormedGroup() bool {
+	return n.cfg.FormWithoutLost && n.log.commit == formedIndex && n.role != Leader && n.leaderIsSilent()
+}
+
+// awaitsLostFounder reports whether this initial voter belongs to a group that will not come to be: it has
+// voted in one whose members it never learned, as if the host that formed it was lost right then, or has
+// heard no leader of one that it formed or joined, for longer than others wait for it. It has stored no entry
+// of that group, and does not vote in it again with another data folder.
+func (n *Node) awaitsLostFounder() bool {
+	if !n.cfg.FormWithoutLost || len(n.cfg.InitialVoters) == 0 || n.hard.Fleet == 0 || n.role == Leader || n.log.last() > formedIndex {
+		return false
+	}
+	patience := uint64(formingPatience)
+	if len(n.members) > 0 {
+		patience *= 4
 	}
+	return n.ticks-max(n.bootstrap.fleetAt, n.leaderContact) >= patience
+}
+
+// formedIndex is the index of the empty snapshot with which a group is formed.
+const formedIndex = 1
+
+// formingTurn returns the tick from which this initial voter may form the group without the others.
+func (n *Node) formingTurn() uint64 {
+	voters := slices.Sorted(slices.Values(n.cfg.InitialVoters))
+	return formingPatience * uint64(1+slices.Index(voters, n.cfg.Host))
+}
+
+// remainingInitialVoters returns this host and the other initial voters that have lately reported that
+// they belong to no group and are at their first start.
+func (n *Node) remainingInitialVoters() []string {
+	return slices.DeleteFunc(slices.Clone(n.cfg.InitialVoters), func(host string) bool {
+		request, ok := n.bootstrap.readyPeers[host]
+		return host != n.cfg.Host && (!ok || !request.initial || n.ticks-request.tick > 2*joinRequestInterval)
+	})
 }
 
 func (n *Node) sendJoinRequests() {
+	initial := len(n.members) == 0 && slices.Contains(n.cfg.InitialVoters, n.cfg.Host)
 	for _, host := range n.Contacts() {
-		n.send(Member{Host: host}, Message{Kind: KindJoinRequest})
+		n.send(Member{Host: host}, Message{Kind: KindJoinRequest, Initial: initial})
 	}
 }
 
@@ -86,18 +150,18 @@
 	return true
 }
 
-// bootstrapGroup forms a group of the initial voters. Its log starts after an
+// bootstrapGroup forms a group of this host and other initial voters. Its log starts after an
 // empty snapshot at index 1, and this node starts a pre-vote at once.
-func (n *Node) bootstrapGroup() {
+func (n *Node) bootstrapGroup(voters []string) {
 	members := []Member{{Host: n.cfg.Host, Disk: n.disk, Voter: true}}
-	for _, host := range n.cfg.InitialVoters {
+	for _, host := range voters {
 		if host != n.cfg.Host {
 			members = append(members, Member{Host: host, Disk: n.bootstrap.readyPeers[host].disk, Voter: true})
 		}
 	}
 	slices.SortFunc(members, compareMembers)
-	n.hard = HardState{Term: 1, Commit: 1, Fleet: n.cfg.Rand.Uint64() | 1}
-	n.log.restore(Snapshot{Index: 1, Term: 1, Members: slices.Compact(members)})
+	n.hard, n.bootstrap.fleetAt = HardState{Term: 1, Commit: formedIndex, Fleet: n.cfg.Rand.Uint64() | 1}, n.ticks
+	n.log.restore(Snapshot{Index: formedIndex, Term: 1, Members: slices.Compact(members)})
 	n.members = n.log.snap.Members
 	n.electionElapsed = n.electionTimeout
 }
@@ -110,11 +174,18 @@
 func (n *Node) handleJoinRequest(m *Message) {
 	if len(n.members) == 0 {
 		if m.Fleet == 0 {
-			n.bootstrap.readyPeers[m.From] = joinRequest{disk: m.FromDisk, tick: n.ticks}
+			n.bootstrap.readyPeers[m.From] = joinRequest{disk: m.FromDisk, tick: n.ticks, initial: m.Initial}
 		}
 		return
 	}
+	foreign := m.Fleet != 0 && m.Fleet != n.hard.Fleet
+	if foreign && n.log.commit <= formedIndex {
+		return
+	}
 	n.respond(m, Message{Kind: KindJoinResponse, Leader: n.liveLeader()})
+	if foreign {
+		return // it has to leave its group first
+	}
 	if _, member := n.member(m.FromDisk); n.role != Leader || member {
 		return
 	}
@@ -142,6 +213,12 @@
 	if m.ToDisk != n.disk {
 		return
 	}
+	if n.hard.Fleet != 0 && m.Fleet != 0 && m.Fleet != n.hard.Fleet {
+		if m.Leader != "" && n.leavesFormedGroup() {
+			n.requireRejoin()
+		}
+		return
+	}
 	n.bootstrap.groupExists = true
 	if m.Leader != "" {
 		n.bootstrap.leader = m.Leader
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -45,6 +45,9 @@
 	// loss of a committed entry; zero selects DefaultToleratedLosses. With open membership the group
 	// is not shrunk below the 2*ToleratedLosses+1 voters that this needs.
 	ToleratedLosses int
+	// FormWithoutLost lets the initial voters form the group although some of them are lost before, if a
+	// quorum of all remains. A host that has lost its data folder must not be given InitialVoters again.
+	FormWithoutLost bool
 	// TrailingEntries is the number of applied entries kept after a snapshot, so that
 	// followers that lag by less need no snapshot.
 	TrailingEntries uint64
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -74,6 +74,8 @@
 	Members []Member `cbor:"21,keyasint,omitempty"`
 	// Leader is the host of the leader in KindJoinResponse, empty when unknown.
 	Leader string `cbor:"22,keyasint,omitempty"`
+	// Initial marks a KindJoinRequest of an initial voter at its first start. Earlier builds do not.
+	Initial bool `cbor:"23,keyasint,omitempty"`
 }
 
 // maxSnapshotTotal bounds the data of a snapshot from a peer, in bytes.
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -131,7 +131,8 @@
 	if m.Kind < KindPreVote || m.Kind > KindLeft || m.FromDisk == 0 {
 		return result.New(result.PeerMalformed, "consensus message of kind %d from disk %x", m.Kind, m.FromDisk)
 	}
-	if m.Fleet != 0 && n.hard.Fleet != 0 && m.Fleet != n.hard.Fleet {
+	joins := n.cfg.FormWithoutLost && (m.Kind == KindJoinRequest || m.Kind == KindJoinResponse)
+	if m.Fleet != 0 && n.hard.Fleet != 0 && m.Fleet != n.hard.Fleet && !joins {
 		return result.New(result.PeerFleet, "host %s belongs to group %x, this host to %x", m.From, m.Fleet, n.hard.Fleet)
 	}
 	if m.Kind == KindJoinRequest || m.Kind == KindJoinResponse {
@@ -257,7 +258,7 @@
 
 func (n *Node) adoptFleet(fleet uint64) {
 	if n.hard.Fleet == 0 {
-		n.hard.Fleet = fleet
+		n.hard.Fleet, n.bootstrap.fleetAt = fleet, n.ticks
 	}
 }
 
--- a/internal/consensus/open_membership_test.go
+++ b/internal/consensus/open_membership_test.go
@@ -223,3 +223,74 @@
 		c.requireNoViolation()
 	}
 }
+
+// TestGroupFormsWithoutLostSeed guards against a fleet that never starts, since one of its initial voters was
+// lost, or started again, before the group was formed (review/13).
+func TestGroupFormsWithoutLostSeed(t *testing.T) {
+	for seed := range uint64(60) {
+		for _, variant := range []string{"lost", "restarted"} {
+			c := newOpenCluster(t, seed, "d", "e")
+			for _, p := range c.procs {
+				p.cfg.FormWithoutLost = true
+				c.start(p.cfg.Host)
+			}
+			for range seed / 6 { // up to nine rounds, in the middle of which the group is usually formed
+				c.round()
+			}
+			lost := c.hosts[seed%3]
+			if variant == "lost" {
+				c.removeHost(lost)
+				c.joinHost("f", []string{"a", "b", "c"})
+			} else {
+				c.procs[lost].cfg.InitialVoters, c.procs[lost].cfg.Peers = nil, []string{"a", "b", "c"}
+				c.start(lost)
+			}
+			c.runUntil("five voters", c.allHostsVote)
+			c.propose("x")
+			c.requireNoViolation()
+		}
+	}
+}
+
+// TestOneGroupOfSeeds cuts links between the initial voters, one way and both ways, and loses hosts, while the
+// group is formed. It guards against two groups that both accept commands.
+func TestOneGroupOfSeeds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newOpenCluster(rt, rapid.Uint64().Draw(rt, "seed"), "d", "e")
+		for _, p := range c.procs {
+			p.cfg.FormWithoutLost = true
+			c.start(p.cfg.Host)
+		}
+		accepted := map[uint64]bool{}
+		for range rapid.IntRange(1, 12).Draw(rt, "phases") {
+			for _, from := range c.hosts {
+				for _, to := range c.hosts {
+					c.cutLinks[[2]string{from, to}] = rapid.IntRange(0, 2).Draw(rt, "cut") == 0
+				}
+			}
+			if rapid.IntRange(0, 3).Draw(rt, "restart") == 0 {
+				p := c.procs[rapid.SampledFrom(c.hosts).Draw(rt, "restarted")]
+				p.cfg.InitialVoters, p.cfg.Peers = nil, []string{"a", "b", "c"}
+				c.start(p.cfg.Host)
+			}
+			for range rapid.IntRange(10, 150).Draw(rt, "rounds") {
+				c.round()
+				for _, p := range c.procs {
+					if p.node.log.commit > formedIndex {
+						accepted[p.node.hard.Fleet] = true
+					}
+				}
+			}
+			if len(accepted) > 1 {
+				rt.Fatalf("%d groups have committed entries", len(accepted))
+			}
+		}
+		clear(c.cutLinks)
+		if !slices.ContainsFunc(c.hosts, func(h string) bool { return c.procs[h].node.hard.Fleet != 0 }) && len(accepted) == 0 {
+			return // too many were started again before there was a group
+		}
+		if len(accepted) == 1 {
+			c.runUntil("five voters", c.allHostsVote)
+		}
+	})
+}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -131,10 +131,10 @@
 	term        uint64
 	failover    *failoverDriver
 	usage       *usageDriver
-	// openedAt is when this run of the host began; held counts the proposals whose acknowledgement is
-	// held back.
-	openedAt time.Time
-	held     int
+	// leadingSince is when this host last became the leader; held counts the proposals whose
+	// acknowledgement is held back.
+	leadingSince time.Time
+	held         int
 	// loggedBytes is the size of the entries applied since the last snapshot, snapshotBytes that of the
 	// snapshot.
 	loggedBytes, snapshotBytes int
@@ -209,7 +209,6 @@
 		return err
 	}
 	defer h.close()
-	h.openedAt = clock.Now()
 	ticker := time.NewTicker(consensus.DefaultTickInterval)
 	defer ticker.Stop()
 	for {
@@ -347,6 +346,7 @@
 			isInitialVoter = isInitialVoter || c.Host == cfg.Host
 		}
 	}
+	cfg.FormWithoutLost = h.opts.OpenMembership
 	if h.opts.OpenMembership && !isInitialVoter {
 		cfg.InitialVoters = nil // a host that is not a seed waits to be admitted
 	}
