Control: hold back acknowledgements after the first election only

Cause: a fleet with fewer control hosts than its settings need would have held back each order for 3 s after each election. Change: the time counts from the first time that a host leads.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -307,7 +307,10 @@
 // startLeading takes over as leader of a term. The leader runs no tasks and answers
 // no read until a quorum has confirmed it; see confirmLeadership.
 func (h *Host) startLeading(now time.Time, term uint64) {
-	h.leading, h.confirmed, h.term, h.leadingSince = true, false, term, now
+	h.leading, h.confirmed, h.term = true, false, term
+	if h.firstLedAt.IsZero() {
+		h.firstLedAt = now
+	}
 	h.orders.dropAppended() // entries of an earlier term of this leader may have been replaced
 	h.broker.AbortRound()
 	h.broker.BecomeLeader(now)
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -131,10 +131,10 @@
 	term        uint64
 	failover    *failoverDriver
 	usage       *usageDriver
-	// leadingSince is when this host last became the leader; held counts the proposals whose
+	// firstLedAt is when this host first became the leader; held counts the proposals whose
 	// acknowledgement is held back.
-	leadingSince time.Time
-	held         int
+	firstLedAt time.Time
+	held       int
 	// loggedBytes is the size of the entries applied since the last snapshot, snapshotBytes that of the
 	// snapshot.
 	loggedBytes, snapshotBytes int
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -44,16 +44,17 @@
 	outcome *agreed.Outcome
 }
 
-// firstVotersGrace bounds the time in which a new leader holds back
+// firstVotersGrace bounds the time in which a host that leads for the first time holds back
 // acknowledgements for voters that have yet to join. It is below the 5 s after which an order counts
-// as unacknowledged. A fleet with fewer control hosts than the settings need gets no others.
+// as unacknowledged. A fleet with fewer control hosts than the settings need gets no others, and later
+// elections must not hold back its orders again.
 const firstVotersGrace = 3 * time.Second
 
 // mayAcknowledge reports whether what operators have ordered survives the losses that the settings
 // name, as far as it ever will. Right after the first start of a fleet the group has the seeds alone
 // as voters, of which these losses may be most.
 func (h *Host) mayAcknowledge(now time.Time) bool {
-	return !h.opts.OpenMembership || h.node.BearsLosses() || now.Sub(h.leadingSince) >= firstVotersGrace
+	return !h.opts.OpenMembership || h.node.BearsLosses() || now.Sub(h.firstLedAt) >= firstVotersGrace
 }
 
 // answerHeld answers the operators whose orders were applied, once they may be acknowledged. A host
