Control: hold back acknowledgements at the first start only

Its fleet has three control hosts and no number of losses in its settings, so that five voters are asked for; each host held back orders for 3 s after the first time it led, here after an election under load. Change: only a host that started without stored data holds back, in its first 10 s.

--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -131,10 +131,12 @@
 	term        uint64
 	failover    *failoverDriver
 	usage       *usageDriver
-	// firstLedAt is when this host first became the leader; held counts the proposals whose
-	// acknowledgement is held back.
-	firstLedAt time.Time
-	held       int
+	// loadedAt is when this host loaded its store, startedEmpty whether it belonged to no group then, and
+	// firstLedAt when it first became the leader. held counts the proposals whose acknowledgement is held
+	// back.
+	loadedAt, firstLedAt time.Time
+	startedEmpty         bool
+	held                 int
 	// loggedBytes is the size of the entries applied since the last snapshot, snapshotBytes that of the
 	// snapshot.
 	loggedBytes, snapshotBytes int
@@ -294,6 +296,7 @@
 	h.leading, h.confirmed = false, false
 	h.confirming, h.quorumAt = confirmation{}, time.Time{}
 	h.loggedBytes, h.snapshotBytes = 0, len(stored.Snapshot.Data)
+	h.loadedAt, h.startedEmpty = clock.Now(), stored.Hard.Fleet == 0
 	return nil
 }
 
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -44,17 +44,23 @@
 	outcome *agreed.Outcome
 }
 
-// firstVotersGrace bounds the time in which a host that leads for the first time holds back
-// acknowledgements for voters that have yet to join. It is below the 5 s after which an order counts
-// as unacknowledged. A fleet with fewer control hosts than the settings need gets no others, and later
-// elections must not hold back its orders again.
-const firstVotersGrace = 3 * time.Second
+const (
+	// firstVotersGrace bounds the time in which the first leader of a group holds back acknowledgements
+	// for voters that have yet to join. It is below the 5 s after which an order counts as
+	// unacknowledged. A fleet with fewer control hosts than the settings need gets no others.
+	firstVotersGrace = 3 * time.Second
+	// firstStartTime is the time from the start of a host without stored data in which it may be the
+	// first leader: the initial voters form the group within 6 s. Later elections must not hold back
+	// orders again.
+	firstStartTime = 10 * time.Second
+)
 
 // mayAcknowledge reports whether what operators have ordered survives the losses that the settings
 // name, as far as it ever will. Right after the first start of a fleet the group has the seeds alone
 // as voters, of which these losses may be most.
 func (h *Host) mayAcknowledge(now time.Time) bool {
-	return !h.opts.OpenMembership || h.node.BearsLosses() || now.Sub(h.firstLedAt) >= firstVotersGrace
+	firstStart := h.startedEmpty && now.Sub(h.loadedAt) < firstStartTime && now.Sub(h.firstLedAt) < firstVotersGrace
+	return !h.opts.OpenMembership || !firstStart || h.node.BearsLosses()
 }
 
 // answerHeld answers the operators whose orders were applied, once they may be acknowledged. A host
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenabridge/galenabridge/internal/agreed"
+	"github.com/galenabridge/galenabridge/internal/consensus"
 	"github.com/galenabridge/galenabridge/internal/lease"
 	"github.com/galenabridge/galenabridge/internal/note"
 	"github.com/galenabridge/galenabridge/internal/peer"
@@ -317,3 +319,30 @@
 		}
 	}
 }
+
+// TestAcknowledgementsHeldAtFirstStartOnly guards against orders that are held back for voters that a fleet
+// does not have, after elections later than the first.
+func TestAcknowledgementsHeldAtFirstStartOnly(t *testing.T) {
+	node, err := consensus.New(consensus.Config{Host: "c0", Rand: rand.New(rand.NewPCG(1, 1))}, consensus.Stored{Disk: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(100, 0)
+	for name, c := range map[string]struct {
+		empty       bool
+		loaded, led time.Duration // before now
+		held        bool
+	}{
+		"first leader of a new group":          {true, time.Second, 500 * time.Millisecond, true},
+		"and after the grace":                  {true, 5 * time.Second, firstVotersGrace, false},
+		"leader of a group that was there":     {false, time.Second, 500 * time.Millisecond, false},
+		"another host of the new group, later": {true, time.Minute, 500 * time.Millisecond, false},
+	} {
+		h := newPushHost(t, 0)
+		h.opts.OpenMembership, h.node = true, node
+		h.startedEmpty, h.loadedAt, h.firstLedAt = c.empty, now.Add(-c.loaded), now.Add(-c.led)
+		if held := !h.mayAcknowledge(now); held != c.held {
+			t.Errorf("%s: held %t, want %t", name, held, c.held)
+		}
+	}
+}
