--- a/internal/agreed/size.go
+++ b/internal/agreed/size.go
@@ -3,8 +3,8 @@
 import "reflect"
 
 // entryOverhead is the memory of an entry of a map beside the texts of its value, in bytes: the value,
-// the key and the part of the table that is empty. maxEntryText is the length of the texts that most
-// entries stay below.
+// the key and the part of the table that is empty. maxEntryText is the length in bytes of the texts that
+// most entries stay below.
 const (
 	entryOverhead = 160
 	maxEntryText  = 160
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -262,8 +262,8 @@
 	return nil
 }
 
-// maxLoggedBytes is the size of the entries, in bytes, after which a snapshot is taken, and snapshotShare
-// the least part of the size of the last snapshot. Windows of 1,000 workspaces have some KB each, a catalog
+// A snapshot is taken after maxLoggedBytes of entries, or after snapshotShare times the size of the last
+// snapshot if that is more. Windows of 1,000 workspaces have some KB each, a catalog
 // of 10,000 routes some MB: CompactEvery of them would take a great part of the memory, or more than all.
 const (
 	maxLoggedBytes = 4 << 20
